--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# One command for each thing that a developer or CI does.
+PACKAGES = g++ cmake ninja-build ccache clang-format clang-tidy \
+  libboost1.81-dev libboost-json1.81-dev libnghttp2-dev libeasyloggingpp-dev \
+  libcppunit-dev libprotobuf-dev protobuf-compiler libxxhash-dev
+SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.h' '*.cc' | grep -v '\.pb\.')
+
+.PHONY: all deps build test format lint asan demo prove bench capacity clean
+
+all: build
+
+deps:
+	@for p in $(PACKAGES); do dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; done; \
+	if [ -n "$$missing" ]; then apt-get update -qq && apt-get install -y -qq $$missing; fi
+
+build: deps
+	cmake --preset release >/dev/null
+	cmake --build build
+
+test: build
+	ctest --test-dir build --output-on-failure
+
+format:
+	clang-format -i $(SOURCES)
+
+lint: deps
+	clang-format --dry-run --Werror $(SOURCES)
+	cmake --preset lint >/dev/null
+	@printf '%s\n' $(filter %.cc,$(SOURCES)) | xargs -P 10 -n 1 clang-tidy --quiet -p build-lint
+
+asan: deps
+	cmake --preset asan >/dev/null
+	cmake --build build-asan
+	ctest --test-dir build-asan --output-on-failure
+
+clean:
+	rm -rf build build-asan build-tsan build-lint
