--- /dev/null
+++ b/dispatch/include/tarragon/dispatch/job.h
@@ -0,0 +1,105 @@
+#ifndef TARRAGON_DISPATCH_JOB_H_
+#define TARRAGON_DISPATCH_JOB_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tarragon/core/clock.h"
+#include "tarragon/core/ids.h"
+
+namespace tarragon::dispatch {
+
+/// Most tasks in one job.
+inline constexpr std::uint32_t kMaxTasksPerJob = 110;
+
+/// One task as the client declared it.
+struct TaskSpec {
+  /// Handed to the target as it is.
+  std::string payload;
+  std::uint32_t cores = 1;
+  std::uint32_t memory_mb = 0;
+
+  bool operator==(const TaskSpec&) const = default;
+};
+
+/// One job as the client submitted it.
+struct JobSpec {
+  core::JobKey key;
+  core::ServiceId service;
+  core::TenantId tenant;
+  /// Time left until the client has no more use for the answer. Sent as a
+  /// remainder because clocks of processes are not compared.
+  core::Duration time_left{0};
+  std::vector<TaskSpec> tasks;
+
+  bool operator==(const JobSpec&) const = default;
+};
+
+/// How a job stands or ended.
+enum class Outcome : std::uint8_t {
+  kRunning = 0,
+  /// Every task ended well; all results are there.
+  kComplete,
+  /// A task failed, the job was cancelled, or its deadline passed. Some tasks
+  /// may have run.
+  kFailed,
+  /// No task was run, and none will be under this key.
+  kNotRun,
+  /// Some task may or may not have run; nothing will be run again.
+  kUnknown,
+};
+
+/// Why a job or a placement was refused or failed. One list for all layers of
+/// the decisions, so that counters and pages name the same things.
+enum class Reason : std::uint8_t {
+  kNone = 0,
+  kUnknownService,
+  kTooLarge,       // A task asks for more than the service or any target.
+  kNoTarget,       // No target announces the service.
+  kTenantLimit,    // The tenant's limit is used up.
+  kOverload,       // The queue is full or the deadline cannot be met.
+  kDeadline,       // The deadline passed.
+  kCancelled,      // The client cancelled the job.
+  kSealed,         // Proved not started; will never start.
+  kDomainOut,      // The failure domain is out of service.
+  kLeaving,        // The process or its target is being stopped.
+  kStaleView,      // The permit lapsed; the process may be cut off.
+  kNoSlot,         // All slots of the target are taken.
+  kTargetGone,     // The target withdrew or does not answer.
+  kTaskFailed,     // The target reported a failure.
+  kSiblingFailed,  // Another task of the same job failed first.
+  kHomeGone,       // The process that answers for the key is gone.
+  kExecutorGone,   // The process beside the target is gone.
+  kHandleExpired,  // The key's handle is too old for a first submission.
+  kKeyReused,      // Same key, different body.
+  kTruncated,      // An answer's length or digest did not match.
+  kPlatformOut,    // The platform's table did not answer.
+  kAnswerDropped,  // The kept answer has passed its retention.
+};
+
+/// The name of a reason in answers, logs and metrics, such as "tenant_limit".
+std::string_view Name(Reason reason);
+/// The name of an outcome in answers, logs and metrics, such as "not_run".
+std::string_view Name(Outcome outcome);
+
+/// The answer to a job. Results are there for every task or for none.
+struct JobAnswer {
+  core::JobKey key;
+  Outcome outcome = Outcome::kRunning;
+  Reason reason = Reason::kNone;
+  /// One sentence for people.
+  std::string detail;
+  /// When a refused client may usefully come back; zero when it may not.
+  core::Duration retry_after{0};
+  /// One result for each task, in the order of the tasks; only if complete.
+  std::vector<std::string> results;
+
+  bool operator==(const JobAnswer&) const = default;
+};
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_JOB_H_
--- /dev/null
+++ b/dispatch/include/tarragon/dispatch/message.h
@@ -0,0 +1,297 @@
+#ifndef TARRAGON_DISPATCH_MESSAGE_H_
+#define TARRAGON_DISPATCH_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tarragon/core/clock.h"
+#include "tarragon/core/ids.h"
+#include "tarragon/dispatch/job.h"
+#include "tarragon/dispatch/world.h"
+
+/// The messages between the system's own processes. Each is one way; an answer
+/// is a message of its own that repeats what it answers.
+
+namespace tarragon::dispatch {
+
+/// Names one placement of one task. Answers are matched on all three.
+struct TaskRef {
+  core::JobKey key;
+  core::TaskIndex task;
+  core::Attempt attempt;
+
+  bool operator==(const TaskRef&) const = default;
+  auto operator<=>(const TaskRef&) const = default;
+};
+
+/// Load of one executor; rides on every message that it sends to a home.
+struct Load {
+  /// Slots that could start a task now.
+  std::uint32_t free_slots = 0;
+  /// All slots of the target.
+  std::uint32_t slots = 0;
+  /// Rises with each message of this executor, so that an older load that
+  /// arrives late is ignored.
+  std::uint64_t sequence = 0;
+
+  bool operator==(const Load&) const = default;
+};
+
+/// What an agent tells of itself and its target.
+struct AgentStatus {
+  core::NodeId node;
+  core::DomainId domain;
+  /// Services of the target; empty while no target has announced itself.
+  std::vector<core::ServiceId> services;
+  Load load;
+  std::uint32_t cores = 0;
+  std::uint32_t memory_mb = 0;
+  /// No new work and no new homes.
+  bool leaving = false;
+  /// Share of recent tasks that the target failed, in thousandths.
+  std::uint32_t failure_permille = 0;
+
+  bool operator==(const AgentStatus&) const = default;
+};
+
+// Entry <-> agent.
+
+/// Agent to entry: announcement, heartbeat and request for a permit in one.
+struct Heartbeat {
+  std::uint64_t sequence = 0;
+  AgentStatus status;
+  /// What the agent has in force, so that the entry sends only what is newer.
+  core::NoteVersion note_version;
+  std::uint64_t members_version = 0;
+
+  bool operator==(const Heartbeat&) const = default;
+};
+
+/// Entry to agent: answers the heartbeat `sequence`.
+struct Permit {
+  std::uint64_t sequence = 0;
+  /// Valid this long from the moment at which the agent sent the heartbeat.
+  /// Zero grants nothing.
+  core::Duration lifetime{0};
+  core::NoteVersion note_version;
+  /// The state itself, if the agent's was older.
+  bool has_world = false;
+  World world;
+  /// Members as this entry sees them: all of them, or what has changed since
+  /// the agent's `members_version` of this very entry.
+  std::uint64_t members_version = 0;
+  bool members_full = false;
+  std::vector<AgentStatus> members;
+  std::vector<core::NodeId> members_gone;
+  /// Entries to which the agent may send its heartbeats.
+  EntryList entries;
+
+  bool operator==(const Permit&) const = default;
+};
+
+/// Entry to home: a client's job.
+struct Submit {
+  /// Number that the entry gave this exchange.
+  std::uint64_t request = 0;
+  JobSpec spec;
+  /// Digest of the client's body, by which a reused key is known.
+  std::uint64_t body_digest = 0;
+
+  bool operator==(const Submit&) const = default;
+};
+
+/// Entry to home: a client asks for the answer again or waits on for it.
+struct Query {
+  std::uint64_t request = 0;
+  core::JobKey key;
+
+  bool operator==(const Query&) const = default;
+};
+
+/// Entry to home: a client cancels its job.
+struct Cancel {
+  std::uint64_t request = 0;
+  core::JobKey key;
+
+  bool operator==(const Cancel&) const = default;
+};
+
+/// Home to entry: the final answer to `request`.
+struct Answer {
+  std::uint64_t request = 0;
+  JobAnswer answer;
+  /// Digest of the results; a mismatch is a failure, never a partial answer.
+  std::uint64_t results_digest = 0;
+
+  bool operator==(const Answer&) const = default;
+};
+
+/// Entry to home: asks for the history of a key.
+struct Explain {
+  std::uint64_t request = 0;
+  core::JobKey key;
+
+  bool operator==(const Explain&) const = default;
+};
+
+/// Home to entry: the history, oldest first, one line for each event.
+struct Explanation {
+  std::uint64_t request = 0;
+  std::vector<std::string> lines;
+
+  bool operator==(const Explanation&) const = default;
+};
+
+// Home <-> executor.
+
+/// Home to executor: start this task now, or refuse it.
+struct Assign {
+  TaskRef ref;
+  core::ServiceId service;
+  core::TenantId tenant;
+  core::Duration time_left{0};
+  TaskSpec spec;
+
+  bool operator==(const Assign&) const = default;
+};
+
+/// Executor to home: the task is proved not started and will not start.
+struct Refused {
+  TaskRef ref;
+  Reason reason = Reason::kNone;
+  core::Duration retry_after{0};
+  Load load;
+
+  bool operator==(const Refused&) const = default;
+};
+
+/// Executor to home: the task has started; sent as the answer to a seal.
+struct Started {
+  TaskRef ref;
+  Load load;
+
+  bool operator==(const Started&) const = default;
+};
+
+/// Executor to home: the task has ended.
+struct Finished {
+  TaskRef ref;
+  bool ok = false;
+  Reason reason = Reason::kNone;
+  std::string result;
+  std::uint64_t result_digest = 0;
+  /// Measured run time.
+  core::Duration run_time{0};
+  Load load;
+
+  bool operator==(const Finished&) const = default;
+};
+
+/// Home to executor: the end of a task has been recorded and may be forgotten.
+struct FinishedAck {
+  TaskRef ref;
+
+  bool operator==(const FinishedAck&) const = default;
+};
+
+/// Home to executor: if this task has not started it must never start. The
+/// executor answers Refused, Started or Finished.
+struct Seal {
+  TaskRef ref;
+  /// Also stop the task if it has started.
+  bool stop = false;
+
+  bool operator==(const Seal&) const = default;
+};
+
+/// Home to executor: tasks of `service` wait here; ask when a slot is free.
+struct Want {
+  core::ServiceId service;
+  std::uint32_t waiting = 0;
+  /// How long the oldest has waited.
+  core::Duration oldest_wait{0};
+
+  bool operator==(const Want&) const = default;
+};
+
+/// Executor to home: a slot is reserved; send a task or decline.
+struct Pull {
+  std::uint64_t number = 0;
+  core::ServiceId service;
+  Load load;
+
+  bool operator==(const Pull&) const = default;
+};
+
+/// Home to executor: no task for the pull `number`.
+struct PullEmpty {
+  std::uint64_t number = 0;
+  core::ServiceId service;
+
+  bool operator==(const PullEmpty&) const = default;
+};
+
+/// Home to executor: the answer to a pull.
+struct PullTask {
+  std::uint64_t number = 0;
+  Assign assign;
+  /// What still waits after this task.
+  std::uint32_t waiting = 0;
+  core::Duration oldest_wait{0};
+
+  bool operator==(const PullTask&) const = default;
+};
+
+/// Executor to homes that lately sent work: free slots changed much.
+struct LoadHint {
+  Load load;
+
+  bool operator==(const LoadHint&) const = default;
+};
+
+// Entry <-> entry.
+
+/// Asks another registered entry what it has in force.
+struct EntryPing {
+  std::uint64_t sequence = 0;
+  core::NoteVersion note_version;
+  std::uint64_t entries_version = 0;
+
+  bool operator==(const EntryPing&) const = default;
+};
+
+/// Answers the ping `sequence`. The state itself is there if it is newer than
+/// the asker's.
+struct EntryPong {
+  std::uint64_t sequence = 0;
+  core::NoteVersion note_version;
+  std::uint64_t entries_version = 0;
+  bool has_world = false;
+  World world;
+  bool has_entries = false;
+  EntryList entries;
+
+  bool operator==(const EntryPong&) const = default;
+};
+
+/// Any process to any: this life of the process is leaving in good order.
+struct Leaving {
+  core::NodeId node;
+
+  bool operator==(const Leaving&) const = default;
+};
+
+/// Every message that one process sends to another.
+using Message = std::variant<Heartbeat, Permit, Submit, Query, Cancel, Answer,
+                             Explain, Explanation, Assign, Refused, Started,
+                             Finished, FinishedAck, Seal, Want, Pull, PullEmpty,
+                             PullTask, LoadHint, EntryPing, EntryPong, Leaving>;
+
+/// The message's name in logs and counters, such as "assign".
+const char* Name(const Message& message);
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_MESSAGE_H_
