Dispatch: apply release notes whole or not at all

ApplyNote works on plain structs and reports every error of a note at once, so that an operator mends it in one round. A base other than the present version is a conflict and is reported alone, because the other checks would compare the note with a world that its author has not seen.

--- /dev/null
+++ b/dispatch/note.cc
@@ -0,0 +1,253 @@
+#include "tarragon/dispatch/note.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragon::dispatch {
+namespace {
+
+using Texts = std::vector<std::string>;
+
+/// The names of the three kinds in error texts.
+constexpr std::string_view kServiceKind = "service";
+constexpr std::string_view kDomainKind = "domain";
+constexpr std::string_view kTenantKind = "tenant";
+
+bool IsNameCharacter(char c) {
+  return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
+         (c >= '0' && c <= '9') || c == '_' || c == '.' || c == '-';
+}
+
+std::string NameRule() {
+  return "must have 1 to " + std::to_string(kMaxNameLength) +
+         " characters of A-Z a-z 0-9 _ . -";
+}
+
+void CheckRange(const std::string& subject, std::string_view key,
+                std::uint64_t value, std::uint64_t lowest,
+                std::uint64_t highest, Texts* errors) {
+  if (value >= lowest && value <= highest) return;
+  errors->push_back(subject + ": " + std::string(key) + " is " +
+                    std::to_string(value) + ", allowed are " +
+                    std::to_string(lowest) + " to " + std::to_string(highest));
+}
+
+void CheckItem(const std::string& subject, const Service& service,
+               Texts* errors) {
+  if (service.max_run < kMinRunLimit || service.max_run > kMaxRunLimit) {
+    errors->push_back(subject + ": max_run_ms is " +
+                      std::to_string(core::Millis(service.max_run)) +
+                      ", allowed are " +
+                      std::to_string(core::Millis(kMinRunLimit)) + " to " +
+                      std::to_string(core::Millis(kMaxRunLimit)));
+  }
+  CheckRange(subject, "max_cores", service.max_cores, 1, kMaxCoresLimit,
+             errors);
+  CheckRange(subject, "max_memory_mb", service.max_memory_mb, 0,
+             kMaxMemoryMbLimit, errors);
+}
+
+void CheckItem(const std::string& subject, const Domain& domain,
+               Texts* errors) {
+  if (IsName(domain.region.value())) return;
+  errors->push_back(subject + ": region " + NameRule());
+}
+
+void CheckItem(const std::string& subject, const TenantLimit& tenant,
+               Texts* errors) {
+  CheckRange(subject, "max_running", tenant.max_running, 0, kMaxTasksLimit,
+             errors);
+  CheckRange(subject, "max_queued", tenant.max_queued, 0, kMaxTasksLimit,
+             errors);
+  CheckRange(subject, "weight", tenant.weight, 1, kMaxWeight, errors);
+}
+
+template <typename T>
+void Assign(const std::optional<T>& from, T* to) {
+  if (from) *to = *from;
+}
+
+void Change(const ServiceChange& change, Service* service) {
+  Assign(change.idempotent, &service->idempotent);
+  Assign(change.max_run, &service->max_run);
+  Assign(change.max_cores, &service->max_cores);
+  Assign(change.max_memory_mb, &service->max_memory_mb);
+}
+
+void Change(const DomainChange& change, Domain* domain) {
+  Assign(change.region, &domain->region);
+  Assign(change.in_service, &domain->in_service);
+}
+
+void Change(const TenantChange& change, TenantLimit* tenant) {
+  Assign(change.max_running, &tenant->max_running);
+  Assign(change.max_queued, &tenant->max_queued);
+  Assign(change.weight, &tenant->weight);
+}
+
+/// The part of a note that concerns one kind.
+template <typename Id, typename Item, typename ItemChange>
+struct KindNote {
+  std::string_view kind;
+  const std::map<Id, Item>& added;
+  const std::map<Id, ItemChange>& changed;
+  const std::set<Id>& withdrawn;
+
+  bool Empty() const {
+    return added.empty() && changed.empty() && withdrawn.empty();
+  }
+};
+
+template <typename Id>
+std::string Subject(std::string_view kind, const Id& id) {
+  return std::string(kind) + " " + id.value();
+}
+
+/// Reports items that the note names under more than one heading.
+template <typename Id, typename Item, typename ItemChange>
+void CheckNamedOnce(const KindNote<Id, Item, ItemChange>& note, Texts* errors) {
+  for (const auto& [id, item] : note.added) {
+    if (!note.changed.contains(id) && !note.withdrawn.contains(id)) continue;
+    errors->push_back(Subject(note.kind, id) + ": named twice in one note");
+  }
+  for (const auto& [id, change] : note.changed) {
+    if (note.added.contains(id) || !note.withdrawn.contains(id)) continue;
+    errors->push_back(Subject(note.kind, id) + ": named twice in one note");
+  }
+}
+
+template <typename Id, typename Item, typename ItemChange>
+void Add(const KindNote<Id, Item, ItemChange>& note,
+         const std::map<Id, Item>& present, std::map<Id, Item>* next,
+         Texts* errors) {
+  for (const auto& [id, item] : note.added) {
+    const std::string subject = Subject(note.kind, id);
+    if (!IsName(id.value())) {
+      errors->push_back(subject + ": the name " + NameRule());
+    }
+    if (present.contains(id)) {
+      errors->push_back(subject + ": cannot be added, it exists");
+    }
+    CheckItem(subject, item, errors);
+    next->insert_or_assign(id, item);
+  }
+}
+
+template <typename Id, typename Item, typename ItemChange>
+void ChangePresent(const KindNote<Id, Item, ItemChange>& note,
+                   const std::map<Id, Item>& present, std::map<Id, Item>* next,
+                   Texts* errors) {
+  for (const auto& [id, change] : note.changed) {
+    const std::string subject = Subject(note.kind, id);
+    if (change == ItemChange()) {
+      errors->push_back(subject + ": the change states nothing");
+    }
+    const auto found = present.find(id);
+    if (found == present.end()) {
+      errors->push_back(subject + ": cannot be changed, it does not exist");
+      continue;
+    }
+    Item item = found->second;
+    Change(change, &item);
+    CheckItem(subject, item, errors);
+    next->insert_or_assign(id, item);
+  }
+}
+
+template <typename Id, typename Item, typename ItemChange>
+void Withdraw(const KindNote<Id, Item, ItemChange>& note,
+              const std::map<Id, Item>& present, std::map<Id, Item>* next,
+              Texts* errors) {
+  for (const Id& id : note.withdrawn) {
+    if (!present.contains(id)) {
+      errors->push_back(Subject(note.kind, id) +
+                        ": cannot be withdrawn, it does not exist");
+    }
+    next->erase(id);
+  }
+}
+
+template <typename Id, typename Item, typename ItemChange>
+void ApplyKind(const KindNote<Id, Item, ItemChange>& note,
+               const std::map<Id, Item>& present, std::map<Id, Item>* next,
+               Texts* errors) {
+  CheckNamedOnce(note, errors);
+  Add(note, present, next, errors);
+  ChangePresent(note, present, next, errors);
+  Withdraw(note, present, next, errors);
+  if (next->size() > kMaxItemsPerKind) {
+    errors->push_back(
+        std::string(note.kind) + ": " + std::to_string(next->size()) +
+        " would be in force, allowed are " + std::to_string(kMaxItemsPerKind));
+  }
+}
+
+void RememberNote(const core::NoteId& id, World* world) {
+  std::vector<core::NoteId>& notes = world->recent_notes;
+  notes.push_back(id);
+  if (notes.size() <= kRecentNotes) return;
+  notes.erase(notes.begin(),
+              notes.end() - static_cast<std::ptrdiff_t>(kRecentNotes));
+}
+
+std::optional<World> Fail(NoteError::Code code, Texts texts,
+                          NoteError* reason) {
+  if (reason != nullptr) *reason = {code, std::move(texts)};
+  return std::nullopt;
+}
+
+}  // namespace
+
+bool IsName(std::string_view text) {
+  return !text.empty() && text.size() <= kMaxNameLength &&
+         std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
+bool ContainsNote(const World& world, const core::NoteId& id) {
+  const std::vector<core::NoteId>& notes = world.recent_notes;
+  return std::find(notes.begin(), notes.end(), id) != notes.end();
+}
+
+std::optional<World> ApplyNote(const World& present, const ReleaseNote& note,
+                               NoteError* reason) {
+  if (note.base != present.version) {
+    return Fail(
+        NoteError::Code::kConflict,
+        {"the note's base is version " + std::to_string(note.base.value()) +
+         ", the present one is " + std::to_string(present.version.value())},
+        reason);
+  }
+  const KindNote<core::ServiceId, Service, ServiceChange> services{
+      kServiceKind, note.added_services, note.changed_services,
+      note.withdrawn_services};
+  const KindNote<core::DomainId, Domain, DomainChange> domains{
+      kDomainKind, note.added_domains, note.changed_domains,
+      note.withdrawn_domains};
+  const KindNote<core::TenantId, TenantLimit, TenantChange> tenants{
+      kTenantKind, note.added_tenants, note.changed_tenants,
+      note.withdrawn_tenants};
+
+  Texts errors;
+  if (!IsName(note.id.value())) {
+    errors.push_back("note: the id " + NameRule());
+  }
+  if (ContainsNote(present, note.id)) {
+    errors.push_back("note: the id " + note.id.value() +
+                     " belongs to a note accepted before");
+  }
+  if (services.Empty() && domains.Empty() && tenants.Empty()) {
+    errors.emplace_back("note: states nothing to add, change or withdraw");
+  }
+  World next = present;
+  ApplyKind(services, present.services, &next.services, &errors);
+  ApplyKind(domains, present.domains, &next.domains, &errors);
+  ApplyKind(tenants, present.tenants, &next.tenants, &errors);
+  if (!errors.empty()) {
+    return Fail(NoteError::Code::kInvalid, std::move(errors), reason);
+  }
+  next.version = core::NoteVersion(present.version.value() + 1);
+  RememberNote(note.id, &next);
+  return next;
+}
+
+}  // namespace tarragon::dispatch
