--- a/dispatch/include/tarragon/dispatch/message.h
+++ b/dispatch/include/tarragon/dispatch/message.h
@@ -35,6 +35,8 @@
   /// Rises with each message of this executor, so that an older load that
   /// arrives late is ignored.
   std::uint64_t sequence = 0;
+  /// Assign and PullTask messages of the receiving home that were counted.
+  std::uint64_t assigns_seen = 0;
 
   bool operator==(const Load&) const = default;
 };
@@ -52,6 +54,11 @@
   bool leaving = false;
   /// Share of recent tasks that the target failed, in thousandths.
   std::uint32_t failure_permille = 0;
+  /// Part of the handles that are minted for this home now. Rises with time;
+  /// a home remembers every key of the epochs that it still accepts.
+  std::uint32_t handle_epoch = 0;
+  /// Mean run time of recent tasks; zero when there were none.
+  core::Duration mean_run{0};
 
   bool operator==(const AgentStatus&) const = default;
 };
