Dispatch: check whole worlds and test release notes

CheckWorld states the ranges once, for notes and for worlds that come back from the table. Changed() applies a partial change, so that the reader of notes needs no second list of fields. Limits of less than a millisecond are refused: the table keeps milliseconds and would drop the rest.

--- a/dispatch/include/tarragon/dispatch/note.h
+++ b/dispatch/include/tarragon/dispatch/note.h
@@ -97,6 +97,15 @@
 /// True for 1 to 64 characters of A-Z a-z 0-9 _ . -
 bool IsName(std::string_view text);
 
+/// The item with the fields that `change` states.
+Service Changed(Service service, const ServiceChange& change);
+Domain Changed(Domain domain, const DomainChange& change);
+TenantLimit Changed(TenantLimit tenant, const TenantChange& change);
+
+/// Every name, limit and count of `world` that is out of its range, one
+/// sentence each. Empty for every world that ApplyNote returns.
+std::vector<std::string> CheckWorld(const World& world);
+
 /// True when the note was accepted already, so that sending it again changes
 /// nothing. Only the latest `kRecentNotes` ids are known.
 bool ContainsNote(const World& world, const core::NoteId& id);
--- a/dispatch/note.cc
+++ b/dispatch/note.cc
@@ -23,6 +23,11 @@
          " characters of A-Z a-z 0-9 _ . -";
 }
 
+template <typename Id>
+std::string Subject(std::string_view kind, const Id& id) {
+  return std::string(kind) + " " + id.value();
+}
+
 void CheckRange(const std::string& subject, std::string_view key,
                 std::uint64_t value, std::uint64_t lowest,
                 std::uint64_t highest, Texts* errors) {
@@ -34,10 +39,13 @@
 
 void CheckItem(const std::string& subject, const Service& service,
                Texts* errors) {
-  if (service.max_run < kMinRunLimit || service.max_run > kMaxRunLimit) {
+  const bool whole =
+      service.max_run % std::chrono::milliseconds(1) == core::Duration::zero();
+  if (!whole || service.max_run < kMinRunLimit ||
+      service.max_run > kMaxRunLimit) {
     errors->push_back(subject + ": max_run_ms is " +
                       std::to_string(core::Millis(service.max_run)) +
-                      ", allowed are " +
+                      ", allowed are whole numbers from " +
                       std::to_string(core::Millis(kMinRunLimit)) + " to " +
                       std::to_string(core::Millis(kMaxRunLimit)));
   }
@@ -67,22 +75,21 @@
   if (from) *to = *from;
 }
 
-void Change(const ServiceChange& change, Service* service) {
-  Assign(change.idempotent, &service->idempotent);
-  Assign(change.max_run, &service->max_run);
-  Assign(change.max_cores, &service->max_cores);
-  Assign(change.max_memory_mb, &service->max_memory_mb);
-}
-
-void Change(const DomainChange& change, Domain* domain) {
-  Assign(change.region, &domain->region);
-  Assign(change.in_service, &domain->in_service);
-}
-
-void Change(const TenantChange& change, TenantLimit* tenant) {
-  Assign(change.max_running, &tenant->max_running);
-  Assign(change.max_queued, &tenant->max_queued);
-  Assign(change.weight, &tenant->weight);
+/// Reports what is out of range among the items of one kind.
+template <typename Id, typename Item>
+void CheckItems(std::string_view kind, const std::map<Id, Item>& items,
+                Texts* errors) {
+  for (const auto& [id, item] : items) {
+    const std::string subject = Subject(kind, id);
+    if (!IsName(id.value())) {
+      errors->push_back(subject + ": the name " + NameRule());
+    }
+    CheckItem(subject, item, errors);
+  }
+  if (items.size() <= kMaxItemsPerKind) return;
+  errors->push_back(std::string(kind) + ": " + std::to_string(items.size()) +
+                    " would be in force, allowed are " +
+                    std::to_string(kMaxItemsPerKind));
 }
 
 /// The part of a note that concerns one kind.
@@ -98,11 +105,6 @@
   }
 };
 
-template <typename Id>
-std::string Subject(std::string_view kind, const Id& id) {
-  return std::string(kind) + " " + id.value();
-}
-
 /// Reports items that the note names under more than one heading.
 template <typename Id, typename Item, typename ItemChange>
 void CheckNamedOnce(const KindNote<Id, Item, ItemChange>& note, Texts* errors) {
@@ -121,14 +123,10 @@
          const std::map<Id, Item>& present, std::map<Id, Item>* next,
          Texts* errors) {
   for (const auto& [id, item] : note.added) {
-    const std::string subject = Subject(note.kind, id);
-    if (!IsName(id.value())) {
-      errors->push_back(subject + ": the name " + NameRule());
-    }
     if (present.contains(id)) {
-      errors->push_back(subject + ": cannot be added, it exists");
+      errors->push_back(Subject(note.kind, id) +
+                        ": cannot be added, it exists");
     }
-    CheckItem(subject, item, errors);
     next->insert_or_assign(id, item);
   }
 }
@@ -147,10 +145,7 @@
       errors->push_back(subject + ": cannot be changed, it does not exist");
       continue;
     }
-    Item item = found->second;
-    Change(change, &item);
-    CheckItem(subject, item, errors);
-    next->insert_or_assign(id, item);
+    next->insert_or_assign(id, Changed(found->second, change));
   }
 }
 
@@ -175,11 +170,6 @@
   Add(note, present, next, errors);
   ChangePresent(note, present, next, errors);
   Withdraw(note, present, next, errors);
-  if (next->size() > kMaxItemsPerKind) {
-    errors->push_back(
-        std::string(note.kind) + ": " + std::to_string(next->size()) +
-        " would be in force, allowed are " + std::to_string(kMaxItemsPerKind));
-  }
 }
 
 void RememberNote(const core::NoteId& id, World* world) {
@@ -203,6 +193,35 @@
          std::all_of(text.begin(), text.end(), IsNameCharacter);
 }
 
+Service Changed(Service service, const ServiceChange& change) {
+  Assign(change.idempotent, &service.idempotent);
+  Assign(change.max_run, &service.max_run);
+  Assign(change.max_cores, &service.max_cores);
+  Assign(change.max_memory_mb, &service.max_memory_mb);
+  return service;
+}
+
+Domain Changed(Domain domain, const DomainChange& change) {
+  Assign(change.region, &domain.region);
+  Assign(change.in_service, &domain.in_service);
+  return domain;
+}
+
+TenantLimit Changed(TenantLimit tenant, const TenantChange& change) {
+  Assign(change.max_running, &tenant.max_running);
+  Assign(change.max_queued, &tenant.max_queued);
+  Assign(change.weight, &tenant.weight);
+  return tenant;
+}
+
+std::vector<std::string> CheckWorld(const World& world) {
+  Texts errors;
+  CheckItems(kServiceKind, world.services, &errors);
+  CheckItems(kDomainKind, world.domains, &errors);
+  CheckItems(kTenantKind, world.tenants, &errors);
+  return errors;
+}
+
 bool ContainsNote(const World& world, const core::NoteId& id) {
   const std::vector<core::NoteId>& notes = world.recent_notes;
   return std::find(notes.begin(), notes.end(), id) != notes.end();
@@ -242,6 +261,7 @@
   ApplyKind(services, present.services, &next.services, &errors);
   ApplyKind(domains, present.domains, &next.domains, &errors);
   ApplyKind(tenants, present.tenants, &next.tenants, &errors);
+  for (std::string& text : CheckWorld(next)) errors.push_back(std::move(text));
   if (!errors.empty()) {
     return Fail(NoteError::Code::kInvalid, std::move(errors), reason);
   }
--- /dev/null
+++ b/dispatch/tests/note_test.cc
@@ -0,0 +1,350 @@
+#include "tarragon/dispatch/note.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace tarragon::dispatch {
+namespace {
+
+const core::ServiceId kPitch("heel-pitch");
+const core::ServiceId kCarve("carve");
+const core::DomainId kSzeged("szeged");
+const core::TenantId kKaptafa("kaptafa");
+
+ReleaseNote Note(const std::string& id, std::uint64_t base) {
+  ReleaseNote note;
+  note.id = core::NoteId(id);
+  note.base = core::NoteVersion(base);
+  return note;
+}
+
+Domain InAlfold() { return {core::RegionId("alfold"), true}; }
+
+/// The first note: one item of each kind.
+ReleaseNote FirstNote() {
+  ReleaseNote note = Note("first", 0);
+  note.added_services[kPitch] = Service();
+  note.added_domains[kSzeged] = InAlfold();
+  note.added_tenants[kKaptafa] = TenantLimit();
+  return note;
+}
+
+World FirstWorld() {
+  const std::optional<World> world =
+      ApplyNote(World(), FirstNote(), /*reason=*/nullptr);
+  CPPUNIT_ASSERT(world.has_value());
+  return *world;
+}
+
+/// The errors of a note that must be refused as invalid.
+std::vector<std::string> Errors(const World& present, const ReleaseNote& note) {
+  NoteError reason;
+  CPPUNIT_ASSERT(!ApplyNote(present, note, &reason).has_value());
+  CPPUNIT_ASSERT(reason.code == NoteError::Code::kInvalid);
+  return reason.texts;
+}
+
+void AssertOneError(const std::string& expected, const World& present,
+                    const ReleaseNote& note) {
+  const std::vector<std::string> texts = Errors(present, note);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, texts.size());
+  CPPUNIT_ASSERT_EQUAL(expected, texts[0]);
+}
+
+class NoteTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(NoteTest);
+  CPPUNIT_TEST(AddsChangesAndWithdraws);
+  CPPUNIT_TEST(ChangeKeepsWhatItDoesNotState);
+  CPPUNIT_TEST(OtherBaseIsConflict);
+  CPPUNIT_TEST(OneOfTwoRacingNotesWins);
+  CPPUNIT_TEST(AcceptedNoteIsKnown);
+  CPPUNIT_TEST(RefusesIdOfAcceptedNote);
+  CPPUNIT_TEST(KeepsTheLatestIds);
+  CPPUNIT_TEST(RefusesToAddWhatExists);
+  CPPUNIT_TEST(RefusesToChangeWhatIsMissing);
+  CPPUNIT_TEST(RefusesToWithdrawWhatIsMissing);
+  CPPUNIT_TEST(RefusesSameItemTwice);
+  CPPUNIT_TEST(RefusesBadNames);
+  CPPUNIT_TEST(RefusesLimitsOutOfRange);
+  CPPUNIT_TEST(RefusesEmptyNoteAndEmptyChange);
+  CPPUNIT_TEST(RefusesTooManyItems);
+  CPPUNIT_TEST(ReportsAllErrorsAtOnce);
+  CPPUNIT_TEST(RandomNotesApplyWholeOrNotAtAll);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AddsChangesAndWithdraws() {
+    const World first = FirstWorld();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, first.version.value());
+    CPPUNIT_ASSERT(first.services.contains(kPitch));
+
+    ReleaseNote note = Note("second", 1);
+    note.added_services[kCarve] = Service();
+    note.changed_domains[kSzeged].in_service = false;
+    note.withdrawn_tenants.insert(kKaptafa);
+    const std::optional<World> second = ApplyNote(first, note, nullptr);
+    CPPUNIT_ASSERT(second.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, second->version.value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second->services.size());
+    CPPUNIT_ASSERT(!second->domains.at(kSzeged).in_service);
+    CPPUNIT_ASSERT(second->tenants.empty());
+    CPPUNIT_ASSERT(CheckWorld(*second).empty());
+  }
+
+  void ChangeKeepsWhatItDoesNotState() {
+    World present = FirstWorld();
+    present.services[kPitch].max_cores = 7;
+    ReleaseNote note = Note("second", 1);
+    note.changed_services[kPitch].max_run = std::chrono::milliseconds(250);
+    const std::optional<World> next = ApplyNote(present, note, nullptr);
+    CPPUNIT_ASSERT(next.has_value());
+    Service expected = present.services[kPitch];
+    expected.max_run = std::chrono::milliseconds(250);
+    CPPUNIT_ASSERT(expected == next->services.at(kPitch));
+    CPPUNIT_ASSERT(present.domains == next->domains);
+    CPPUNIT_ASSERT(present.tenants == next->tenants);
+  }
+
+  void OtherBaseIsConflict() {
+    for (const std::uint64_t base : {0, 2}) {
+      ReleaseNote note = Note("second", base);
+      note.withdrawn_services.insert(kPitch);
+      NoteError reason;
+      CPPUNIT_ASSERT(!ApplyNote(FirstWorld(), note, &reason).has_value());
+      CPPUNIT_ASSERT(reason.code == NoteError::Code::kConflict);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reason.texts.size());
+    }
+  }
+
+  void OneOfTwoRacingNotesWins() {
+    ReleaseNote out = Note("out", 1);
+    out.changed_domains[kSzeged].in_service = false;
+    ReleaseNote withdraw = Note("withdraw", 1);
+    withdraw.withdrawn_domains.insert(kSzeged);
+    const std::optional<World> won = ApplyNote(FirstWorld(), out, nullptr);
+    CPPUNIT_ASSERT(won.has_value());
+    NoteError reason;
+    CPPUNIT_ASSERT(!ApplyNote(*won, withdraw, &reason).has_value());
+    CPPUNIT_ASSERT(reason.code == NoteError::Code::kConflict);
+  }
+
+  void AcceptedNoteIsKnown() {
+    CPPUNIT_ASSERT(!ContainsNote(World(), core::NoteId("first")));
+    CPPUNIT_ASSERT(ContainsNote(FirstWorld(), core::NoteId("first")));
+    CPPUNIT_ASSERT(!ContainsNote(FirstWorld(), core::NoteId("firs")));
+  }
+
+  void RefusesIdOfAcceptedNote() {
+    ReleaseNote note = Note("first", 1);
+    note.withdrawn_services.insert(kPitch);
+    AssertOneError("note: the id first belongs to a note accepted before",
+                   FirstWorld(), note);
+  }
+
+  void KeepsTheLatestIds() {
+    World world = FirstWorld();
+    constexpr std::uint64_t kMore = 10;
+    for (std::uint64_t i = 1; i < kRecentNotes + kMore; ++i) {
+      ReleaseNote note = Note("n" + std::to_string(i), i);
+      note.changed_domains[kSzeged].in_service = i % 2 == 0;
+      const std::optional<World> next = ApplyNote(world, note, nullptr);
+      CPPUNIT_ASSERT(next.has_value());
+      world = *next;
+    }
+    CPPUNIT_ASSERT_EQUAL(kRecentNotes, world.recent_notes.size());
+    CPPUNIT_ASSERT(!ContainsNote(world, core::NoteId("first")));
+    CPPUNIT_ASSERT_EQUAL(std::string("n10"), world.recent_notes[0].value());
+    CPPUNIT_ASSERT_EQUAL(std::string("n265"),
+                         world.recent_notes.back().value());
+  }
+
+  void RefusesToAddWhatExists() {
+    ReleaseNote note = Note("second", 1);
+    note.added_services[kPitch] = Service();
+    note.added_domains[kSzeged] = InAlfold();
+    note.added_tenants[kKaptafa] = TenantLimit();
+    const std::vector<std::string> expected = {
+        "service heel-pitch: cannot be added, it exists",
+        "domain szeged: cannot be added, it exists",
+        "tenant kaptafa: cannot be added, it exists"};
+    CPPUNIT_ASSERT(expected == Errors(FirstWorld(), note));
+  }
+
+  void RefusesToChangeWhatIsMissing() {
+    ReleaseNote note = Note("first", 0);
+    note.changed_services[kPitch].idempotent = true;
+    note.changed_domains[kSzeged].in_service = true;
+    note.changed_tenants[kKaptafa].weight = 2;
+    const std::vector<std::string> expected = {
+        "service heel-pitch: cannot be changed, it does not exist",
+        "domain szeged: cannot be changed, it does not exist",
+        "tenant kaptafa: cannot be changed, it does not exist"};
+    CPPUNIT_ASSERT(expected == Errors(World(), note));
+  }
+
+  void RefusesToWithdrawWhatIsMissing() {
+    ReleaseNote note = Note("first", 0);
+    note.withdrawn_services.insert(kPitch);
+    note.withdrawn_domains.insert(kSzeged);
+    note.withdrawn_tenants.insert(kKaptafa);
+    const std::vector<std::string> expected = {
+        "service heel-pitch: cannot be withdrawn, it does not exist",
+        "domain szeged: cannot be withdrawn, it does not exist",
+        "tenant kaptafa: cannot be withdrawn, it does not exist"};
+    CPPUNIT_ASSERT(expected == Errors(World(), note));
+  }
+
+  void RefusesSameItemTwice() {
+    ReleaseNote changed_and_withdrawn = Note("second", 1);
+    changed_and_withdrawn.changed_domains[kSzeged].in_service = false;
+    changed_and_withdrawn.withdrawn_domains.insert(kSzeged);
+    AssertOneError("domain szeged: named twice in one note", FirstWorld(),
+                   changed_and_withdrawn);
+
+    ReleaseNote added_and_withdrawn = Note("second", 1);
+    added_and_withdrawn.added_services[kPitch] = Service();
+    added_and_withdrawn.withdrawn_services.insert(kPitch);
+    const std::vector<std::string> texts =
+        Errors(FirstWorld(), added_and_withdrawn);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("service heel-pitch: named twice in one note"), texts[0]);
+
+    ReleaseNote added_and_changed = Note("second", 1);
+    added_and_changed.added_services[kCarve] = Service();
+    added_and_changed.changed_services[kCarve].max_cores = 2;
+    CPPUNIT_ASSERT_EQUAL(std::string("service carve: named twice in one note"),
+                         Errors(FirstWorld(), added_and_changed)[0]);
+  }
+
+  void RefusesBadNames() {
+    CPPUNIT_ASSERT(IsName("a"));
+    CPPUNIT_ASSERT(IsName("Az_09.-"));
+    CPPUNIT_ASSERT(IsName(std::string(kMaxNameLength, 'x')));
+    CPPUNIT_ASSERT(!IsName(""));
+    CPPUNIT_ASSERT(!IsName(std::string(kMaxNameLength + 1, 'x')));
+    for (const std::string bad : {"a b", "a/b", "a%", "a\n", "\xc3\xa9"}) {
+      CPPUNIT_ASSERT(!IsName(bad));
+    }
+    CPPUNIT_ASSERT(!IsName(std::string("a\0b", 3)));
+
+    ReleaseNote note = Note("", 0);
+    note.added_services[core::ServiceId("")] = Service();
+    note.added_domains[core::DomainId("a b")] = InAlfold();
+    note.added_domains[kSzeged] = Domain();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Errors(World(), note).size());
+  }
+
+  void RefusesLimitsOutOfRange() {
+    ReleaseNote note = Note("first", 0);
+    Service& service = note.added_services[kPitch];
+    service.max_run = core::Duration(0);
+    service.max_cores = 0;
+    service.max_memory_mb = kMaxMemoryMbLimit + 1;
+    TenantLimit& tenant = note.added_tenants[kKaptafa];
+    tenant.weight = 0;
+    tenant.max_running = kMaxTasksLimit + 1;
+    const std::vector<std::string> expected = {
+        "service heel-pitch: max_run_ms is 0, allowed are whole numbers from "
+        "1 to 600000",
+        "service heel-pitch: max_cores is 0, allowed are 1 to 4096",
+        "service heel-pitch: max_memory_mb is 16777217, allowed are 0 to "
+        "16777216",
+        "tenant kaptafa: max_running is 10000001, allowed are 0 to 10000000",
+        "tenant kaptafa: weight is 0, allowed are 1 to 1000"};
+    CPPUNIT_ASSERT(expected == Errors(World(), note));
+
+    ReleaseNote change = Note("second", 1);
+    change.changed_tenants[kKaptafa].weight = 0;
+    AssertOneError("tenant kaptafa: weight is 0, allowed are 1 to 1000",
+                   FirstWorld(), change);
+    ReleaseNote part = Note("second", 1);
+    part.changed_services[kPitch].max_run = core::Duration(1500);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Errors(FirstWorld(), part).size());
+  }
+
+  void RefusesEmptyNoteAndEmptyChange() {
+    AssertOneError("note: states nothing to add, change or withdraw", World(),
+                   Note("first", 0));
+    ReleaseNote note = Note("second", 1);
+    note.changed_services[kPitch] = ServiceChange();
+    AssertOneError("service heel-pitch: the change states nothing",
+                   FirstWorld(), note);
+  }
+
+  void RefusesTooManyItems() {
+    ReleaseNote note = Note("first", 0);
+    for (std::size_t i = 0; i < kMaxItemsPerKind; ++i) {
+      note.added_tenants[core::TenantId("t" + std::to_string(i))] = {};
+    }
+    CPPUNIT_ASSERT(ApplyNote(World(), note, nullptr).has_value());
+    note.added_tenants[core::TenantId("one-more")] = {};
+    AssertOneError("tenant: 4097 would be in force, allowed are 4096", World(),
+                   note);
+  }
+
+  void ReportsAllErrorsAtOnce() {
+    ReleaseNote note = Note("sec ond", 1);
+    note.added_services[kPitch] = Service();
+    note.changed_services[kCarve].idempotent = true;
+    note.withdrawn_domains.insert(core::DomainId("pecs"));
+    note.changed_tenants[kKaptafa].weight = 0;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, Errors(FirstWorld(), note).size());
+  }
+
+  void RandomNotesApplyWholeOrNotAtAll() {
+    constexpr unsigned kSeed = 20261204;
+    constexpr int kNotes = 2000;
+    std::mt19937 random(kSeed);
+    World world;
+    int accepted = 0;
+    for (int i = 0; i < kNotes; ++i) {
+      const ReleaseNote note = RandomNote(&random, world.version.value());
+      NoteError reason;
+      const std::optional<World> next = ApplyNote(world, note, &reason);
+      CPPUNIT_ASSERT_EQUAL(next.has_value(), reason.texts.empty());
+      if (!next) continue;
+      ++accepted;
+      AssertWhole(world, note, *next);
+      world = *next;
+    }
+    CPPUNIT_ASSERT(accepted > 0);
+    CPPUNIT_ASSERT(accepted < kNotes);
+  }
+
+ private:
+  /// Up to three steps on a small set of domains; often contradicts the world.
+  static ReleaseNote RandomNote(std::mt19937* random, std::uint64_t version) {
+    constexpr unsigned kNames = 4;
+    constexpr unsigned kSteps = 3;
+    const std::uint64_t base = (*random)() % 8 == 0 ? version + 1 : version;
+    ReleaseNote note = Note("n" + std::to_string((*random)()), base);
+    for (unsigned step = 0; step <= (*random)() % kSteps; ++step) {
+      const core::DomainId id("d" + std::to_string((*random)() % kNames));
+      const unsigned kind = (*random)() % 3;
+      if (kind == 0) note.added_domains[id] = InAlfold();
+      if (kind == 1) note.changed_domains[id].in_service = (*random)() % 2 == 0;
+      if (kind == 2) note.withdrawn_domains.insert(id);
+    }
+    return note;
+  }
+
+  static void AssertWhole(const World& before, const ReleaseNote& note,
+                          const World& after) {
+    CPPUNIT_ASSERT_EQUAL(before.version.value() + 1, after.version.value());
+    CPPUNIT_ASSERT(CheckWorld(after).empty());
+    CPPUNIT_ASSERT(ContainsNote(after, note.id));
+    std::map<core::DomainId, Domain> expected = before.domains;
+    for (const core::DomainId& id : note.withdrawn_domains) expected.erase(id);
+    expected.insert(note.added_domains.begin(), note.added_domains.end());
+    for (const auto& [id, change] : note.changed_domains) {
+      expected[id] = Changed(expected[id], change);
+    }
+    CPPUNIT_ASSERT(expected == after.domains);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NoteTest);
+
+}  // namespace
+}  // namespace tarragon::dispatch
