--- /dev/null
+++ b/http/server_state.h
@@ -0,0 +1,31 @@
+#ifndef TARRAGON_HTTP_SERVER_STATE_H_
+#define TARRAGON_HTTP_SERVER_STATE_H_
+
+#include <cstddef>
+#include <memory>
+#include <unordered_set>
+
+#include "net.h"
+#include "tarragon/http/server.h"
+
+namespace tarragon::http {
+
+class Session;
+
+/// What a server and its sessions share.
+struct ServerState {
+  asio::io_context* io = nullptr;
+  ServerLimits limits;
+  Handler handler;
+  /// A planned stop has begun: each answer closes its connection.
+  bool stopping = false;
+  /// Open sessions. A session removes itself when it closes.
+  std::unordered_set<std::shared_ptr<Session>> sessions;
+  /// How many of the sessions only refuse their connection.
+  std::size_t refusing = 0;
+  std::size_t open_requests = 0;
+};
+
+}  // namespace tarragon::http
+
+#endif  // TARRAGON_HTTP_SERVER_STATE_H_
--- /dev/null
+++ b/http/session.cc
@@ -0,0 +1,305 @@
+#include "session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "responder.h"
+
+namespace tarragon::http {
+namespace {
+
+/// How long a connection is kept after its last response, so that the peer
+/// reads the response before a reset can discard it.
+constexpr core::Duration kLingerTime = std::chrono::seconds(2);
+
+struct Refusal {
+  int status;
+  const char* reason;
+  const char* detail;
+};
+
+Refusal RefusalFor(ErrorCode error) {
+  if (error == beast_http::error::header_limit ||
+      error == beast_http::error::buffer_overflow) {
+    return {431, "too_large", "The header is too long."};
+  }
+  if (error == beast_http::error::body_limit) {
+    return {413, "too_large", "The body is too long."};
+  }
+  return {400, "bad_request", "This is no HTTP/1.1 request."};
+}
+
+/// Whether the peer sent bytes that are no request, rather than vanished.
+bool IsProtocolError(ErrorCode error) {
+  static const ErrorCode kAnyParseError = beast_http::error::bad_method;
+  return error.category() == kAnyParseError.category() &&
+         error != beast_http::error::end_of_stream &&
+         error != beast_http::error::partial_message;
+}
+
+}  // namespace
+
+Session::Session(std::shared_ptr<ServerState> server, Socket socket)
+    : server_(std::move(server)),
+      socket_(std::move(socket)),
+      buffer_(std::max(server_->limits.max_header_bytes, kMaxReadBytes)) {}
+
+void Session::InitWatchdog() {
+  watchdog_ =
+      std::make_shared<Watchdog>(*server_->io, [weak = weak_from_this()] {
+        if (const std::shared_ptr<Session> self = weak.lock()) {
+          self->OnExpired();
+        }
+      });
+}
+
+void Session::Start() {
+  InitWatchdog();
+  ErrorCode ignored;
+  socket_.set_option(Tcp::no_delay(true), ignored);
+  ErrorCode error;
+  const Tcp::endpoint peer = socket_.remote_endpoint(error);
+  if (error) return Close();
+  peer_ = ToAddress(peer).value();
+  WaitForRequest();
+}
+
+void Session::Refuse() {
+  InitWatchdog();
+  refusing_ = true;
+  ++server_->refusing;
+  Response response;
+  response.status = 503;
+  response.headers["Retry-After"] = "1";
+  response.body =
+      R"({"outcome":"not_run","reason":"overload","retry_after_ms":1000,)"
+      R"("detail":"Too many connections."})";
+  Write(std::move(response));
+}
+
+void Session::CloseIfIdle() {
+  if (phase_ != Phase::kWaiting) return;
+  if (HasInput()) return BeginRequest();
+  // A client that has only just connected is about to send its request.
+  if (request_ > 0) Close();
+}
+
+bool Session::HasInput() {
+  ErrorCode error;
+  const std::size_t unread = socket_.available(error);
+  return buffer_.size() > 0 || (!error && unread > 0);
+}
+
+void Session::Close() {
+  if (closed_) return;
+  closed_ = true;
+  EndRequest();
+  if (refusing_) --server_->refusing;
+  if (watchdog_) watchdog_->Stop();
+  ErrorCode ignored;
+  socket_.close(ignored);
+  server_->sessions.erase(shared_from_this());
+}
+
+void Session::BeginRequest() {
+  if (request_open_) return;
+  request_open_ = true;
+  ++server_->open_requests;
+}
+
+void Session::EndRequest() {
+  if (!request_open_) return;
+  request_open_ = false;
+  --server_->open_requests;
+}
+
+void Session::WaitForRequest() {
+  phase_ = Phase::kWaiting;
+  if (buffer_.size() > 0) return ReadHeader();
+  buffer_.shrink_to_fit();
+  const ServerLimits& limits = server_->limits;
+  watchdog_->SetAfter(request_ == 0 ? limits.header_timeout
+                                    : limits.idle_timeout);
+  socket_.async_wait(Socket::wait_read,
+                     [self = shared_from_this()](ErrorCode error) {
+                       self->OnReadable(error);
+                     });
+}
+
+void Session::OnReadable(ErrorCode error) {
+  if (closed_) return;
+  if (error) return Close();
+  ReadHeader();
+}
+
+void Session::ReadHeader() {
+  BeginRequest();
+  phase_ = Phase::kReading;
+  read_timed_out_ = false;
+  head_ = false;
+  parser_.emplace();
+  parser_->header_limit(
+      static_cast<std::uint32_t>(server_->limits.max_header_bytes));
+  parser_->body_limit(server_->limits.max_body_bytes);
+  buffer_.reserve(std::min(kFirstReadBytes, buffer_.max_size()));
+  watchdog_->SetAfter(server_->limits.header_timeout);
+  beast_http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](ErrorCode error, std::size_t) {
+        self->OnHeader(error);
+      });
+}
+
+void Session::OnHeader(ErrorCode error) {
+  if (closed_) return;
+  if (error) return OnReadError(error);
+  if (parser_->is_done()) return Dispatch();
+  const beast::string_view expect = parser_->get()[beast_http::field::expect];
+  if (beast::iequals(expect, "100-continue")) return Continue();
+  ReadBody();
+}
+
+void Session::Continue() {
+  static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  watchdog_->SetAfter(server_->limits.body_timeout);
+  asio::async_write(socket_, asio::buffer(kContinue, sizeof(kContinue) - 1),
+                    [self = shared_from_this()](ErrorCode error, std::size_t) {
+                      if (self->closed_) return;
+                      if (error) return self->OnReadError(error);
+                      self->ReadBody();
+                    });
+}
+
+void Session::ReadBody() {
+  read_timed_out_ = false;
+  const std::size_t expected = static_cast<std::size_t>(
+      parser_->content_length().value_or(kMaxReadBytes));
+  buffer_.reserve(std::min({std::max(expected, kFirstReadBytes), kMaxReadBytes,
+                            buffer_.max_size()}));
+  watchdog_->SetAfter(server_->limits.body_timeout);
+  beast_http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](ErrorCode error, std::size_t) {
+        self->OnBody(error);
+      });
+}
+
+void Session::OnBody(ErrorCode error) {
+  if (closed_) return;
+  if (error) return OnReadError(error);
+  Dispatch();
+}
+
+void Session::OnReadError(ErrorCode error) {
+  if (read_timed_out_) {
+    return AnswerError(408, "bad_request", "The request came too slowly.");
+  }
+  if (!IsProtocolError(error)) return Close();
+  const Refusal refusal = RefusalFor(error);
+  AnswerError(refusal.status, refusal.reason, refusal.detail);
+}
+
+void Session::Dispatch() {
+  watchdog_->Clear();
+  ++request_;
+  BeastRequest message = parser_->release();
+  parser_.reset();
+  keep_alive_ = message.keep_alive();
+  version_ = message.version();
+  head_ = message.method() == beast_http::verb::head;
+  std::optional<Request> request = ToRequest(std::move(message), peer_);
+  if (!request) {
+    return AnswerError(400, "bad_request", "The path is malformed.");
+  }
+  phase_ = Phase::kHandling;
+  // The handler may close the server, and with it this session.
+  const std::shared_ptr<Session> self = shared_from_this();
+  server_->handler(std::move(*request), MakeResponder(self, request_));
+  if (!closed_ && phase_ == Phase::kHandling) WatchForReset();
+}
+
+/// A peer that only closed its sending side still waits for its answer, but a
+/// reset ends both directions. One wait serves all requests of the connection.
+void Session::WatchForReset() {
+  if (watching_reset_) return;
+  watching_reset_ = true;
+  socket_.async_wait(Socket::wait_error,
+                     [self = shared_from_this()](ErrorCode error) {
+                       self->watching_reset_ = false;
+                       if (error || self->closed_) return;
+                       if (self->phase_ == Phase::kHandling) self->Close();
+                     });
+}
+
+void Session::Answer(std::uint64_t number, Response response) {
+  if (closed_ || number != request_ || phase_ != Phase::kHandling) return;
+  if (response.status == 0) return Close();
+  Write(std::move(response));
+}
+
+void Session::AnswerError(int status, const char* reason, const char* detail) {
+  keep_alive_ = false;
+  Response response;
+  response.status = status;
+  response.body = std::string(R"({"outcome":"not_run","reason":")") + reason +
+                  R"(","detail":")" + detail + "\"}";
+  Write(std::move(response));
+}
+
+void Session::Write(Response response) {
+  phase_ = Phase::kWriting;
+  if (server_->stopping) keep_alive_ = false;
+  response_.emplace(ToBeast(std::move(response), version_, keep_alive_));
+  if (!LengthMatches(*response_)) keep_alive_ = false;
+  serializer_.emplace(*response_);
+  watchdog_->SetAfter(server_->limits.write_timeout);
+  const auto written = [self = shared_from_this()](ErrorCode error,
+                                                   std::size_t) {
+    self->OnWritten(error);
+  };
+  if (!head_) return beast_http::async_write(socket_, *serializer_, written);
+  serializer_->split(true);
+  beast_http::async_write_header(socket_, *serializer_, written);
+}
+
+void Session::OnWritten(ErrorCode error) {
+  if (closed_) return;
+  serializer_.reset();
+  response_.reset();
+  EndRequest();
+  if (error) return Close();
+  if (!keep_alive_) return Linger();
+  if (server_->stopping && !HasInput()) return Linger();
+  WaitForRequest();
+}
+
+void Session::Linger() {
+  phase_ = Phase::kLingering;
+  ErrorCode error;
+  socket_.shutdown(Socket::shutdown_send, error);
+  if (error) return Close();
+  buffer_.clear();
+  watchdog_->SetAfter(kLingerTime);
+  DropInput();
+}
+
+void Session::DropInput() {
+  socket_.async_read_some(
+      buffer_.prepare(kFirstReadBytes),
+      [self = shared_from_this()](ErrorCode error, std::size_t) {
+        if (self->closed_) return;
+        if (error) return self->Close();
+        self->DropInput();
+      });
+}
+
+void Session::OnExpired() {
+  if (closed_) return;
+  if (phase_ != Phase::kReading) return Close();
+  // The pending read ends with an error and sends the answer.
+  read_timed_out_ = true;
+  ErrorCode ignored;
+  socket_.cancel(ignored);
+}
+
+}  // namespace tarragon::http
