--- a/core/command_line.cc
+++ b/core/command_line.cc
@@ -44,7 +44,7 @@
                "  --log LEVELS             debug, info, warn or error, or by "
                "part:\n"
                "                           gate=debug,*=info\n"
-               "  --help                   print this and end\n"
+               "  -h, --help               print this and end\n"
                "  --version                print the version and end\n\n"
                "Exit codes: 0 ok, 1 failure while running, 2 wrong command "
                "line,\n3 wrong settings.\n";
--- a/core/include/tarragon/core/command_line.h
+++ b/core/include/tarragon/core/command_line.h
@@ -13,17 +13,17 @@
 /// What --help and --version say about a program.
 struct ProgramInfo {
   /// "tarragon-agent".
-  std::string name;
+  std::string name{};
   /// One sentence.
-  std::string purpose;
+  std::string purpose{};
 };
 
 /// The options that every daemon takes.
 struct CommandLine {
   /// --config; empty if absent.
-  std::string config_file;
+  std::string config_file{};
   /// --set, in their order: "section.key=value".
-  std::vector<std::string> overrides;
+  std::vector<std::string> overrides{};
   /// --check: check the settings and end.
   bool check = false;
   /// --reference: print the reference file and end.
--- a/core/include/tarragon/core/settings.h
+++ b/core/include/tarragon/core/settings.h
@@ -34,15 +34,15 @@
 
 /// Describes one setting that a program reads.
 struct SettingSpec {
-  std::string section;
-  std::string key;
+  std::string section{};
+  std::string key{};
   SettingType type = SettingType::kText;
   /// Used if the key is absent. An empty default lets the value be empty.
-  std::string default_value;
+  std::string default_value{};
   /// Least and greatest value in the form of the type; empty for none. Applies
   /// to integers, durations, bytes and permille.
-  std::string minimum;
-  std::string maximum;
+  std::string minimum{};
+  std::string maximum{};
   /// The file or an override must give a value.
   bool required = false;
   /// A change takes effect without a restart.
@@ -50,7 +50,7 @@
   /// Never printed; "env:NAME" reads the environment variable NAME.
   bool secret = false;
   /// One sentence for the reference file.
-  std::string help;
+  std::string help{};
 };
 
 /// One fault in the settings.
--- a/core/ini_lines.cc
+++ b/core/ini_lines.cc
@@ -1,18 +1,13 @@
 #include "ini_lines.h"
 
 #include <sstream>
+#include <utility>
+
+#include "trim.h"
 
 namespace tarragon::core {
 namespace {
 
-constexpr char kBlank[] = " \t\r\n\v\f";
-
-std::string Trim(const std::string& text) {
-  const std::size_t first = text.find_first_not_of(kBlank);
-  if (first == std::string::npos) return "";
-  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
-}
-
 /// Goes through the lines of one text.
 class Scanner {
  public:
--- a/core/log.cc
+++ b/core/log.cc
@@ -1,5 +1,6 @@
 #include "tarragon/core/log.h"
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <memory>
@@ -27,6 +28,8 @@
   std::mutex mutex;
   std::string program;
   int lines_per_second = kMaxLinesPerSecond;
+  SystemClock system_clock;
+  const Clock* clock = &system_clock;
   std::map<std::string, LogLevel> levels;
   std::map<std::string, std::unique_ptr<LogPart>> parts;
 };
@@ -139,7 +142,7 @@
   if (!Enabled(level)) return;
   LogState& state = State();
   const std::lock_guard<std::mutex> lock(state.mutex);
-  const Time now = SystemClock().Now();
+  const Time now = state.clock->Now();
   WriteLeftOut(state, part_, now);
   if (!AdmitLine(&part_->limiter, sentence, level, now,
                  state.lines_per_second)) {
@@ -155,6 +158,12 @@
   state.lines_per_second = lines_per_second < 1 ? 1 : lines_per_second;
 }
 
+void SetLogClock(const Clock* clock) {
+  LogState& state = State();
+  const std::lock_guard<std::mutex> lock(state.mutex);
+  state.clock = clock != nullptr ? clock : &state.system_clock;
+}
+
 void SetLogProgram(const std::string& name) {
   LogState& state = State();
   const std::lock_guard<std::mutex> lock(state.mutex);
@@ -192,7 +201,7 @@
 void FlushLog() {
   LogState& state = State();
   const std::lock_guard<std::mutex> lock(state.mutex);
-  const Time now = SystemClock().Now();
+  const Time now = state.clock->Now();
   for (const auto& [name, part] : state.parts) {
     WriteLeftOut(state, part.get(), now);
   }
--- a/core/log_limiter.h
+++ b/core/log_limiter.h
@@ -37,6 +37,10 @@
 /// Forgets the seconds that are over and returns what was left out in them.
 std::vector<LeftOut> CloseWindows(LogLimiter* limiter, Time now);
 
+/// The clock that the limit of all parts reads; the system's if null. A test
+/// sets one of its own.
+void SetLogClock(const Clock* clock);
+
 }  // namespace tarragon::core
 
 #endif  // TARRAGON_CORE_LOG_LIMITER_H_
--- a/core/setting_value.cc
+++ b/core/setting_value.cc
@@ -2,11 +2,14 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <limits>
 #include <string_view>
 
+#include "trim.h"
+
 namespace tarragon::core {
 namespace {
 
@@ -95,16 +98,13 @@
   return inet_pton(AF_INET, host.c_str(), ignored.data()) == 1;
 }
 
-std::string Trim(const std::string& text) {
-  constexpr char kBlank[] = " \t\r\n";
-  const std::size_t first = text.find_first_not_of(kBlank);
-  if (first == std::string::npos) return "";
-  return text.substr(first, text.find_last_not_of(kBlank) - first + 1);
+/// The value for a message; a secret is not shown.
+std::string Shown(const SettingSpec& spec, const std::string& text) {
+  return spec.secret ? "the value" : "\"" + text + "\"";
 }
 
 std::string WrongForm(const SettingSpec& spec, const std::string& text) {
-  const std::string shown = spec.secret ? "the value" : "\"" + text + "\"";
-  return shown + " is not allowed; give " + FormOf(spec.type) + ".";
+  return Shown(spec, text) + " is not allowed; give " + FormOf(spec.type) + ".";
 }
 
 std::string LeastOf(const SettingSpec& spec) {
@@ -124,6 +124,20 @@
   return spec.maximum;
 }
 
+/// Reads one end of the range; `none` if it is open.
+bool ReadLimit(SettingType type, const std::string& text, std::int64_t none,
+               std::int64_t* limit, std::string* reason) {
+  *limit = none;
+  if (text.empty()) return true;
+  const std::optional<std::int64_t> amount = ReadAmount(type, text);
+  if (!amount) {
+    *reason = "the program states a wrong limit: \"" + text + "\".";
+    return false;
+  }
+  *limit = *amount;
+  return true;
+}
+
 bool ReadRangedValue(const SettingSpec& spec, const std::string& text,
                      SettingValue* value, std::string* reason) {
   const std::optional<std::int64_t> amount = ReadAmount(spec.type, text);
@@ -131,14 +145,17 @@
     *reason = WrongForm(spec, text);
     return false;
   }
-  const std::int64_t least =
-      ReadAmount(spec.type, LeastOf(spec))
-          .value_or(std::numeric_limits<std::int64_t>::min());
-  const std::int64_t greatest =
-      ReadAmount(spec.type, GreatestOf(spec))
-          .value_or(std::numeric_limits<std::int64_t>::max());
+  std::int64_t least = 0;
+  std::int64_t greatest = 0;
+  if (!ReadLimit(spec.type, LeastOf(spec),
+                 std::numeric_limits<std::int64_t>::min(), &least, reason) ||
+      !ReadLimit(spec.type, GreatestOf(spec),
+                 std::numeric_limits<std::int64_t>::max(), &greatest, reason)) {
+    return false;
+  }
   if (*amount < least || *amount > greatest) {
-    *reason = text + " is out of range; allowed is " + RangeOf(spec) + ".";
+    *reason = Shown(spec, text) + " is out of range; allowed is " +
+              RangeOf(spec) + ".";
     return false;
   }
   value->number = *amount;
--- a/core/settings.cc
+++ b/core/settings.cc
@@ -1,12 +1,30 @@
 #include "tarragon/core/settings.h"
 
+#include <array>
 #include <fstream>
-#include <sstream>
 #include <stdexcept>
 
 #include "settings_reader.h"
 
 namespace tarragon::core {
+namespace {
+
+constexpr std::size_t kReadBytes = 4096;
+
+/// The bytes of `file`; nothing if it cannot be read, as for a directory.
+std::optional<std::string> ReadAll(const std::string& file) {
+  std::ifstream stream(file, std::ios::binary);
+  std::string text;
+  std::array<char, kReadBytes> part{};
+  while (stream) {
+    stream.read(part.data(), part.size());
+    text.append(part.data(), static_cast<std::size_t>(stream.gcount()));
+  }
+  if (stream.bad() || !stream.eof()) return std::nullopt;
+  return text;
+}
+
+}  // namespace
 
 std::string ToString(const SettingError& error) {
   std::string line = error.file.empty() ? "settings" : error.file;
@@ -25,14 +43,12 @@
     const std::vector<std::string>& overrides,
     std::vector<SettingError>* errors) {
   if (file.empty()) return Parse(specs, "", "", overrides, errors);
-  std::ifstream stream(file);
-  std::ostringstream text;
-  if (stream) text << stream.rdbuf();
-  if (!stream || stream.bad()) {
+  const std::optional<std::string> text = ReadAll(file);
+  if (!text) {
     errors->push_back({file, 0, "", "", "the file cannot be read."});
     return std::nullopt;
   }
-  return Parse(specs, text.str(), file, overrides, errors);
+  return Parse(specs, *text, file, overrides, errors);
 }
 
 std::optional<Settings> Settings::Parse(
