Wire: encode every message in protobuf and refuse what is malformed

The processes need one encoding for all messages of dispatch/message.h. Text is bytes, because proto3 strings that are not UTF-8 would make a message unreadable at the receiver.

--- /dev/null
+++ b/wire/tests/samples.cc
@@ -0,0 +1,181 @@
+#include "tests/samples.h"
+
+#include <chrono>
+#include <utility>
+
+namespace tarragon::wire {
+namespace {
+
+using std::chrono::microseconds;
+
+const char kBinaryText[] = "\xff\xfe not UTF-8 \x01";
+
+core::NodeId SampleNode(std::uint64_t incarnation) {
+  return {core::Address("10.1.2.3:7001"), core::Incarnation(incarnation)};
+}
+
+dispatch::TaskRef SampleRef() {
+  return {core::JobKey("handle.17"), core::TaskIndex(109), core::Attempt(3)};
+}
+
+dispatch::Load SampleLoad() {
+  dispatch::Load load;
+  load.free_slots = 5;
+  load.slots = 8;
+  load.sequence = 0xffffffffffffffff;
+  load.assigns_seen = 77;
+  return load;
+}
+
+dispatch::AgentStatus SampleStatus(std::uint64_t incarnation) {
+  dispatch::AgentStatus status;
+  status.node = SampleNode(incarnation);
+  status.domain = core::DomainId("szeged");
+  status.services = {core::ServiceId("carve"), core::ServiceId("fit")};
+  status.load = SampleLoad();
+  status.cores = 16;
+  status.memory_mb = 65536;
+  status.leaving = true;
+  status.failure_permille = 999;
+  status.handle_epoch = 12;
+  status.mean_run = microseconds(250001);
+  return status;
+}
+
+dispatch::World SampleWorld() {
+  dispatch::World world;
+  world.version = core::NoteVersion(9);
+  world.recent_notes = {core::NoteId("first"), core::NoteId("second")};
+  dispatch::Service service;
+  service.idempotent = true;
+  service.max_run = microseconds(5000001);
+  service.max_cores = 3;
+  service.max_memory_mb = 4;
+  world.services = {{core::ServiceId("carve"), service},
+                    {core::ServiceId("fit"), dispatch::Service()}};
+  world.domains = {
+      {core::DomainId("szeged"), {core::RegionId("alfold"), false}},
+      {core::DomainId("rabat-1"), {core::RegionId("rsk"), true}}};
+  world.tenants = {{core::TenantId("kaptafa"), {1, 2, 3}},
+                   {core::TenantId("agence"), {4, 5, 6}}};
+  return world;
+}
+
+dispatch::EntryList SampleEntries() {
+  dispatch::EntryList list;
+  list.version = 31;
+  list.members = {{SampleNode(1), core::DomainId("szeged")},
+                  {SampleNode(2), core::DomainId("rabat-1")}};
+  return list;
+}
+
+dispatch::JobSpec SampleSpec() {
+  dispatch::JobSpec spec;
+  spec.key = core::JobKey("handle.17");
+  spec.service = core::ServiceId("carve");
+  spec.tenant = core::TenantId(kBinaryText);
+  spec.time_left = microseconds(-5);
+  spec.tasks = {{std::string("a\0b", 3), 2, 64}, {"", 1, 0}};
+  return spec;
+}
+
+dispatch::JobAnswer SampleAnswer() {
+  dispatch::JobAnswer answer;
+  answer.key = core::JobKey("handle.17");
+  answer.outcome = dispatch::Outcome::kUnknown;
+  answer.reason = dispatch::Reason::kAnswerDropped;
+  answer.detail = "The answer has passed its retention.";
+  answer.retry_after = microseconds(1500000);
+  answer.results = {kBinaryText, "", std::string(70000, 'r')};
+  return answer;
+}
+
+dispatch::Permit SamplePermit() {
+  dispatch::Permit permit;
+  permit.sequence = 4;
+  permit.lifetime = microseconds(3000000);
+  permit.note_version = core::NoteVersion(9);
+  permit.has_world = true;
+  permit.world = SampleWorld();
+  permit.members_version = 6;
+  permit.members_full = true;
+  permit.members = {SampleStatus(3), SampleStatus(4)};
+  permit.members_gone = {SampleNode(5), SampleNode(6)};
+  permit.entries = SampleEntries();
+  return permit;
+}
+
+dispatch::Finished SampleFinished() {
+  dispatch::Finished finished;
+  finished.ref = SampleRef();
+  finished.ok = true;
+  finished.reason = dispatch::Reason::kTaskFailed;
+  finished.result = kBinaryText;
+  finished.result_digest = 0x0123456789abcdef;
+  finished.run_time = microseconds(60001);
+  finished.load = SampleLoad();
+  return finished;
+}
+
+dispatch::EntryPong SamplePong() {
+  dispatch::EntryPong pong;
+  pong.sequence = 8;
+  pong.note_version = core::NoteVersion(9);
+  pong.entries_version = 31;
+  pong.has_world = true;
+  pong.world = SampleWorld();
+  pong.has_entries = true;
+  pong.entries = SampleEntries();
+  return pong;
+}
+
+}  // namespace
+
+dispatch::Assign SampleAssign(std::uint32_t task, std::size_t bytes) {
+  dispatch::Assign assign;
+  assign.ref = {core::JobKey("handle.17"), core::TaskIndex(task),
+                core::Attempt(1)};
+  assign.service = core::ServiceId("carve");
+  assign.tenant = core::TenantId("kaptafa");
+  assign.time_left = microseconds(4000000);
+  assign.spec.payload.resize(bytes);
+  for (std::size_t i = 0; i < bytes; ++i) {
+    assign.spec.payload[i] = static_cast<char>((i * 31 + task) & 0xff);
+  }
+  assign.spec.cores = 2;
+  assign.spec.memory_mb = 64;
+  return assign;
+}
+
+std::vector<dispatch::Message> SampleMessages() {
+  const core::JobKey key("handle.17");
+  const core::ServiceId service("carve");
+  const microseconds wait(120000);
+  return {
+      dispatch::Heartbeat{4, SampleStatus(3), core::NoteVersion(9), 6},
+      SamplePermit(),
+      dispatch::Submit{1, SampleSpec(), 0xfedcba9876543210},
+      dispatch::Query{2, key},
+      dispatch::Cancel{3, key},
+      dispatch::Answer{4, SampleAnswer(), 0x1122334455667788},
+      dispatch::Explain{5, key},
+      dispatch::Explanation{6, {"submitted", "", kBinaryText}},
+      SampleAssign(7, 300),
+      dispatch::Refused{SampleRef(), dispatch::Reason::kNoSlot, wait,
+                        SampleLoad()},
+      dispatch::Started{SampleRef(), SampleLoad()},
+      SampleFinished(),
+      dispatch::FinishedAck{SampleRef()},
+      dispatch::Seal{SampleRef(), true},
+      dispatch::Want{service, 12, wait},
+      dispatch::Pull{13, service, SampleLoad()},
+      dispatch::PullEmpty{14, service},
+      dispatch::PullTask{15, SampleAssign(8, 20), 16, wait},
+      dispatch::LoadHint{SampleLoad()},
+      dispatch::EntryPing{17, core::NoteVersion(9), 31},
+      SamplePong(),
+      dispatch::Leaving{SampleNode(18)},
+  };
+}
+
+}  // namespace tarragon::wire
