--- /dev/null
+++ b/dispatch/admission.cc
@@ -0,0 +1,165 @@
+#include "admission.h"
+
+#include <algorithm>
+
+#include "executor.h"
+#include "placement.h"
+#include "queue.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+constexpr core::Duration kNoTargetPause = std::chrono::seconds(1);
+constexpr core::Duration kTenantPause = std::chrono::milliseconds(500);
+constexpr core::Duration kLeastPause = std::chrono::milliseconds(100);
+
+/// What the agents that are known offer for one service.
+struct Capacity {
+  std::uint32_t offering = 0;  // Agents with the service, usable or not.
+  std::uint32_t usable = 0;    // Of these, in service and staying.
+  std::uint32_t slots = 0;     // Slots of the usable ones.
+  std::uint32_t free = 0;      // Believed free.
+  std::uint32_t homes = 0;     // Agents that coordinate jobs.
+  std::uint32_t most_cores = 0;
+  std::uint32_t most_memory_mb = 0;
+};
+
+Capacity CapacityFor(const AgentBoard& board, core::Time now,
+                     const core::ServiceId& service) {
+  Capacity capacity;
+  for (const auto& [node, peer] : board.peers) {
+    const AgentStatus& status = peer.status;
+    if (!status.leaving) ++capacity.homes;
+    if (!Offers(status, service)) continue;
+    ++capacity.offering;
+    capacity.most_cores = std::max(capacity.most_cores, status.cores);
+    capacity.most_memory_mb =
+        std::max(capacity.most_memory_mb, status.memory_mb);
+    if (status.leaving || !InService(board.world, status.domain)) continue;
+    ++capacity.usable;
+    capacity.slots += status.load.slots;
+    capacity.free += BelievedFree(board, now, node, peer);
+  }
+  return capacity;
+}
+
+std::optional<Refusal> CheckSize(const JobSpec& spec, const Service& service,
+                                 const Capacity& capacity) {
+  for (std::size_t i = 0; i < spec.tasks.size(); ++i) {
+    const TaskSpec& task = spec.tasks[i];
+    const std::string name = "Task " + std::to_string(i);
+    if (task.cores > service.max_cores ||
+        task.memory_mb > service.max_memory_mb) {
+      return Refusal{Reason::kTooLarge,
+                     name + " asks for more than the service allows.",
+                     core::Duration(0)};
+    }
+    if (task.cores > capacity.most_cores ||
+        task.memory_mb > capacity.most_memory_mb) {
+      return Refusal{Reason::kTooLarge,
+                     name + " asks for more than any target has.",
+                     core::Duration(0)};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Refusal> CheckTenant(const AgentBoard& board, const JobSpec& spec,
+                                   const Capacity& capacity) {
+  const auto limit = board.world.tenants.find(spec.tenant);
+  if (limit == board.world.tenants.end()) return std::nullopt;
+  const std::uint32_t most = limit->second.max_queued;
+  if (most == 0) return std::nullopt;
+  if (spec.tasks.size() > most) {
+    return Refusal{Reason::kTenantLimit,
+                   "The job has more tasks than the tenant may queue.",
+                   core::Duration(0)};
+  }
+  const auto queued = board.tenant_queued.find(spec.tenant);
+  if (queued == board.tenant_queued.end()) return std::nullopt;
+  const std::uint32_t homes = std::max(1U, capacity.homes);
+  const std::uint32_t share = (most + homes - 1) / homes;
+  if (queued->second + spec.tasks.size() <= share) return std::nullopt;
+  return Refusal{Reason::kTenantLimit, "The tenant's queue is full.",
+                 kTenantPause};
+}
+
+/// Time until the last of `ahead` tasks that wait here would start.
+core::Duration EstimateWait(const AgentBoard& board, core::Time now,
+                            const JobSpec& spec, const Capacity& capacity) {
+  const std::uint32_t ahead = QueueSize(board, spec.service);
+  if (ahead == 0) return core::Duration(0);
+  const std::uint32_t homes = std::max(1U, capacity.homes);
+  const double share =
+      std::max(1.0, static_cast<double>(capacity.slots) / homes);
+  const double run =
+      static_cast<double>(ExpectedRun(board, spec.service).count());
+  const core::Duration by_queue(static_cast<std::int64_t>(ahead * run / share));
+  return std::max(by_queue, OldestWait(board, now, spec.service));
+}
+
+std::optional<Refusal> CheckLoad(const AgentBoard& board, core::Time now,
+                                 const JobSpec& spec,
+                                 const Capacity& capacity) {
+  if (QueueSize(board, spec.service) + spec.tasks.size() >
+      board.policy.max_home_queue) {
+    return Refusal{Reason::kOverload, "The queue is full.", kTenantPause};
+  }
+  const core::Duration wait = EstimateWait(board, now, spec, capacity);
+  if (wait > board.policy.max_queue_delay) {
+    return Refusal{Reason::kOverload, "The wait for a slot is too long.",
+                   std::max(kLeastPause, wait - board.policy.max_queue_delay)};
+  }
+  const core::Duration run = ExpectedRun(board, spec.service);
+  if (wait + run / 2 > spec.time_left) {
+    return Refusal{Reason::kOverload, "The deadline cannot be met.",
+                   std::max(kLeastPause, wait)};
+  }
+  return std::nullopt;
+}
+
+std::uint64_t PayloadBytes(const JobSpec& spec) {
+  std::uint64_t bytes = 0;
+  for (const TaskSpec& task : spec.tasks) bytes += task.payload.size();
+  return bytes;
+}
+
+}  // namespace
+
+core::Duration ExpectedRun(const AgentBoard& board,
+                           const core::ServiceId& service) {
+  const auto queue = board.queues.find(service);
+  if (queue == board.queues.end() || queue->second.mean_run.count() == 0) {
+    return board.policy.assumed_run;
+  }
+  return queue->second.mean_run;
+}
+
+std::optional<Refusal> Admit(const AgentBoard& board, core::Time now,
+                             const JobSpec& spec) {
+  const auto service = board.world.services.find(spec.service);
+  if (service == board.world.services.end()) {
+    return Refusal{Reason::kUnknownService, "No release note has the service.",
+                   core::Duration(0)};
+  }
+  const Capacity capacity = CapacityFor(board, now, spec.service);
+  if (capacity.offering == 0) {
+    return Refusal{Reason::kNoTarget, "No target announces the service.",
+                   kNoTargetPause};
+  }
+  std::optional<Refusal> refusal = CheckSize(spec, service->second, capacity);
+  if (refusal.has_value()) return refusal;
+  if (capacity.usable == 0) {
+    return Refusal{Reason::kDomainOut,
+                   "No target of the service is in service.", kNoTargetPause};
+  }
+  if (board.bytes_held + PayloadBytes(spec) > board.policy.max_home_bytes) {
+    return Refusal{Reason::kOverload, "The home's memory is used up.",
+                   kTenantPause};
+  }
+  refusal = CheckTenant(board, spec, capacity);
+  if (refusal.has_value()) return refusal;
+  return CheckLoad(board, now, spec, capacity);
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/admission.h
@@ -0,0 +1,32 @@
+#ifndef TARRAGON_DISPATCH_ADMISSION_H_
+#define TARRAGON_DISPATCH_ADMISSION_H_
+
+#include <optional>
+#include <string>
+
+#include "tarragon/core/clock.h"
+#include "tarragon/dispatch/agent_board.h"
+
+namespace tarragon::dispatch {
+
+/// Why a job is not taken in.
+struct Refusal {
+  Reason reason = Reason::kNone;
+  std::string detail;
+  /// Zero when coming back does not help.
+  core::Duration retry_after{0};
+};
+
+/// Decides whether the home takes in a new job: the service is known, some
+/// target can run it, the tenant's limit leaves room, and the deadline can be
+/// met by the measured run time. Nothing when it does.
+std::optional<Refusal> Admit(const AgentBoard& board, core::Time now,
+                             const JobSpec& spec);
+
+/// Run time to expect of one task of `service`.
+core::Duration ExpectedRun(const AgentBoard& board,
+                           const core::ServiceId& service);
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_ADMISSION_H_
--- /dev/null
+++ b/dispatch/agent.cc
@@ -0,0 +1,183 @@
+#include "tarragon/dispatch/agent.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ejection.h"
+#include "executor.h"
+#include "home.h"
+#include "placement.h"
+#include "view.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+/// Passes one message to its controller.
+class Router {
+ public:
+  Router(AgentBoard* board, core::Time now, const core::NodeId& from)
+      : board_(board), now_(now), from_(from) {}
+
+  void operator()(Permit& m) {
+    HandlePermit(board_, now_, from_, std::move(m));
+  }
+  void operator()(Submit& m) {
+    HandleSubmit(board_, now_, from_, std::move(m));
+  }
+  void operator()(Query& m) { HandleQuery(board_, now_, from_, m); }
+  void operator()(Cancel& m) { HandleCancel(board_, now_, from_, m); }
+  void operator()(Explain& m) { HandleExplain(board_, now_, from_, m); }
+  void operator()(Assign& m) {
+    HandleAssign(board_, now_, from_, std::move(m));
+  }
+  void operator()(Refused& m) { HandleRefused(board_, now_, from_, m); }
+  void operator()(Started& m) { HandleStarted(board_, now_, from_, m); }
+  void operator()(Finished& m) {
+    HandleFinished(board_, now_, from_, std::move(m));
+  }
+  void operator()(FinishedAck& m) { HandleFinishedAck(board_, now_, m); }
+  void operator()(Seal& m) { HandleSeal(board_, now_, from_, m); }
+  void operator()(Want& m) { HandleWant(board_, now_, from_, m); }
+  void operator()(Pull& m) { HandlePull(board_, now_, from_, m); }
+  void operator()(PullEmpty& m) { HandlePullEmpty(board_, now_, from_, m); }
+  void operator()(PullTask& m) {
+    HandlePullTask(board_, now_, from_, std::move(m));
+  }
+  void operator()(LoadHint& m) {
+    LearnLoad(board_, now_, from_, m.load);
+    PlaceAll(board_, now_);
+  }
+  void operator()(Leaving& m) {
+    const auto peer = board_->peers.find(m.node);
+    if (peer != board_->peers.end()) peer->second.status.leaving = true;
+  }
+  /// The rest is for entries only.
+  template <typename Other>
+  void operator()(Other&) {}
+
+ private:
+  AgentBoard* board_;
+  core::Time now_;
+  core::NodeId from_;
+};
+
+void Route(AgentBoard* board, core::Time now, const core::NodeId& from,
+           Message* message) {
+  Router router(board, now, from);
+  std::visit(router, *message);
+}
+
+/// Handles what the agent sent to itself, then fills free slots, until nothing
+/// is left.
+void Settle(AgentBoard* board, core::Time now) {
+  do {
+    while (!board->loopback.empty()) {
+      Message message = std::move(board->loopback.front());
+      board->loopback.pop_front();
+      Route(board, now, board->self, &message);
+    }
+    FillSlots(board, now);
+  } while (!board->loopback.empty());
+}
+
+}  // namespace
+
+void InitAgent(AgentBoard* board, core::Time now, const core::NodeId& self,
+               const core::DomainId& domain,
+               const std::vector<core::Address>& entries, std::uint64_t seed) {
+  board->self = self;
+  board->domain = domain;
+  board->seeds = entries;
+  board->random.seed(seed);
+  board->started = now;
+  board->next_heartbeat = now;
+  board->permit_until = now;
+  board->retry_tokens = board->policy.retry_burst;
+}
+
+void OnMessage(AgentBoard* board, core::Time now, const core::NodeId& from,
+               Message message) {
+  Route(board, now, from, &message);
+  Settle(board, now);
+}
+
+void OnTargetAnnounce(AgentBoard* board, core::Time now, const Target& target) {
+  const bool changed = !board->target.present ||
+                       board->target.leaving != target.leaving ||
+                       board->target.services != target.services;
+  if (!board->target.present) board->health = TargetHealth{};
+  board->target = target;
+  board->target.present = true;
+  board->target.announced = now;
+  if (changed) HurryHeartbeat(board, now);
+  Settle(board, now);
+}
+
+void OnTargetEnd(AgentBoard* board, core::Time now, const TaskRef& ref,
+                 TargetEnd end, std::string result) {
+  HandleTargetEnd(board, now, ref, end, std::move(result));
+  Settle(board, now);
+}
+
+void OnPeerLost(AgentBoard* board, core::Time now, const core::NodeId& peer) {
+  HomePeerLost(board, now, peer);
+  ExecutorPeerLost(board, now, peer);
+  Settle(board, now);
+}
+
+void OnPeerGone(AgentBoard* board, core::Time now, const core::NodeId& peer) {
+  ViewPeerGone(board, peer);
+  HomePeerGone(board, now, peer);
+  ExecutorPeerGone(board, now, peer);
+  Settle(board, now);
+}
+
+void OnTick(AgentBoard* board, core::Time now) {
+  TickView(board, now);
+  TickExecutor(board, now);
+  TickHome(board, now);
+  Settle(board, now);
+}
+
+void RequestStop(AgentBoard* board, core::Time now) {
+  if (board->stopping) return;
+  board->stopping = true;
+  board->stop_requested = now;
+  HurryHeartbeat(board, now);
+  OnTick(board, now);
+}
+
+bool StopFinished(const AgentBoard& board, core::Time now) {
+  if (!board.stopping) return false;
+  if (now - board.stop_requested >= board.policy.drain_limit) return true;
+  if (!board.active.empty() || board.running > 0) return false;
+  return std::none_of(board.executions.begin(), board.executions.end(),
+                      [](const auto& item) {
+                        return item.second.state == ExecutionState::kFinished;
+                      });
+}
+
+AgentStatus Status(const AgentBoard& board, core::Time now) {
+  AgentStatus status;
+  status.node = board.self;
+  status.domain = board.domain;
+  status.leaving = board.stopping;
+  status.handle_epoch = HandleEpoch(board, now);
+  if (!board.target.present || board.target.leaving) return status;
+  status.services = board.target.services;
+  status.load.free_slots = FreeSlots(board, now);
+  status.load.slots = board.target.slots;
+  status.load.sequence = board.load_sequence;
+  status.cores = board.target.cores;
+  status.memory_mb = board.target.memory_mb;
+  status.failure_permille = FailurePermille(board.health);
+  status.mean_run = board.health.mean_run;
+  return status;
+}
+
+std::uint32_t HandleEpoch(const AgentBoard& board, core::Time now) {
+  return static_cast<std::uint32_t>((now - board.started) /
+                                    board.policy.handle_epoch);
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/entry.cc
@@ -0,0 +1,148 @@
+#include "tarragon/dispatch/entry.h"
+
+#include <utility>
+
+#include "entry_parts.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+/// A leaving entry waits this long for its removal from the list.
+constexpr core::Duration kLeaveLimit = std::chrono::seconds(10);
+
+class Router {
+ public:
+  Router(EntryBoard* board, core::Time now, const core::NodeId& from)
+      : board_(board), now_(now), from_(from) {}
+
+  void operator()(Heartbeat& m) { HandleHeartbeat(board_, now_, from_, m); }
+  void operator()(EntryPing& m) { HandlePing(board_, from_, m); }
+  void operator()(EntryPong& m) {
+    HandlePong(board_, now_, from_, std::move(m));
+  }
+  void operator()(Answer& m) { HandleAnswer(board_, from_, std::move(m)); }
+  void operator()(Explanation& m) {
+    HandleExplanation(board_, from_, std::move(m));
+  }
+  /// The rest is for agents only.
+  template <typename Other>
+  void operator()(Other&) {}
+
+ private:
+  EntryBoard* board_;
+  core::Time now_;
+  core::NodeId from_;
+};
+
+/// What a write of the list of entries did is read back at the next poll, at
+/// once.
+void HandleEntriesWritten(EntryBoard* board, core::Time now) {
+  board->next_poll = now;
+}
+
+}  // namespace
+
+void Post(EntryBoard* board, const core::NodeId& to, Message message) {
+  board->actions.emplace_back(SendMessage{to, std::move(message)});
+}
+
+void CallTable(EntryBoard* board, core::Time now, TablePurpose purpose,
+               std::uint64_t request, TableCall call) {
+  call.number = board->next_call++;
+  board->calls[call.number] = OpenTableCall{purpose, now, request};
+  if (call.operation == TableOperation::kRead) {
+    ++board->counters.table_reads;
+  } else {
+    ++board->counters.table_writes;
+  }
+  board->actions.emplace_back(std::move(call));
+}
+
+void InitEntry(EntryBoard* board, core::Time now, const core::NodeId& self,
+               const core::DomainId& domain, std::uint64_t seed) {
+  board->self = self;
+  board->domain = domain;
+  board->random.seed(seed);
+  board->started = now;
+  board->next_poll = now;
+  board->next_ping = now;
+  board->next_registration = now;
+}
+
+void OnMessage(EntryBoard* board, core::Time now, const core::NodeId& from,
+               Message message) {
+  Router router(board, now, from);
+  std::visit(router, message);
+}
+
+void OnPeerLost(EntryBoard* board, core::Time now, const core::NodeId& peer) {
+  RequestsPeerLost(board, now, peer);
+}
+
+void OnPeerGone(EntryBoard* board, core::Time now, const core::NodeId& peer) {
+  (void)now;
+  RequestsPeerGone(board, peer);
+  RemoveMember(board, peer);
+}
+
+void OnTableReply(EntryBoard* board, core::Time now, TableReply reply) {
+  const auto found = board->calls.find(reply.number);
+  if (found == board->calls.end()) return;
+  const OpenTableCall call = found->second;
+  board->calls.erase(found);
+  if (reply.status != TableStatus::kUnavailable &&
+      reply.status != TableStatus::kUnknown) {
+    board->table_answered = now;
+  }
+  switch (call.purpose) {
+    case TablePurpose::kPollWorld:
+      HandleWorldRead(board, call.sent, std::move(reply));
+      return;
+    case TablePurpose::kPollEntries:
+      HandleEntriesRead(board, std::move(reply));
+      return;
+    case TablePurpose::kWriteEntries:
+      HandleEntriesWritten(board, now);
+      return;
+    case TablePurpose::kNote:
+      HandleNoteReply(board, now, call.request, reply);
+      return;
+    case TablePurpose::kBindKey:
+      HandleKeyReply(board, now, call.request, reply);
+      return;
+  }
+}
+
+void OnTick(EntryBoard* board, core::Time now) {
+  TickFreshness(board, now);
+  TickRegistration(board, now);
+  TickMembers(board, now);
+  TickRequests(board, now);
+  TickNotes(board, now);
+}
+
+void RequestStop(EntryBoard* board, core::Time now) {
+  if (board->stopping) return;
+  board->stopping = true;
+  board->stop_requested = now;
+  board->next_registration = now;
+}
+
+bool StopFinished(const EntryBoard& board, core::Time now) {
+  if (!board.stopping) return false;
+  const core::Duration waited = now - board.stop_requested;
+  if (waited >= board.policy.drain_limit) return true;
+  if (!board.requests.empty() || !board.notes.empty()) return false;
+  return !IsRegistered(board) || waited >= kLeaveLimit;
+}
+
+std::optional<std::string> NotReady(const EntryBoard& board, core::Time now) {
+  if (board.stopping) return "The entry is being stopped.";
+  if (PermitLifetime(board, now).count() <= 0) {
+    return "Neither the table nor other entries confirm the release note.";
+  }
+  if (board.members.empty()) return "No agent is known.";
+  return std::nullopt;
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/entry_freshness.cc
@@ -0,0 +1,167 @@
+#include <algorithm>
+#include <utility>
+
+#include "entry_parts.h"
+#include "quorum.h"
+#include "tarragon/dispatch/entry.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+/// Pings of one entry that may still be answered.
+constexpr std::size_t kOpenPings = 8;
+/// Looks at one row of the table that may be open at once.
+constexpr std::size_t kOpenPolls = 4;
+
+std::size_t OpenCalls(const EntryBoard& board, TablePurpose purpose) {
+  return static_cast<std::size_t>(std::count_if(
+      board.calls.begin(), board.calls.end(),
+      [purpose](const auto& call) { return call.second.purpose == purpose; }));
+}
+
+void Poll(EntryBoard* board, core::Time now, TablePurpose purpose, TableRow row,
+          std::uint64_t known) {
+  if (OpenCalls(*board, purpose) >= kOpenPolls) return;
+  TableCall call;
+  call.operation = TableOperation::kRead;
+  call.row = row;
+  call.version = known;
+  CallTable(board, now, purpose, 0, std::move(call));
+}
+
+/// The other entries that are registered or were before the present change.
+std::vector<core::NodeId> OtherEntries(const EntryBoard& board) {
+  std::vector<core::NodeId> nodes;
+  for (const std::vector<EntryMember>* list :
+       {&board.entries.members, &board.entries.previous}) {
+    for (const EntryMember& member : *list) {
+      if (member.node == board.self) continue;
+      if (std::find(nodes.begin(), nodes.end(), member.node) == nodes.end()) {
+        nodes.push_back(member.node);
+      }
+    }
+  }
+  return nodes;
+}
+
+void PingOthers(EntryBoard* board, core::Time now) {
+  const std::vector<core::NodeId> others = OtherEntries(*board);
+  for (auto it = board->peers.begin(); it != board->peers.end();) {
+    const bool listed =
+        std::find(others.begin(), others.end(), it->first) != others.end();
+    it = listed ? std::next(it) : board->peers.erase(it);
+  }
+  for (const core::NodeId& node : others) {
+    const auto [peer, added] = board->peers.try_emplace(node);
+    if (added) peer->second.heard = now;
+    const std::uint64_t sequence = ++peer->second.ping_sequence;
+    peer->second.sent.emplace_back(sequence, now);
+    if (peer->second.sent.size() > kOpenPings) peer->second.sent.pop_front();
+    Post(board, node,
+         EntryPing{sequence, board->world.version, board->entries.version});
+  }
+}
+
+void Confirm(EntryBoard* board, core::Time moment) {
+  if (!board->confirmed.has_value() || *board->confirmed < moment) {
+    board->confirmed = moment;
+  }
+}
+
+}  // namespace
+
+void AdoptWorld(EntryBoard* board, World world) {
+  if (world.version <= board->world.version) return;
+  const core::NoteVersion before = board->world.version;
+  board->world = std::move(world);
+  CheckInvariant(&board->invariants, "note_never_reverts",
+                 board->world.version > before, {});
+}
+
+void AdoptEntries(EntryBoard* board, EntryList entries) {
+  if (entries.version <= board->entries.version) return;
+  board->entries = std::move(entries);
+}
+
+void TickFreshness(EntryBoard* board, core::Time now) {
+  if (now >= board->next_poll) {
+    board->next_poll = now + board->policy.poll_interval;
+    Poll(board, now, TablePurpose::kPollWorld, TableRow::kWorld,
+         board->world_row);
+    Poll(board, now, TablePurpose::kPollEntries, TableRow::kEntries,
+         board->entries_row);
+  }
+  if (now >= board->next_ping) {
+    board->next_ping = now + board->policy.ping_interval;
+    PingOthers(board, now);
+  }
+  const std::optional<core::Time> quorum = QuorumConfirmed(*board, now);
+  if (quorum.has_value()) Confirm(board, *quorum);
+}
+
+void HandlePing(EntryBoard* board, const core::NodeId& from,
+                const EntryPing& ping) {
+  EntryPong pong;
+  pong.sequence = ping.sequence;
+  pong.note_version = board->world.version;
+  pong.entries_version = board->entries.version;
+  pong.has_world = board->world.version > ping.note_version;
+  if (pong.has_world) pong.world = board->world;
+  pong.has_entries = board->entries.version > ping.entries_version;
+  if (pong.has_entries) pong.entries = board->entries;
+  Post(board, from, std::move(pong));
+}
+
+void HandlePong(EntryBoard* board, core::Time now, const core::NodeId& from,
+                EntryPong pong) {
+  const auto found = board->peers.find(from);
+  if (found == board->peers.end()) return;
+  EntryPeer& peer = found->second;
+  peer.heard = now;
+  if (pong.has_world) AdoptWorld(board, std::move(pong.world));
+  if (pong.has_entries) AdoptEntries(board, std::move(pong.entries));
+  peer.note_version = std::max(peer.note_version, pong.note_version);
+  peer.entries_version = std::max(peer.entries_version, pong.entries_version);
+  // A peer that knows more than it sent cannot vouch for what is known here.
+  if (pong.note_version > board->world.version) return;
+  if (pong.entries_version > board->entries.version) return;
+  for (const auto& [sequence, sent] : peer.sent) {
+    if (sequence != pong.sequence) continue;
+    if (!peer.confirmed.has_value() || *peer.confirmed < sent) {
+      peer.confirmed = sent;
+    }
+  }
+}
+
+void HandleWorldRead(EntryBoard* board, core::Time sent, TableReply reply) {
+  if (reply.status == TableStatus::kOk) {
+    board->world_row = std::max(board->world_row, reply.version);
+    const core::NoteVersion read = reply.world.version;
+    AdoptWorld(board, std::move(reply.world));
+    if (read == board->world.version) Confirm(board, sent);
+    return;
+  }
+  if (reply.status == TableStatus::kUnchanged) Confirm(board, sent);
+  const bool empty = board->world.version == core::NoteVersion(0);
+  if (reply.status == TableStatus::kMissing && empty) Confirm(board, sent);
+}
+
+void HandleEntriesRead(EntryBoard* board, TableReply reply) {
+  if (reply.status == TableStatus::kOk) {
+    board->entries_known = true;
+    board->entries_row = std::max(board->entries_row, reply.version);
+    AdoptEntries(board, std::move(reply.entries));
+    return;
+  }
+  if (reply.status == TableStatus::kUnchanged ||
+      reply.status == TableStatus::kMissing) {
+    board->entries_known = true;
+  }
+}
+
+core::Duration PermitLifetime(const EntryBoard& board, core::Time now) {
+  if (!board.confirmed.has_value()) return core::Duration(0);
+  return *board.confirmed + board.policy.freshness - now;
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/entry_members.cc
@@ -0,0 +1,155 @@
+#include <algorithm>
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "entry_parts.h"
+#include "placement.h"
+#include "tarragon/dispatch/entry.h"
+#include "tarragon/dispatch/handle.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+/// Removals that are remembered; an agent that is further behind gets the
+/// whole list.
+constexpr std::size_t kGoneMemory = 1000;
+/// A change of the failure share below this is not told, in thousandths.
+constexpr std::uint32_t kFailureStep = 100;
+
+std::pair<std::uint64_t, core::NodeId> RingKey(const core::NodeId& node) {
+  return {std::hash<std::string>()(node.address.value()), node};
+}
+
+/// True when the other agents must learn of the difference.
+bool Differs(const AgentStatus& a, const AgentStatus& b) {
+  const std::uint32_t failure_change =
+      a.failure_permille > b.failure_permille
+          ? a.failure_permille - b.failure_permille
+          : b.failure_permille - a.failure_permille;
+  return a.domain != b.domain || a.services != b.services ||
+         a.load.slots != b.load.slots || a.cores != b.cores ||
+         a.memory_mb != b.memory_mb || a.leaving != b.leaving ||
+         failure_change >= kFailureStep;
+}
+
+/// The members told to `node`: all, or its neighbours on the ring.
+std::vector<const AgentMember*> SampleFor(const EntryBoard& board,
+                                          const core::NodeId& node) {
+  std::vector<const AgentMember*> sample;
+  const std::size_t wanted =
+      std::min<std::size_t>(board.policy.member_sample, board.ring.size());
+  auto next = board.ring.lower_bound(RingKey(node));
+  while (sample.size() < wanted) {
+    if (next == board.ring.end()) next = board.ring.begin();
+    sample.push_back(&board.members.at(next->second));
+    ++next;
+  }
+  return sample;
+}
+
+void TellMembers(const EntryBoard& board, const core::NodeId& node,
+                 std::uint64_t known, Permit* permit) {
+  permit->members_version = board.members_version;
+  if (known == board.members_version) return;
+  const bool sampled = board.ring.size() > board.policy.member_sample;
+  const bool someone_went =
+      !board.gone.empty() && board.gone.back().first > known;
+  // A removal moves the neighbours on, so that old members come into view.
+  permit->members_full =
+      known == 0 || known > board.members_version ||
+      (sampled && someone_went) ||
+      (!board.gone.empty() && board.gone.size() == kGoneMemory &&
+       board.gone.front().first > known);
+  for (const AgentMember* member : SampleFor(board, node)) {
+    if (permit->members_full || member->changed > known) {
+      permit->members.push_back(member->status);
+    }
+  }
+  if (permit->members_full) return;
+  for (const auto& [version, gone] : board.gone) {
+    if (version > known) permit->members_gone.push_back(gone);
+  }
+}
+
+void UpdateMember(EntryBoard* board, core::Time now,
+                  const AgentStatus& status) {
+  const auto [member, added] = board->members.try_emplace(status.node);
+  AgentMember& known = member->second;
+  known.heard = now;
+  if (added || Differs(known.status, status)) {
+    known.changed = ++board->members_version;
+    known.status = status;
+    if (added) board->ring[RingKey(status.node)] = status.node;
+    return;
+  }
+  // The failure share told last stays the one that changes are measured by.
+  const std::uint32_t told = known.status.failure_permille;
+  known.status = status;
+  known.status.failure_permille = told;
+}
+
+}  // namespace
+
+void RemoveMember(EntryBoard* board, const core::NodeId& node) {
+  if (board->members.erase(node) == 0) return;
+  board->ring.erase(RingKey(node));
+  board->gone.emplace_back(++board->members_version, node);
+  if (board->gone.size() > kGoneMemory) board->gone.pop_front();
+}
+
+void HandleHeartbeat(EntryBoard* board, core::Time now,
+                     const core::NodeId& from, const Heartbeat& heartbeat) {
+  if (heartbeat.status.node != from) return;
+  ++board->counters.heartbeats;
+  UpdateMember(board, now, heartbeat.status);
+  Permit permit;
+  permit.sequence = heartbeat.sequence;
+  permit.note_version = board->world.version;
+  const core::Duration lifetime = PermitLifetime(*board, now);
+  if (lifetime.count() > 0) {
+    permit.lifetime = lifetime;
+  } else {
+    ++board->counters.permits_refused;
+  }
+  permit.has_world = board->world.version > heartbeat.note_version;
+  if (permit.has_world) permit.world = board->world;
+  TellMembers(*board, from, heartbeat.members_version, &permit);
+  permit.entries = board->entries;
+  Post(board, from, std::move(permit));
+}
+
+void TickMembers(EntryBoard* board, core::Time now) {
+  std::vector<core::NodeId> silent;
+  for (const auto& [node, member] : board->members) {
+    if (now - member.heard > board->policy.member_timeout) {
+      silent.push_back(node);
+    }
+  }
+  for (const core::NodeId& node : silent) RemoveMember(board, node);
+}
+
+std::optional<std::string> MintHandle(EntryBoard* board,
+                                      const core::ServiceId& service) {
+  // Homes take turns. One that offers the service is preferred, because it can
+  // often start a task without a further hop.
+  const AgentMember* first_any = nullptr;
+  const AgentMember* chosen = nullptr;
+  auto next = board->members.upper_bound(board->last_home);
+  for (std::size_t i = 0; i < board->members.size(); ++i, ++next) {
+    if (next == board->members.end()) next = board->members.begin();
+    const AgentStatus& status = next->second.status;
+    if (status.leaving) continue;
+    if (first_any == nullptr) first_any = &next->second;
+    if (!Offers(status, service)) continue;
+    if (!InService(board->world, status.domain)) continue;
+    chosen = &next->second;
+    break;
+  }
+  if (chosen == nullptr) chosen = first_any;
+  if (chosen == nullptr) return std::nullopt;
+  board->last_home = chosen->status.node;
+  return ToString(Handle{chosen->status.node, chosen->status.handle_epoch});
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/entry_notes.cc
@@ -0,0 +1,157 @@
+#include <utility>
+
+#include "entry_parts.h"
+#include "quorum.h"
+#include "tarragon/dispatch/entry.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+/// Time after which a note that is in the table is reported as pending.
+constexpr core::Duration kConfirmLimit = std::chrono::seconds(3);
+/// Time after which a note whose write was not settled is reported so.
+constexpr core::Duration kSettleLimit = std::chrono::seconds(8);
+constexpr core::Duration kRetryPause = std::chrono::milliseconds(200);
+
+void Finish(EntryBoard* board, std::uint64_t number, NoteState state,
+            std::vector<std::string> texts) {
+  const auto found = board->notes.find(number);
+  NoteAnswer answer;
+  answer.state = state;
+  answer.version = found->second.version == core::NoteVersion(0)
+                       ? board->world.version
+                       : found->second.version;
+  answer.texts = std::move(texts);
+  board->notes.erase(found);
+  board->actions.emplace_back(AnswerNote{number, std::move(answer)});
+}
+
+void ReadWorld(EntryBoard* board, core::Time now, std::uint64_t number) {
+  board->notes.at(number).step = NoteStep::kReading;
+  TableCall call;
+  call.operation = TableOperation::kRead;
+  call.row = TableRow::kWorld;
+  CallTable(board, now, TablePurpose::kNote, number, std::move(call));
+}
+
+void Confirm(EntryBoard* board, std::uint64_t number) {
+  const OpenNote& open = board->notes.at(number);
+  if (!NoteConfirmed(*board, open.version)) return;
+  Finish(board, number, NoteState::kAccepted, {});
+}
+
+/// The table was read a moment ago: writes the note on what it holds.
+void WriteNote(EntryBoard* board, core::Time now, std::uint64_t number) {
+  OpenNote& open = board->notes.at(number);
+  NoteError error;
+  std::optional<World> next = ApplyNote(board->world, open.note, &error);
+  if (!next.has_value()) {
+    const bool conflict = error.code == NoteError::Code::kConflict;
+    Finish(board, number, conflict ? NoteState::kConflict : NoteState::kInvalid,
+           std::move(error.texts));
+    return;
+  }
+  open.step = NoteStep::kWriting;
+  TableCall call;
+  call.row = TableRow::kWorld;
+  call.operation = board->world_row == 0 ? TableOperation::kInsert
+                                         : TableOperation::kReplace;
+  call.version = board->world_row;
+  call.world = std::move(*next);
+  CallTable(board, now, TablePurpose::kNote, number, std::move(call));
+}
+
+void HandleRead(EntryBoard* board, core::Time now, std::uint64_t number,
+                const TableReply& reply) {
+  OpenNote& open = board->notes.at(number);
+  const bool empty = reply.status == TableStatus::kMissing &&
+                     board->world.version == core::NoteVersion(0);
+  if (reply.status != TableStatus::kOk && !empty) {
+    open.retry_at = now + kRetryPause;
+    return;
+  }
+  if (reply.status == TableStatus::kOk) {
+    board->world_row = reply.version;
+    AdoptWorld(board, reply.world);
+  }
+  if (ContainsNote(board->world, open.note.id)) {
+    open.step = NoteStep::kConfirming;
+    open.version = board->world.version;
+    Confirm(board, number);
+    return;
+  }
+  WriteNote(board, now, number);
+}
+
+void HandleWrite(EntryBoard* board, core::Time now, std::uint64_t number,
+                 const TableReply& reply) {
+  if (reply.status != TableStatus::kOk) {
+    // Lost replies, conflicts and outages are all settled by reading back.
+    board->notes.at(number).retry_at =
+        reply.status == TableStatus::kConflict ? now : now + kRetryPause;
+    board->notes.at(number).step = NoteStep::kReading;
+    return;
+  }
+  OpenNote& open = board->notes.at(number);
+  board->world_row = std::max(board->world_row, reply.version);
+  NoteError error;
+  // The write took effect on exactly the world that is known here.
+  std::optional<World> next = ApplyNote(board->world, open.note, &error);
+  if (next.has_value()) AdoptWorld(board, std::move(*next));
+  open.step = NoteStep::kConfirming;
+  open.version = board->world.version;
+  Confirm(board, number);
+}
+
+}  // namespace
+
+std::uint64_t OnOperatorNote(EntryBoard* board, core::Time now,
+                             ReleaseNote note) {
+  const std::uint64_t number = board->next_request++;
+  OpenNote open;
+  open.note = std::move(note);
+  open.started = now;
+  board->notes.emplace(number, std::move(open));
+  ReadWorld(board, now, number);
+  return number;
+}
+
+void HandleNoteReply(EntryBoard* board, core::Time now, std::uint64_t number,
+                     const TableReply& reply) {
+  const auto found = board->notes.find(number);
+  if (found == board->notes.end()) return;
+  if (found->second.step == NoteStep::kReading) {
+    HandleRead(board, now, number, reply);
+  } else if (found->second.step == NoteStep::kWriting) {
+    HandleWrite(board, now, number, reply);
+  }
+}
+
+void TickNotes(EntryBoard* board, core::Time now) {
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, open] : board->notes) numbers.push_back(number);
+  for (const std::uint64_t number : numbers) {
+    OpenNote& open = board->notes.at(number);
+    if (open.step == NoteStep::kConfirming) {
+      if (now - open.started >= kConfirmLimit &&
+          !NoteConfirmed(*board, open.version)) {
+        Finish(board, number, NoteState::kPending,
+               {"Too few entries have confirmed the note so far."});
+        continue;
+      }
+      Confirm(board, number);
+      continue;
+    }
+    if (now - open.started >= kSettleLimit) {
+      Finish(board, number, NoteState::kUnavailable,
+             {"The platform's table does not answer."});
+      continue;
+    }
+    if (now >= open.retry_at) {
+      open.retry_at = core::kNever;
+      ReadWorld(board, now, number);
+    }
+  }
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/entry_parts.h
@@ -0,0 +1,61 @@
+#ifndef TARRAGON_DISPATCH_ENTRY_PARTS_H_
+#define TARRAGON_DISPATCH_ENTRY_PARTS_H_
+
+#include <cstdint>
+
+#include "tarragon/core/clock.h"
+#include "tarragon/core/ids.h"
+#include "tarragon/dispatch/entry_board.h"
+
+/// The controllers of an entry, which share its board.
+
+namespace tarragon::dispatch {
+
+/// Sends `message` to `to`.
+void Post(EntryBoard* board, const core::NodeId& to, Message message);
+
+/// Calls the table; the answer comes to the controller of `purpose`.
+void CallTable(EntryBoard* board, core::Time now, TablePurpose purpose,
+               std::uint64_t request, TableCall call);
+
+// Freshness: what is in force, by the table and by other entries.
+void TickFreshness(EntryBoard* board, core::Time now);
+void HandlePing(EntryBoard* board, const core::NodeId& from,
+                const EntryPing& ping);
+void HandlePong(EntryBoard* board, core::Time now, const core::NodeId& from,
+                EntryPong pong);
+void HandleWorldRead(EntryBoard* board, core::Time sent, TableReply reply);
+void HandleEntriesRead(EntryBoard* board, TableReply reply);
+/// Takes in a world if it is newer than the one in force.
+void AdoptWorld(EntryBoard* board, World world);
+void AdoptEntries(EntryBoard* board, EntryList entries);
+
+// Registration in the list of entries.
+void TickRegistration(EntryBoard* board, core::Time now);
+bool IsRegistered(const EntryBoard& board);
+
+// Membership of agents.
+void HandleHeartbeat(EntryBoard* board, core::Time now,
+                     const core::NodeId& from, const Heartbeat& heartbeat);
+void TickMembers(EntryBoard* board, core::Time now);
+void RemoveMember(EntryBoard* board, const core::NodeId& node);
+
+// Requests of clients.
+void HandleAnswer(EntryBoard* board, const core::NodeId& from, Answer answer);
+void HandleExplanation(EntryBoard* board, const core::NodeId& from,
+                       Explanation explanation);
+void HandleKeyReply(EntryBoard* board, core::Time now, std::uint64_t request,
+                    const TableReply& reply);
+void TickRequests(EntryBoard* board, core::Time now);
+void RequestsPeerLost(EntryBoard* board, core::Time now,
+                      const core::NodeId& peer);
+void RequestsPeerGone(EntryBoard* board, const core::NodeId& peer);
+
+// Release notes.
+void HandleNoteReply(EntryBoard* board, core::Time now, std::uint64_t request,
+                     const TableReply& reply);
+void TickNotes(EntryBoard* board, core::Time now);
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_ENTRY_PARTS_H_
--- /dev/null
+++ b/dispatch/entry_requests.cc
@@ -0,0 +1,283 @@
+#include <algorithm>
+#include <utility>
+
+#include "entry_parts.h"
+#include "tarragon/dispatch/digest.h"
+#include "tarragon/dispatch/entry.h"
+#include "tarragon/dispatch/handle.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+constexpr core::Duration kNoHomePause = std::chrono::seconds(1);
+constexpr core::Duration kPlatformPause = std::chrono::seconds(2);
+constexpr core::Duration kOverloadPause = std::chrono::milliseconds(500);
+/// Time after a deadline in which the home's own answer is still awaited.
+constexpr core::Duration kDeadlineGrace = std::chrono::milliseconds(500);
+/// How long a query, a cancellation or an explanation waits at most.
+constexpr core::Duration kQueryLimit = std::chrono::minutes(10);
+
+void Finish(EntryBoard* board, std::uint64_t number, JobAnswer answer) {
+  const auto found = board->requests.find(number);
+  if (found == board->requests.end()) return;
+  if (!found->second.plain_key.empty()) {
+    answer.key = core::JobKey(found->second.plain_key);
+  }
+  ++board->counters.answers[std::string(Name(answer.outcome))];
+  if (found->second.kind == RequestKind::kExplain) {
+    board->actions.emplace_back(AnswerExplain{number, {answer.detail}});
+  } else {
+    board->actions.emplace_back(AnswerClient{number, std::move(answer)});
+  }
+  board->requests.erase(found);
+}
+
+void FinishWith(EntryBoard* board, std::uint64_t number, Outcome outcome,
+                Reason reason, const std::string& detail,
+                core::Duration retry_after) {
+  const auto found = board->requests.find(number);
+  if (found == board->requests.end()) return;
+  JobAnswer answer;
+  answer.key = found->second.spec.key;
+  answer.outcome = outcome;
+  answer.reason = reason;
+  answer.detail = detail;
+  answer.retry_after = retry_after;
+  Finish(board, number, std::move(answer));
+}
+
+/// A home that cannot be reached any more: a job that was never sent is proved
+/// not run only if no other entry can have sent it, which nobody knows.
+void GiveUp(EntryBoard* board, std::uint64_t number) {
+  FinishWith(board, number, Outcome::kUnknown, Reason::kHomeGone,
+             "The process that answers for the key is gone.",
+             core::Duration(0));
+}
+
+void SendToHome(EntryBoard* board, core::Time now, std::uint64_t number) {
+  EntryRequest& request = board->requests.at(number);
+  request.resend_at = core::kNever;
+  request.sent = true;
+  switch (request.kind) {
+    case RequestKind::kSubmit: {
+      Submit submit{number, request.spec, request.body_digest};
+      submit.spec.time_left = request.deadline - now;
+      Post(board, request.home, std::move(submit));
+      return;
+    }
+    case RequestKind::kQuery:
+      Post(board, request.home, Query{number, request.spec.key});
+      return;
+    case RequestKind::kCancel:
+      Post(board, request.home, Cancel{number, request.spec.key});
+      return;
+    case RequestKind::kExplain:
+      Post(board, request.home, Explain{number, request.spec.key});
+      return;
+  }
+}
+
+void ReadKeyRow(EntryBoard* board, core::Time now, std::uint64_t number) {
+  TableCall call;
+  call.operation = TableOperation::kRead;
+  call.row = TableRow::kKey;
+  call.key = board->requests.at(number).plain_key;
+  CallTable(board, now, TablePurpose::kBindKey, number, std::move(call));
+}
+
+/// Binds a plain key to a home that is chosen now.
+void InsertKeyRow(EntryBoard* board, core::Time now, std::uint64_t number) {
+  EntryRequest& request = board->requests.at(number);
+  const std::optional<std::string> handle =
+      MintHandle(board, request.spec.service);
+  if (!handle.has_value()) {
+    FinishWith(board, number, Outcome::kNotRun, Reason::kNoTarget,
+               "No agent is known.", kNoHomePause);
+    return;
+  }
+  request.wrote_row = true;
+  TableCall call;
+  call.operation = TableOperation::kInsert;
+  call.row = TableRow::kKey;
+  call.key = request.plain_key;
+  call.text = *handle + ".k" + std::to_string(Digest(request.plain_key));
+  CallTable(board, now, TablePurpose::kBindKey, number, std::move(call));
+}
+
+/// Finds the home by the key's text and sends the request there.
+void StartRequest(EntryBoard* board, core::Time now, std::uint64_t number,
+                  const std::string& key_text) {
+  EntryRequest& request = board->requests.at(number);
+  const std::optional<Handle> handle = HandleOf(core::JobKey(key_text));
+  if (!handle.has_value()) {
+    request.plain_key = key_text;
+    ReadKeyRow(board, now, number);
+    return;
+  }
+  request.spec.key = core::JobKey(key_text);
+  request.home = handle->home;
+  SendToHome(board, now, number);
+}
+
+std::uint64_t AddRequest(EntryBoard* board, core::Time now,
+                         EntryRequest request, const std::string& key_text) {
+  const std::uint64_t number = board->next_request++;
+  request.spec.key = core::JobKey(key_text);
+  const bool full = board->requests.size() >= board->policy.max_entry_requests;
+  board->requests.emplace(number, std::move(request));
+  if (full) {
+    FinishWith(board, number, Outcome::kNotRun, Reason::kOverload,
+               "The entry has too many open requests.", kOverloadPause);
+    return number;
+  }
+  StartRequest(board, now, number, key_text);
+  return number;
+}
+
+bool ResultsMatch(const Answer& answer) {
+  return Digest(answer.answer.results) == answer.results_digest ||
+         answer.answer.outcome != Outcome::kComplete;
+}
+
+}  // namespace
+
+std::uint64_t OnClientSubmit(EntryBoard* board, core::Time now, JobSpec spec,
+                             const std::string& key_text, core::Duration wait) {
+  EntryRequest request;
+  request.kind = RequestKind::kSubmit;
+  request.body_digest = Digest(spec);
+  request.deadline = now + spec.time_left;
+  request.wait_until = now + wait;
+  request.spec = std::move(spec);
+  return AddRequest(board, now, std::move(request), key_text);
+}
+
+std::uint64_t OnClientRequest(EntryBoard* board, core::Time now,
+                              RequestKind kind, const std::string& key_text,
+                              core::Duration wait) {
+  EntryRequest request;
+  request.kind = kind;
+  request.deadline = now + kQueryLimit;
+  request.wait_until = now + wait;
+  return AddRequest(board, now, std::move(request), key_text);
+}
+
+void OnClientLeft(EntryBoard* board, std::uint64_t request) {
+  board->requests.erase(request);
+}
+
+void HandleAnswer(EntryBoard* board, const core::NodeId& from, Answer answer) {
+  const auto found = board->requests.find(answer.request);
+  if (found == board->requests.end()) return;
+  EntryRequest& request = found->second;
+  // Answers are matched on the home and the key, not on the number alone.
+  if (request.home != from || request.spec.key != answer.answer.key) return;
+  const bool whole = answer.answer.outcome != Outcome::kComplete ||
+                     request.kind != RequestKind::kSubmit ||
+                     answer.answer.results.size() == request.spec.tasks.size();
+  if (!whole || !ResultsMatch(answer)) {
+    FinishWith(board, answer.request, Outcome::kUnknown, Reason::kTruncated,
+               "The answer was not whole; ask again by key.",
+               core::Duration(0));
+    return;
+  }
+  Finish(board, answer.request, std::move(answer.answer));
+}
+
+void HandleExplanation(EntryBoard* board, const core::NodeId& from,
+                       Explanation explanation) {
+  const auto found = board->requests.find(explanation.request);
+  if (found == board->requests.end() || found->second.home != from) return;
+  board->actions.emplace_back(
+      AnswerExplain{explanation.request, std::move(explanation.lines)});
+  board->requests.erase(found);
+}
+
+void HandleKeyReply(EntryBoard* board, core::Time now, std::uint64_t number,
+                    const TableReply& reply) {
+  const auto found = board->requests.find(number);
+  if (found == board->requests.end()) return;
+  EntryRequest& request = found->second;
+  if (reply.status == TableStatus::kOk && !reply.text.empty()) {
+    const std::optional<Handle> handle = HandleOf(core::JobKey(reply.text));
+    if (!handle.has_value()) {
+      GiveUp(board, number);
+      return;
+    }
+    request.spec.key = core::JobKey(reply.text);
+    request.home = handle->home;
+    SendToHome(board, now, number);
+    return;
+  }
+  const bool wrote = request.wrote_row;
+  if (reply.status == TableStatus::kMissing &&
+      request.kind == RequestKind::kSubmit) {
+    InsertKeyRow(board, now, number);
+    return;
+  }
+  if (reply.status == TableStatus::kMissing) {
+    FinishWith(board, number, Outcome::kNotRun, Reason::kNone,
+               "No job is known under this key.", core::Duration(0));
+    return;
+  }
+  // A conflict, or a write whose reply was lost: the row tells who won.
+  if (wrote && reply.status != TableStatus::kUnavailable) {
+    request.wrote_row = false;
+    ReadKeyRow(board, now, number);
+    return;
+  }
+  FinishWith(board, number, Outcome::kNotRun, Reason::kPlatformOut,
+             "The platform's table does not answer; take a handle, or come "
+             "back.",
+             kPlatformPause);
+}
+
+void TickRequests(EntryBoard* board, core::Time now) {
+  std::vector<std::uint64_t> waited, lost, resend;
+  for (const auto& [number, request] : board->requests) {
+    const bool silent = request.lost_since.has_value() &&
+                        now - *request.lost_since >= board->policy.home_timeout;
+    if (silent || now >= request.deadline + kDeadlineGrace) {
+      lost.push_back(number);
+    } else if (now >= request.wait_until && now < request.deadline) {
+      waited.push_back(number);
+    } else if (now >= request.resend_at) {
+      resend.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : waited) {
+    FinishWith(board, number, Outcome::kRunning, Reason::kNone,
+               "Ask again by key.", core::Duration(0));
+  }
+  for (const std::uint64_t number : lost) {
+    if (board->requests.at(number).sent) {
+      GiveUp(board, number);
+      continue;
+    }
+    FinishWith(board, number, Outcome::kNotRun, Reason::kPlatformOut,
+               "The platform's table did not answer in time.", kPlatformPause);
+  }
+  for (const std::uint64_t number : resend) {
+    ++board->counters.resubmissions;
+    SendToHome(board, now, number);
+  }
+}
+
+void RequestsPeerLost(EntryBoard* board, core::Time now,
+                      const core::NodeId& peer) {
+  for (auto& [number, request] : board->requests) {
+    if (request.home != peer || !request.sent) continue;
+    if (!request.lost_since.has_value()) request.lost_since = now;
+    request.resend_at = now + board->policy.resubmit_interval;
+  }
+}
+
+void RequestsPeerGone(EntryBoard* board, const core::NodeId& peer) {
+  std::vector<std::uint64_t> gone;
+  for (const auto& [number, request] : board->requests) {
+    if (request.home == peer) gone.push_back(number);
+  }
+  for (const std::uint64_t number : gone) GiveUp(board, number);
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/executor.h
@@ -0,0 +1,56 @@
+#ifndef TARRAGON_DISPATCH_EXECUTOR_H_
+#define TARRAGON_DISPATCH_EXECUTOR_H_
+
+#include <cstdint>
+
+#include "tarragon/core/clock.h"
+#include "tarragon/core/ids.h"
+#include "tarragon/dispatch/agent.h"
+#include "tarragon/dispatch/agent_board.h"
+
+/// The executor: last gate before a task starts at the target beside it.
+
+namespace tarragon::dispatch {
+
+/// Slots in which a task could start now; zero when the gate is shut.
+std::uint32_t FreeSlots(const AgentBoard& board, core::Time now);
+
+/// The load as told to `home`; remembers what was told.
+Load MakeLoad(AgentBoard* board, core::Time now, const core::NodeId& home);
+
+/// Why no task of `service` may start here now, or kNone. `time_left` is what
+/// remains until the task's deadline.
+Reason CheckGate(const AgentBoard& board, core::Time now,
+                 const core::ServiceId& service, core::Duration time_left);
+
+void HandleAssign(AgentBoard* board, core::Time now, const core::NodeId& home,
+                  Assign assign);
+void HandleSeal(AgentBoard* board, core::Time now, const core::NodeId& home,
+                const Seal& seal);
+void HandleFinishedAck(AgentBoard* board, core::Time now,
+                       const FinishedAck& ack);
+void HandleTargetEnd(AgentBoard* board, core::Time now, const TaskRef& ref,
+                     TargetEnd end, std::string result);
+
+/// Fills free slots: from the executor's own queue or by asking homes.
+void FillSlots(AgentBoard* board, core::Time now);
+
+void HandleWant(AgentBoard* board, core::Time now, const core::NodeId& home,
+                const Want& want);
+void HandlePullTask(AgentBoard* board, core::Time now, const core::NodeId& home,
+                    PullTask task);
+void HandlePullEmpty(AgentBoard* board, core::Time now,
+                     const core::NodeId& home, const PullEmpty& empty);
+
+/// Tells recent homes of a large change of the load.
+void SendHints(AgentBoard* board, core::Time now);
+
+void TickExecutor(AgentBoard* board, core::Time now);
+void ExecutorPeerLost(AgentBoard* board, core::Time now,
+                      const core::NodeId& peer);
+void ExecutorPeerGone(AgentBoard* board, core::Time now,
+                      const core::NodeId& peer);
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_EXECUTOR_H_
--- /dev/null
+++ b/dispatch/executor_gate.cc
@@ -0,0 +1,321 @@
+#include <algorithm>
+#include <utility>
+
+#include "ejection.h"
+#include "executor.h"
+#include "executor_queue.h"
+#include "outbox.h"
+#include "tarragon/dispatch/digest.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+bool Offers(const Target& target, const core::ServiceId& service) {
+  return std::find(target.services.begin(), target.services.end(), service) !=
+         target.services.end();
+}
+
+bool DomainInService(const AgentBoard& board) {
+  const auto domain = board.world.domains.find(board.domain);
+  return domain != board.world.domains.end() && domain->second.in_service;
+}
+
+/// Moves the record's next due time, here and in the board's index.
+void Schedule(AgentBoard* board, const TaskKey& key, Execution* execution,
+              core::Time due) {
+  board->execution_due.erase({execution->due, key});
+  execution->due = due;
+  if (due != core::kNever) board->execution_due.insert({due, key});
+}
+
+/// Records that no attempt up to this one has started or ever will.
+void BuryAttempt(AgentBoard* board, core::Time now, const TaskRef& ref,
+                 const core::NodeId& home) {
+  const TaskKey key{ref.key, ref.task};
+  Execution& execution = board->executions[key];
+  execution.state = ExecutionState::kSealed;
+  execution.attempt = std::max(execution.attempt, ref.attempt);
+  execution.home = home;
+  execution.waiting.reset();
+  Schedule(board, key, &execution, now + board->policy.tombstone_memory);
+}
+
+void Refuse(AgentBoard* board, core::Time now, const TaskRef& ref,
+            const core::NodeId& home, Reason reason) {
+  BuryAttempt(board, now, ref, home);
+  ++board->counters.refusals[std::string(Name(reason))];
+  Post(board, home,
+       Refused{ref, reason, core::Duration(0), MakeLoad(board, now, home)});
+}
+
+/// What makes a start allowed, asserted once more at the start itself.
+void AssertStart(AgentBoard* board, core::Time now, const TaskKey& key) {
+  const auto found = board->executions.find(key);
+  const bool fresh_record = found == board->executions.end() ||
+                            found->second.state == ExecutionState::kSealed ||
+                            found->second.state == ExecutionState::kWaiting;
+  const std::vector<std::string> history = {
+      "key=" + key.key.value() + " task=" + std::to_string(key.task.value()) +
+      " executor=" + core::ToString(board->self)};
+  CheckInvariant(&board->invariants, "start_once", fresh_record, history);
+  CheckInvariant(&board->invariants, "start_under_permit",
+                 now < board->permit_until, history);
+  CheckInvariant(&board->invariants, "start_in_service",
+                 DomainInService(*board), history);
+  CheckInvariant(&board->invariants, "start_while_staying",
+                 !board->stopping && !board->target.leaving, history);
+  CheckInvariant(&board->invariants, "start_in_slot",
+                 board->running < board->target.slots, history);
+}
+
+void Start(AgentBoard* board, core::Time now, const core::NodeId& home,
+           Assign assign) {
+  const TaskKey key{assign.ref.key, assign.ref.task};
+  AssertStart(board, now, key);
+  Execution& execution = board->executions[key];
+  Schedule(board, key, &execution, core::kNever);
+  execution.state = ExecutionState::kRunning;
+  execution.attempt = assign.ref.attempt;
+  execution.home = home;
+  execution.service = assign.service;
+  execution.tenant = assign.tenant;
+  execution.started = now;
+  execution.waiting.reset();
+  ++board->running;
+  ++board->counters.starts;
+  if (board->health.ejected) {
+    board->health.next_trial = now + board->policy.trial_interval;
+  }
+  board->actions.emplace_back(RunTask{assign.ref, assign.service,
+                                      std::move(assign.spec.payload),
+                                      assign.time_left});
+}
+
+/// Lets the task wait here; only without late binding.
+void Enqueue(AgentBoard* board, core::Time now, const core::NodeId& home,
+             Assign assign) {
+  const TaskKey key{assign.ref.key, assign.ref.task};
+  Execution& execution = board->executions[key];
+  Schedule(board, key, &execution, core::kNever);
+  execution.state = ExecutionState::kWaiting;
+  execution.attempt = assign.ref.attempt;
+  execution.home = home;
+  execution.started = now;
+  execution.waiting = std::move(assign);
+  board->waiting.push_back(key);
+}
+
+/// Answers an assignment whose task has a record already. True when nothing
+/// else is to be done with it.
+bool AnswerKnown(AgentBoard* board, core::Time now, const core::NodeId& home,
+                 const TaskRef& ref) {
+  const auto found = board->executions.find(TaskKey{ref.key, ref.task});
+  if (found == board->executions.end()) return false;
+  const Execution& execution = found->second;
+  if (execution.state == ExecutionState::kSealed) {
+    if (execution.attempt < ref.attempt) return false;
+    Refuse(board, now, ref, home, Reason::kSealed);
+    return true;
+  }
+  ++board->counters.duplicates;
+  if (execution.state == ExecutionState::kFinished &&
+      execution.attempt == ref.attempt) {
+    Post(board, home, execution.finished);
+  }
+  return true;
+}
+
+}  // namespace
+
+std::uint32_t FreeSlots(const AgentBoard& board, core::Time now) {
+  const Target& target = board.target;
+  if (!target.present || target.leaving || board.stopping) return 0;
+  if (now >= board.permit_until || !DomainInService(board)) return 0;
+  const std::uint32_t reserved = static_cast<std::uint32_t>(board.pulls.size());
+  const std::uint32_t used = board.running + target.foreign_running + reserved;
+  if (board.health.ejected) {
+    return used == 0 && now >= board.health.next_trial ? 1 : 0;
+  }
+  return used >= target.slots ? 0 : target.slots - used;
+}
+
+Load MakeLoad(AgentBoard* board, core::Time now, const core::NodeId& home) {
+  ToldLoad& told = board->told[home];
+  told.free_slots = FreeSlots(*board, now);
+  told.at = now;
+  return Load{told.free_slots, board->target.slots, ++board->load_sequence,
+              told.assigns_seen};
+}
+
+Reason CheckGate(const AgentBoard& board, core::Time now,
+                 const core::ServiceId& service, core::Duration time_left) {
+  if (board.stopping || board.target.leaving) return Reason::kLeaving;
+  if (!board.target.present || !Offers(board.target, service)) {
+    return Reason::kTargetGone;
+  }
+  if (now >= board.permit_until) return Reason::kStaleView;
+  if (!DomainInService(board)) return Reason::kDomainOut;
+  if (board.world.services.count(service) == 0) return Reason::kUnknownService;
+  if (time_left.count() <= 0) return Reason::kDeadline;
+  if (FreeSlots(board, now) == 0) return Reason::kNoSlot;
+  return Reason::kNone;
+}
+
+void HandleAssign(AgentBoard* board, core::Time now, const core::NodeId& home,
+                  Assign assign) {
+  ToldLoad& told = board->told[home];
+  told.last_work = now;
+  ++told.assigns_seen;
+  if (AnswerKnown(board, now, home, assign.ref)) return;
+  const Reason reason =
+      CheckGate(*board, now, assign.service, assign.time_left);
+  if (reason == Reason::kNone) {
+    Start(board, now, home, std::move(assign));
+    return;
+  }
+  const bool may_wait = reason == Reason::kNoSlot &&
+                        !board->policy.late_binding &&
+                        board->waiting.size() < board->policy.executor_queue;
+  if (may_wait) {
+    Enqueue(board, now, home, std::move(assign));
+    return;
+  }
+  Refuse(board, now, assign.ref, home, reason);
+}
+
+void HandleSeal(AgentBoard* board, core::Time now, const core::NodeId& home,
+                const Seal& seal) {
+  const TaskKey key{seal.ref.key, seal.ref.task};
+  const auto found = board->executions.find(key);
+  if (found == board->executions.end() ||
+      found->second.state == ExecutionState::kSealed) {
+    Refuse(board, now, seal.ref, home, Reason::kSealed);
+    return;
+  }
+  Execution& execution = found->second;
+  if (execution.attempt != seal.ref.attempt) return;
+  if (execution.state == ExecutionState::kWaiting) {
+    board->waiting.remove(key);
+    Refuse(board, now, seal.ref, home, Reason::kSealed);
+    return;
+  }
+  if (execution.state == ExecutionState::kFinished) {
+    Post(board, home, execution.finished);
+    return;
+  }
+  if (execution.state == ExecutionState::kConfirmed) return;
+  if (seal.stop) board->actions.emplace_back(StopTask{seal.ref});
+  Post(board, home, Started{seal.ref, MakeLoad(board, now, home)});
+}
+
+void HandleFinishedAck(AgentBoard* board, core::Time now,
+                       const FinishedAck& ack) {
+  const TaskKey key{ack.ref.key, ack.ref.task};
+  const auto found = board->executions.find(key);
+  if (found == board->executions.end()) return;
+  if (found->second.state != ExecutionState::kFinished) return;
+  // The record stays as a tombstone: a late copy of the assignment must not
+  // start the task again.
+  Execution& execution = found->second;
+  execution.finished = Finished{};
+  execution.state = ExecutionState::kConfirmed;
+  Schedule(board, key, &execution, now + board->policy.tombstone_memory);
+}
+
+void HandleTargetEnd(AgentBoard* board, core::Time now, const TaskRef& ref,
+                     TargetEnd end, std::string result) {
+  const TaskKey key{ref.key, ref.task};
+  const auto found = board->executions.find(key);
+  if (found == board->executions.end()) return;
+  Execution& execution = found->second;
+  if (execution.state != ExecutionState::kRunning) return;
+  if (execution.attempt != ref.attempt) return;
+  --board->running;
+  const core::NodeId home = execution.home;
+  if (end == TargetEnd::kNotStarted) {
+    // The target is fuller than it announced; wait for its next announcement.
+    const Target& target = board->target;
+    board->target.foreign_running =
+        target.slots > board->running ? target.slots - board->running : 0;
+    Refuse(board, now, ref, home, Reason::kNoSlot);
+    return;
+  }
+  const core::Duration run_time = now - execution.started;
+  RecordEnd(board, end == TargetEnd::kOk, run_time);
+  execution.state = ExecutionState::kFinished;
+  execution.forget = now + board->policy.finished_memory;
+  Schedule(board, key, &execution, now + board->policy.finished_interval);
+  Finished& finished = execution.finished;
+  finished.ref = ref;
+  finished.ok = end == TargetEnd::kOk;
+  finished.reason = finished.ok                 ? Reason::kNone
+                    : end == TargetEnd::kFailed ? Reason::kTaskFailed
+                                                : Reason::kTargetGone;
+  finished.result = std::move(result);
+  finished.result_digest = Digest(finished.result);
+  finished.run_time = run_time;
+  finished.load = MakeLoad(board, now, home);
+  Post(board, home, finished);
+}
+
+void StartWaiting(AgentBoard* board, core::Time now) {
+  while (!board->waiting.empty() && FreeSlots(*board, now) > 0) {
+    const TaskKey key = board->waiting.front();
+    board->waiting.pop_front();
+    Execution& execution = board->executions[key];
+    if (!execution.waiting.has_value()) continue;
+    Assign assign = std::move(*execution.waiting);
+    execution.waiting.reset();
+    const core::NodeId home = execution.home;
+    assign.time_left -= now - execution.started;
+    const Reason reason =
+        CheckGate(*board, now, assign.service, assign.time_left);
+    if (reason == Reason::kNone) {
+      Start(board, now, home, std::move(assign));
+    } else {
+      Refuse(board, now, assign.ref, home, reason);
+    }
+  }
+}
+
+void RefuseWaiting(AgentBoard* board, core::Time now, Reason reason) {
+  while (!board->waiting.empty()) {
+    const TaskKey key = board->waiting.front();
+    board->waiting.pop_front();
+    const Execution& execution = board->executions[key];
+    const TaskRef ref{key.key, key.task, execution.attempt};
+    const core::NodeId home = execution.home;
+    Refuse(board, now, ref, home, reason);
+  }
+}
+
+void TickExecutions(AgentBoard* board, core::Time now) {
+  while (!board->execution_due.empty() &&
+         board->execution_due.begin()->first <= now) {
+    const TaskKey key = board->execution_due.begin()->second;
+    Execution& execution = board->executions[key];
+    if (execution.state == ExecutionState::kFinished &&
+        now < execution.forget) {
+      Schedule(board, key, &execution, now + board->policy.finished_interval);
+      Post(board, execution.home, execution.finished);
+      continue;
+    }
+    if (execution.state == ExecutionState::kFinished) {
+      execution.finished = Finished{};
+      execution.state = ExecutionState::kConfirmed;
+      Schedule(board, key, &execution, now + board->policy.tombstone_memory);
+      continue;
+    }
+    board->execution_due.erase(board->execution_due.begin());
+    board->executions.erase(key);
+  }
+}
+
+void RepeatEnds(AgentBoard* board, core::Time now, const core::NodeId& home) {
+  for (auto& [key, execution] : board->executions) {
+    if (execution.state != ExecutionState::kFinished) continue;
+    if (execution.home == home) Schedule(board, key, &execution, now);
+  }
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/executor_pull.cc
@@ -0,0 +1,152 @@
+#include <algorithm>
+#include <utility>
+
+#include "ejection.h"
+#include "executor.h"
+#include "executor_queue.h"
+#include "outbox.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+using WantKey = std::pair<core::NodeId, core::ServiceId>;
+
+/// A change of free slots is large when it is this share of all slots.
+constexpr std::uint32_t kHintShare = 4;
+
+/// The home whose oldest task has waited longest, among the services that the
+/// target offers.
+const WantKey* OldestWant(const AgentBoard& board) {
+  const WantKey* oldest = nullptr;
+  core::Time since = core::kNever;
+  for (const auto& [key, want] : board.wants) {
+    const auto& services = board.target.services;
+    if (std::find(services.begin(), services.end(), key.second) ==
+        services.end()) {
+      continue;
+    }
+    if (want.oldest < since) {
+      since = want.oldest;
+      oldest = &key;
+    }
+  }
+  return oldest;
+}
+
+void SetWant(AgentBoard* board, core::Time now, const WantKey& key,
+             std::uint32_t waiting, core::Duration oldest_wait) {
+  if (waiting == 0) {
+    board->wants.erase(key);
+    return;
+  }
+  board->wants[key] = RemoteWant{waiting, now - oldest_wait};
+}
+
+/// Reserves a slot and asks the home for a task.
+void OpenOnePull(AgentBoard* board, core::Time now, const WantKey& key) {
+  const std::uint64_t number = board->next_pull++;
+  const auto want = board->wants.find(key);
+  if (--want->second.waiting == 0) board->wants.erase(want);
+  board->pulls[number] =
+      OpenPull{key.first, key.second, now + board->policy.pull_timeout};
+  ++board->counters.pulls;
+  Post(board, key.first,
+       Pull{number, key.second, MakeLoad(board, now, key.first)});
+}
+
+void DropHome(AgentBoard* board, const core::NodeId& home) {
+  for (auto it = board->wants.begin(); it != board->wants.end();) {
+    it = it->first.first == home ? board->wants.erase(it) : std::next(it);
+  }
+  for (auto it = board->pulls.begin(); it != board->pulls.end();) {
+    it = it->second.home == home ? board->pulls.erase(it) : std::next(it);
+  }
+}
+
+bool LargeChange(std::uint32_t told, std::uint32_t now, std::uint32_t slots) {
+  if ((told == 0) != (now == 0)) return true;
+  const std::uint32_t change = told > now ? told - now : now - told;
+  return change >= std::max(2U, slots / kHintShare);
+}
+
+}  // namespace
+
+void FillSlots(AgentBoard* board, core::Time now) {
+  StartWaiting(board, now);
+  while (FreeSlots(*board, now) > 0) {
+    const WantKey* oldest = OldestWant(*board);
+    if (oldest == nullptr) return;
+    OpenOnePull(board, now, WantKey(*oldest));
+  }
+}
+
+void HandleWant(AgentBoard* board, core::Time now, const core::NodeId& home,
+                const Want& want) {
+  board->told[home].last_work = now;
+  SetWant(board, now, {home, want.service}, want.waiting, want.oldest_wait);
+}
+
+void HandlePullTask(AgentBoard* board, core::Time now, const core::NodeId& home,
+                    PullTask task) {
+  board->pulls.erase(task.number);
+  SetWant(board, now, {home, task.assign.service}, task.waiting,
+          task.oldest_wait);
+  HandleAssign(board, now, home, std::move(task.assign));
+}
+
+void HandlePullEmpty(AgentBoard* board, core::Time now,
+                     const core::NodeId& home, const PullEmpty& empty) {
+  (void)now;
+  ++board->counters.empty_pulls;
+  board->pulls.erase(empty.number);
+  board->wants.erase({home, empty.service});
+}
+
+void SendHints(AgentBoard* board, core::Time now) {
+  const std::uint32_t free = FreeSlots(*board, now);
+  for (auto& [home, told] : board->told) {
+    if (home == board->self) continue;
+    if (now - told.last_work > board->policy.hint_memory) continue;
+    if (now - told.at < board->policy.hint_interval) continue;
+    if (!LargeChange(told.free_slots, free, board->target.slots)) continue;
+    ++board->counters.hints;
+    Post(board, home, LoadHint{MakeLoad(board, now, home)});
+  }
+}
+
+void TickExecutor(AgentBoard* board, core::Time now) {
+  Target& target = board->target;
+  if (target.present && now - target.announced > board->policy.target_timeout) {
+    target.present = false;
+  }
+  for (auto it = board->pulls.begin(); it != board->pulls.end();) {
+    it = it->second.expires <= now ? board->pulls.erase(it) : std::next(it);
+  }
+  TickExecutions(board, now);
+  ReviewEjection(board, now);
+  if (board->stopping || target.leaving) {
+    RefuseWaiting(board, now, Reason::kLeaving);
+  }
+  FillSlots(board, now);
+  SendHints(board, now);
+}
+
+void ExecutorPeerLost(AgentBoard* board, core::Time now,
+                      const core::NodeId& peer) {
+  DropHome(board, peer);
+  RepeatEnds(board, now, peer);
+}
+
+void ExecutorPeerGone(AgentBoard* board, core::Time now,
+                      const core::NodeId& peer) {
+  (void)now;
+  DropHome(board, peer);
+  board->told.erase(peer);
+  for (auto& [key, execution] : board->executions) {
+    if (execution.home != peer) continue;
+    // Nobody is left to confirm the end.
+    if (execution.state == ExecutionState::kFinished) execution.forget = now;
+  }
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/home.h
@@ -0,0 +1,58 @@
+#ifndef TARRAGON_DISPATCH_HOME_H_
+#define TARRAGON_DISPATCH_HOME_H_
+
+#include <string>
+
+#include "tarragon/core/clock.h"
+#include "tarragon/core/ids.h"
+#include "tarragon/dispatch/agent_board.h"
+
+/// The home: coordinates the jobs whose keys name this process and remembers
+/// them.
+
+namespace tarragon::dispatch {
+
+// Requests of entries.
+void HandleSubmit(AgentBoard* board, core::Time now, const core::NodeId& entry,
+                  Submit submit);
+void HandleQuery(AgentBoard* board, core::Time now, const core::NodeId& entry,
+                 const Query& query);
+void HandleCancel(AgentBoard* board, core::Time now, const core::NodeId& entry,
+                  const Cancel& cancel);
+void HandleExplain(AgentBoard* board, core::Time now, const core::NodeId& entry,
+                   const Explain& explain);
+
+// Answers of executors.
+void HandleRefused(AgentBoard* board, core::Time now,
+                   const core::NodeId& executor, const Refused& refused);
+void HandleStarted(AgentBoard* board, core::Time now,
+                   const core::NodeId& executor, const Started& started);
+void HandleFinished(AgentBoard* board, core::Time now,
+                    const core::NodeId& executor, Finished finished);
+void HandlePull(AgentBoard* board, core::Time now, const core::NodeId& executor,
+                const Pull& pull);
+
+void TickHome(AgentBoard* board, core::Time now);
+void HomePeerLost(AgentBoard* board, core::Time now, const core::NodeId& peer);
+void HomePeerGone(AgentBoard* board, core::Time now, const core::NodeId& peer);
+
+/// Adds one line to the job's history, which is bounded.
+void Record(HomeJob* job, core::Time now, const std::string& line);
+
+/// Ends the job with an answer that is no complete one: takes its tasks out of
+/// the queue, stops the placed ones and answers all waiters at once.
+void EndJob(AgentBoard* board, core::Time now, const core::JobKey& key,
+            Outcome outcome, Reason reason, const std::string& detail);
+
+/// Ends the job whose tasks have all ended well.
+void CompleteJob(AgentBoard* board, core::Time now, const core::JobKey& key);
+
+/// Sends the job's final answer to one waiter.
+void SendAnswer(AgentBoard* board, const HomeJob& job, const Waiter& waiter);
+
+/// Forgets answers and keys whose time has passed.
+void TickKept(AgentBoard* board, core::Time now);
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_HOME_H_
--- /dev/null
+++ b/dispatch/home_end.cc
@@ -0,0 +1,170 @@
+#include <algorithm>
+#include <utility>
+
+#include "home.h"
+#include "outbox.h"
+#include "queue.h"
+#include "tarragon/dispatch/agent.h"
+#include "tarragon/dispatch/digest.h"
+#include "tarragon/dispatch/handle.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+constexpr std::size_t kMaxHistory = 500;
+constexpr core::Duration kRetryPause = std::chrono::milliseconds(200);
+/// Samples that wait for the runtime; it takes them every few milliseconds.
+constexpr std::size_t kMaxSamples = 10000;
+
+void ForgetBytes(AgentBoard* board, std::uint64_t bytes) {
+  board->bytes_held -= std::min(board->bytes_held, bytes);
+}
+
+/// Drops payloads, which only a placement needs.
+void DropPayloads(AgentBoard* board, HomeJob* job) {
+  for (HomeTask& task : job->tasks) {
+    ForgetBytes(board, task.spec.payload.size());
+    task.spec.payload.clear();
+    task.spec.payload.shrink_to_fit();
+  }
+}
+
+/// Takes back what the job has placed or queued.
+void WithdrawTasks(AgentBoard* board, HomeJob* job) {
+  for (std::uint32_t i = 0; i < job->tasks.size(); ++i) {
+    HomeTask& task = job->tasks[i];
+    if (task.state == TaskState::kQueued) {
+      Dequeue(board, *job, core::TaskIndex(i));
+    }
+    if (task.state == TaskState::kAssigned) {
+      --board->tenant_running[job->spec.tenant];
+      Post(
+          board, task.executor,
+          Seal{TaskRef{job->spec.key, core::TaskIndex(i), task.attempt}, true});
+    }
+    ForgetBytes(board, task.result.size());
+    task.result.clear();
+  }
+}
+
+/// No task of the job can have started: none is placed and none has ended.
+bool ProvedNotRun(const HomeJob& job) {
+  return std::all_of(
+      job.tasks.begin(), job.tasks.end(),
+      [](const HomeTask& task) { return task.state == TaskState::kQueued; });
+}
+
+void AnswerWaiters(AgentBoard* board, core::Time now, HomeJob* job) {
+  ++board->counters.outcomes[std::string(Name(job->answer.outcome))];
+  if (board->samples.size() < kMaxSamples) {
+    board->samples.push_back(JobSample{job->spec.tenant, job->spec.service,
+                                       now - job->arrived,
+                                       job->answer.outcome});
+  }
+  for (const Waiter& waiter : job->waiters) SendAnswer(board, *job, waiter);
+  job->waiters.clear();
+}
+
+/// Leaves a proof for a key that may never run, and frees any other.
+void ForgetNotRun(AgentBoard* board, const core::JobKey& key, Reason reason) {
+  board->jobs.erase(key);
+  if (reason != Reason::kCancelled) return;
+  const std::optional<Handle> handle = HandleOf(key);
+  if (!handle.has_value()) return;
+  board->tombstones.emplace(key, Tombstone{handle->epoch, Outcome::kNotRun});
+}
+
+}  // namespace
+
+void Record(HomeJob* job, core::Time now, const std::string& line) {
+  if (job->history.size() >= kMaxHistory) return;
+  job->history.push_back(
+      "+" + std::to_string(core::Millis(now - job->arrived)) + "ms " + line);
+}
+
+void SendAnswer(AgentBoard* board, const HomeJob& job, const Waiter& waiter) {
+  Answer answer{waiter.request, job.answer, 0};
+  answer.results_digest = Digest(answer.answer.results);
+  Post(board, waiter.entry, std::move(answer));
+}
+
+void EndJob(AgentBoard* board, core::Time now, const core::JobKey& key,
+            Outcome outcome, Reason reason, const std::string& detail) {
+  HomeJob& job = board->jobs.at(key);
+  CheckInvariant(&board->invariants, "answer_once",
+                 job.answer.outcome == Outcome::kRunning, job.history);
+  const bool not_run = ProvedNotRun(job);
+  WithdrawTasks(board, &job);
+  DropPayloads(board, &job);
+  board->active.erase(key);
+  job.answer.outcome = not_run ? Outcome::kNotRun : outcome;
+  job.answer.reason = reason;
+  job.answer.detail = detail;
+  if (not_run && reason != Reason::kCancelled) {
+    job.answer.retry_after = kRetryPause;
+  }
+  CheckInvariant(&board->invariants, "answer_never_partial",
+                 job.answer.results.empty(), job.history);
+  Record(&job, now,
+         "Ended as " + std::string(Name(job.answer.outcome)) + ", reason " +
+             std::string(Name(reason)) + ".");
+  AnswerWaiters(board, now, &job);
+  if (not_run) {
+    ForgetNotRun(board, key, reason);
+    return;
+  }
+  board->kept.emplace_back(now + board->policy.answer_memory, key);
+}
+
+void CompleteJob(AgentBoard* board, core::Time now, const core::JobKey& key) {
+  HomeJob& job = board->jobs.at(key);
+  CheckInvariant(&board->invariants, "answer_once",
+                 job.answer.outcome == Outcome::kRunning, job.history);
+  const bool all_ended = std::all_of(
+      job.tasks.begin(), job.tasks.end(),
+      [](const HomeTask& task) { return task.state == TaskState::kEnded; });
+  CheckInvariant(&board->invariants, "complete_means_whole", all_ended,
+                 job.history);
+  DropPayloads(board, &job);
+  job.answer.outcome = Outcome::kComplete;
+  for (HomeTask& task : job.tasks) {
+    job.answer.results.push_back(std::move(task.result));
+    task.result.clear();
+  }
+  board->active.erase(key);
+  Record(&job, now, "Ended as complete.");
+  AnswerWaiters(board, now, &job);
+  board->kept.emplace_back(now + board->policy.answer_memory, key);
+}
+
+void TickKept(AgentBoard* board, core::Time now) {
+  while (!board->kept.empty()) {
+    const auto& [until, key] = board->kept.front();
+    // Over the bound the oldest answers go early; their keys stay known.
+    const bool over = board->bytes_held > board->policy.max_home_bytes;
+    if (until > now && !over) break;
+    const auto job = board->jobs.find(key);
+    if (job != board->jobs.end()) {
+      for (const std::string& result : job->second.answer.results) {
+        ForgetBytes(board, result.size());
+      }
+      const std::optional<Handle> handle = HandleOf(key);
+      const std::uint32_t epoch = handle.has_value() ? handle->epoch : 0;
+      board->tombstones.emplace(key,
+                                Tombstone{epoch, job->second.answer.outcome});
+      board->jobs.erase(job);
+    }
+    board->kept.pop_front();
+  }
+  const std::uint32_t present = HandleEpoch(*board, now);
+  const std::uint32_t memory = board->policy.handle_epochs + 1;
+  if (present < memory || board->swept_epoch == present) return;
+  board->swept_epoch = present;
+  const std::uint32_t oldest = present - memory + 1;
+  for (auto it = board->tombstones.begin(); it != board->tombstones.end();) {
+    const bool old = it->second.epoch < oldest;
+    it = old ? board->tombstones.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/home_requests.cc
@@ -0,0 +1,246 @@
+#include <algorithm>
+#include <utility>
+
+#include "admission.h"
+#include "home.h"
+#include "outbox.h"
+#include "placement.h"
+#include "queue.h"
+#include "tarragon/dispatch/agent.h"
+#include "tarragon/dispatch/handle.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+/// Pause after a refusal by a home that is being stopped.
+constexpr core::Duration kLeavingPause = std::chrono::milliseconds(100);
+
+/// Answers one request without a record of its own.
+void AnswerDirectly(AgentBoard* board, const Waiter& waiter,
+                    const core::JobKey& key, Outcome outcome, Reason reason,
+                    const std::string& detail, core::Duration retry_after) {
+  JobAnswer answer;
+  answer.key = key;
+  answer.outcome = outcome;
+  answer.reason = reason;
+  answer.detail = detail;
+  answer.retry_after = retry_after;
+  Post(board, waiter.entry, Answer{waiter.request, std::move(answer), 0});
+}
+
+void RefuseDirectly(AgentBoard* board, const Waiter& waiter,
+                    const core::JobKey& key, Reason reason,
+                    const std::string& detail, core::Duration retry_after) {
+  ++board->counters.refusals[std::string(Name(reason))];
+  AnswerDirectly(board, waiter, key, Outcome::kNotRun, reason, detail,
+                 retry_after);
+}
+
+/// Answers from what is remembered of a key whose record is gone.
+void AnswerFromTombstone(AgentBoard* board, const Waiter& waiter,
+                         const core::JobKey& key, const Tombstone& tombstone) {
+  if (tombstone.outcome == Outcome::kNotRun) {
+    AnswerDirectly(board, waiter, key, Outcome::kNotRun, Reason::kCancelled,
+                   "The key was cancelled before any task was run.",
+                   core::Duration(0));
+    return;
+  }
+  AnswerDirectly(board, waiter, key, Outcome::kUnknown, Reason::kAnswerDropped,
+                 "The job ended as " + std::string(Name(tombstone.outcome)) +
+                     "; its answer is no longer kept.",
+                 core::Duration(0));
+}
+
+/// Refuses a first submission whose handle is not of an accepted epoch. True
+/// when it was answered.
+bool AnswerWrongEpoch(AgentBoard* board, core::Time now, const Waiter& waiter,
+                      const core::JobKey& key, std::uint32_t epoch) {
+  const std::uint32_t present = HandleEpoch(*board, now);
+  const std::uint32_t accepted = board->policy.handle_epochs;
+  if (epoch <= present && present - epoch < accepted) return false;
+  if (epoch > present || present - epoch == accepted) {
+    RefuseDirectly(board, waiter, key, Reason::kHandleExpired,
+                   "Take a fresh handle.", core::Duration(0));
+    return true;
+  }
+  AnswerDirectly(board, waiter, key, Outcome::kUnknown, Reason::kHandleExpired,
+                 "The key is older than the home's memory.", core::Duration(0));
+  return true;
+}
+
+bool IsFinal(const HomeJob& job) {
+  return job.answer.outcome != Outcome::kRunning;
+}
+
+/// Answers a submission whose key has a record. True when it had.
+bool AnswerKnownKey(AgentBoard* board, const Waiter& waiter,
+                    const Submit& submit) {
+  const core::JobKey& key = submit.spec.key;
+  const auto found = board->jobs.find(key);
+  if (found != board->jobs.end()) {
+    HomeJob& job = found->second;
+    if (job.body_digest != submit.body_digest) {
+      RefuseDirectly(board, waiter, key, Reason::kKeyReused,
+                     "The key was used with a different body.",
+                     core::Duration(0));
+    } else if (IsFinal(job)) {
+      SendAnswer(board, job, waiter);
+    } else {
+      job.waiters.push_back(waiter);
+    }
+    return true;
+  }
+  const auto tombstone = board->tombstones.find(key);
+  if (tombstone == board->tombstones.end()) return false;
+  AnswerFromTombstone(board, waiter, key, tombstone->second);
+  return true;
+}
+
+void TakeIn(AgentBoard* board, core::Time now, const Waiter& waiter,
+            Submit submit) {
+  const core::JobKey key = submit.spec.key;
+  HomeJob job;
+  job.spec = std::move(submit.spec);
+  job.body_digest = submit.body_digest;
+  job.arrived = now;
+  job.deadline = now + job.spec.time_left;
+  job.answer.key = key;
+  job.number = board->next_job_number++;
+  job.waiters.push_back(waiter);
+  for (TaskSpec& spec : job.spec.tasks) {
+    HomeTask task;
+    board->bytes_held += spec.payload.size();
+    task.spec = std::move(spec);
+    job.tasks.push_back(std::move(task));
+  }
+  job.spec.tasks.clear();
+  Record(&job, now,
+         "Took in " + std::to_string(job.tasks.size()) + " tasks of service " +
+             job.spec.service.value() + " for tenant " +
+             job.spec.tenant.value() + ".");
+  const core::ServiceId service = job.spec.service;
+  const HomeJob& kept = board->jobs.emplace(key, std::move(job)).first->second;
+  board->active.insert(key);
+  for (std::uint32_t i = 0; i < kept.tasks.size(); ++i) {
+    Enqueue(board, kept, core::TaskIndex(i));
+  }
+  PlaceQueued(board, now, service);
+}
+
+}  // namespace
+
+void HandleSubmit(AgentBoard* board, core::Time now, const core::NodeId& entry,
+                  Submit submit) {
+  const Waiter waiter{entry, submit.request};
+  const core::JobKey key = submit.spec.key;
+  const std::optional<Handle> handle = HandleOf(key);
+  if (!handle.has_value() || handle->home != board->self) {
+    AnswerDirectly(board, waiter, key, Outcome::kUnknown, Reason::kHomeGone,
+                   "The key names another process.", core::Duration(0));
+    return;
+  }
+  if (AnswerKnownKey(board, waiter, submit)) return;
+  if (AnswerWrongEpoch(board, now, waiter, key, handle->epoch)) return;
+  if (board->stopping) {
+    RefuseDirectly(board, waiter, key, Reason::kLeaving,
+                   "The home is being stopped; take a fresh handle.",
+                   kLeavingPause);
+    return;
+  }
+  const std::optional<Refusal> refusal = Admit(*board, now, submit.spec);
+  if (refusal.has_value()) {
+    RefuseDirectly(board, waiter, key, refusal->reason, refusal->detail,
+                   refusal->retry_after);
+    return;
+  }
+  TakeIn(board, now, waiter, std::move(submit));
+}
+
+void HandleQuery(AgentBoard* board, core::Time now, const core::NodeId& entry,
+                 const Query& query) {
+  (void)now;
+  const Waiter waiter{entry, query.request};
+  const auto found = board->jobs.find(query.key);
+  if (found != board->jobs.end()) {
+    if (IsFinal(found->second)) {
+      SendAnswer(board, found->second, waiter);
+    } else {
+      found->second.waiters.push_back(waiter);
+    }
+    return;
+  }
+  const auto tombstone = board->tombstones.find(query.key);
+  if (tombstone != board->tombstones.end()) {
+    AnswerFromTombstone(board, waiter, query.key, tombstone->second);
+    return;
+  }
+  AnswerDirectly(board, waiter, query.key, Outcome::kNotRun, Reason::kNone,
+                 "No job is known under this key.", core::Duration(0));
+}
+
+void HandleCancel(AgentBoard* board, core::Time now, const core::NodeId& entry,
+                  const Cancel& cancel) {
+  const Waiter waiter{entry, cancel.request};
+  const auto found = board->jobs.find(cancel.key);
+  if (found != board->jobs.end()) {
+    if (!IsFinal(found->second)) {
+      found->second.waiters.push_back(waiter);
+      EndJob(board, now, cancel.key, Outcome::kFailed, Reason::kCancelled,
+             "The client cancelled the job.");
+    } else {
+      SendAnswer(board, found->second, waiter);
+    }
+    return;
+  }
+  // A submission that arrives after its cancellation must not run.
+  const std::optional<Handle> handle = HandleOf(cancel.key);
+  if (handle.has_value() && handle->home == board->self) {
+    const Tombstone cancelled{handle->epoch, Outcome::kNotRun};
+    board->tombstones.emplace(cancel.key, cancelled);
+  }
+  const auto tombstone = board->tombstones.find(cancel.key);
+  if (tombstone == board->tombstones.end()) {
+    AnswerDirectly(board, waiter, cancel.key, Outcome::kUnknown,
+                   Reason::kHomeGone, "The key names another process.",
+                   core::Duration(0));
+    return;
+  }
+  AnswerFromTombstone(board, waiter, cancel.key, tombstone->second);
+}
+
+void HandleExplain(AgentBoard* board, core::Time now, const core::NodeId& entry,
+                   const Explain& explain) {
+  (void)now;
+  Explanation explanation;
+  explanation.request = explain.request;
+  const auto found = board->jobs.find(explain.key);
+  if (found != board->jobs.end()) {
+    explanation.lines = found->second.history;
+  } else if (board->tombstones.count(explain.key) > 0) {
+    explanation.lines = {"Ended; the history is no longer kept."};
+  } else {
+    explanation.lines = {"No job is known under this key."};
+  }
+  Post(board, entry, std::move(explanation));
+}
+
+void HandlePull(AgentBoard* board, core::Time now, const core::NodeId& executor,
+                const Pull& pull) {
+  LearnLoad(board, now, executor, pull.load);
+  const std::optional<QueuedTask> next = NextQueued(*board, now, pull.service);
+  ServiceQueue& queue = board->queues[pull.service];
+  if (!next.has_value()) {
+    queue.told.erase(executor);
+    Post(board, executor, PullEmpty{pull.number, pull.service});
+    return;
+  }
+  PullTask task;
+  task.number = pull.number;
+  task.assign = TakeForExecutor(board, now, next->key, next->task, executor);
+  task.waiting = queue.size;
+  task.oldest_wait = OldestWait(*board, now, pull.service);
+  if (queue.size == 0) queue.told.erase(executor);
+  Post(board, executor, std::move(task));
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/home_settle.cc
@@ -0,0 +1,230 @@
+#include <algorithm>
+#include <utility>
+
+#include "admission.h"
+#include "home.h"
+#include "outbox.h"
+#include "placement.h"
+#include "queue.h"
+#include "tarragon/dispatch/digest.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+constexpr double kMeanWeight = 0.05;
+/// Nothing goes to an executor that is leaving, out of service or cut off, nor
+/// to one whose connection broke, for this long.
+constexpr core::Duration kAvoidPause = std::chrono::milliseconds(500);
+/// A broken connection is settled by a seal after this pause.
+constexpr core::Duration kSealPause = std::chrono::milliseconds(50);
+
+/// The placed task that `ref` of `executor` answers, or null when the answer is
+/// late, doubled or of no running job.
+HomeTask* FindPlaced(AgentBoard* board, const TaskRef& ref,
+                     const core::NodeId& executor) {
+  if (board->active.count(ref.key) == 0) return nullptr;
+  HomeJob& job = board->jobs.at(ref.key);
+  if (ref.task.value() >= job.tasks.size()) return nullptr;
+  HomeTask& task = job.tasks[ref.task.value()];
+  if (task.state != TaskState::kAssigned) return nullptr;
+  if (task.attempt != ref.attempt || task.executor != executor) return nullptr;
+  return &task;
+}
+
+void Heard(HomeTask* task, core::Time now) {
+  task->heard = now;
+  task->unanswered_since.reset();
+}
+
+void LearnRun(AgentBoard* board, const core::ServiceId& service,
+              core::Duration run_time) {
+  core::Duration& mean = board->queues[service].mean_run;
+  if (mean.count() == 0) {
+    mean = run_time;
+    return;
+  }
+  const double old_mean = static_cast<double>(mean.count());
+  const double run = static_cast<double>(run_time.count());
+  mean = core::Duration(
+      static_cast<std::int64_t>(old_mean + kMeanWeight * (run - old_mean)));
+}
+
+core::Duration JitteredPause(AgentBoard* board) {
+  std::uniform_int_distribution<std::int64_t> pause(
+      0, 2 * board->policy.retry_pause.count());
+  return core::Duration(pause(board->random));
+}
+
+/// The executor will not take other work soon either.
+bool ShutsExecutor(Reason reason) {
+  return reason == Reason::kDomainOut || reason == Reason::kLeaving ||
+         reason == Reason::kStaleView || reason == Reason::kTargetGone;
+}
+
+void SealTask(AgentBoard* board, core::Time now, const core::JobKey& key,
+              core::TaskIndex index, HomeTask* task) {
+  if (!task->unanswered_since.has_value()) task->unanswered_since = now;
+  task->seal_at = now + board->policy.seal_interval;
+  ++board->counters.seals;
+  // A seal that only asks must not end a running task; it proves "not run" if
+  // the task has not started.
+  Post(board, task->executor, Seal{TaskRef{key, index, task->attempt}, false});
+}
+
+/// Seals what is due in one job. False when the job has ended meanwhile.
+bool TickTasks(AgentBoard* board, core::Time now, const core::JobKey& key) {
+  HomeJob& job = board->jobs.at(key);
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    HomeTask& task = job.tasks[i];
+    if (task.state != TaskState::kAssigned || task.seal_at > now) continue;
+    const bool gone = task.unanswered_since.has_value() &&
+                      now - *task.unanswered_since >= board->policy.gone_after;
+    if (gone) {
+      EndJob(board, now, key, Outcome::kUnknown, Reason::kExecutorGone,
+             "An executor does not answer; a task may have run.");
+      return false;
+    }
+    SealTask(board, now, key, core::TaskIndex(i), &task);
+  }
+  return true;
+}
+
+}  // namespace
+
+void HandleRefused(AgentBoard* board, core::Time now,
+                   const core::NodeId& executor, const Refused& refused) {
+  LearnLoad(board, now, executor, refused.load);
+  if (ShutsExecutor(refused.reason)) {
+    const auto peer = board->peers.find(executor);
+    if (peer != board->peers.end()) {
+      peer->second.avoid_until = now + kAvoidPause;
+    }
+  }
+  HomeTask* task = FindPlaced(board, refused.ref, executor);
+  if (task == nullptr) return;
+  HomeJob& job = board->jobs.at(refused.ref.key);
+  CheckInvariant(&board->invariants, "not_run_means_not_started",
+                 !task->started, job.history);
+  Record(&job, now,
+         "Task " + std::to_string(refused.ref.task.value()) +
+             " was not run at " + core::ToString(executor) + ", reason " +
+             std::string(Name(refused.reason)) + ".");
+  --board->tenant_running[job.spec.tenant];
+  task->state = TaskState::kQueued;
+  task->unanswered_since.reset();
+  task->not_before = now + JitteredPause(board);
+  Enqueue(board, job, refused.ref.task);
+  if (task->placements >= board->policy.max_attempts) {
+    EndJob(board, now, refused.ref.key, Outcome::kFailed, refused.reason,
+           "A task was refused too often.");
+    return;
+  }
+  PlaceQueued(board, now, board->jobs.at(refused.ref.key).spec.service);
+}
+
+void HandleStarted(AgentBoard* board, core::Time now,
+                   const core::NodeId& executor, const Started& started) {
+  LearnLoad(board, now, executor, started.load);
+  HomeTask* task = FindPlaced(board, started.ref, executor);
+  if (task == nullptr) return;
+  Heard(task, now);
+  task->started = true;
+  task->seal_at = now + board->policy.seal_after;
+}
+
+void HandleFinished(AgentBoard* board, core::Time now,
+                    const core::NodeId& executor, Finished finished) {
+  LearnLoad(board, now, executor, finished.load);
+  Post(board, executor, FinishedAck{finished.ref});
+  HomeTask* task = FindPlaced(board, finished.ref, executor);
+  if (task == nullptr) {
+    ++board->counters.duplicates;
+    return;
+  }
+  HomeJob& job = board->jobs.at(finished.ref.key);
+  const core::ServiceId service = job.spec.service;
+  Record(&job, now,
+         "Task " + std::to_string(finished.ref.task.value()) + " ended at " +
+             core::ToString(executor) +
+             (finished.ok
+                  ? " well."
+                  : ", reason " + std::string(Name(finished.reason)) + "."));
+  if (finished.ok && Digest(finished.result) != finished.result_digest) {
+    finished.ok = false;
+    finished.reason = Reason::kTruncated;
+  }
+  if (!finished.ok) {
+    const bool known = finished.reason == Reason::kTaskFailed;
+    EndJob(board, now, finished.ref.key,
+           known ? Outcome::kFailed : Outcome::kUnknown, finished.reason,
+           "Task " + std::to_string(finished.ref.task.value()) +
+               (known ? " failed." : " gave no whole answer."));
+    return;
+  }
+  LearnRun(board, service, finished.run_time);
+  task->state = TaskState::kEnded;
+  task->result = std::move(finished.result);
+  board->bytes_held += task->result.size();
+  --board->tenant_running[job.spec.tenant];
+  ++job.ended;
+  if (job.ended == job.tasks.size()) {
+    CompleteJob(board, now, finished.ref.key);
+  }
+  // The load that came along may show a free slot.
+  PlaceQueued(board, now, service);
+}
+
+void TickHome(AgentBoard* board, core::Time now) {
+  const std::vector<core::JobKey> keys(board->active.begin(),
+                                       board->active.end());
+  for (const core::JobKey& key : keys) {
+    if (board->active.count(key) == 0) continue;
+    if (board->jobs.at(key).deadline <= now) {
+      EndJob(board, now, key, Outcome::kFailed, Reason::kDeadline,
+             "The deadline passed.");
+      continue;
+    }
+    TickTasks(board, now, key);
+  }
+  if (now >= board->next_want_refresh) {
+    board->next_want_refresh = now + board->policy.want_refresh;
+    for (auto& [service, queue] : board->queues) queue.told.clear();
+  }
+  PlaceAll(board, now);
+  TickKept(board, now);
+}
+
+void HomePeerLost(AgentBoard* board, core::Time now, const core::NodeId& peer) {
+  const auto known = board->peers.find(peer);
+  if (known != board->peers.end()) {
+    known->second.avoid_until = now + kAvoidPause;
+    known->second.assigns_sent = known->second.status.load.assigns_seen;
+  }
+  for (auto& [service, queue] : board->queues) queue.told.erase(peer);
+  for (const core::JobKey& key : board->active) {
+    for (HomeTask& task : board->jobs.at(key).tasks) {
+      if (task.state != TaskState::kAssigned || task.executor != peer) continue;
+      if (!task.unanswered_since.has_value()) task.unanswered_since = now;
+      task.seal_at = std::min(task.seal_at, now + kSealPause);
+    }
+  }
+}
+
+void HomePeerGone(AgentBoard* board, core::Time now, const core::NodeId& peer) {
+  for (auto& [service, queue] : board->queues) queue.told.erase(peer);
+  const std::vector<core::JobKey> keys(board->active.begin(),
+                                       board->active.end());
+  for (const core::JobKey& key : keys) {
+    const HomeJob& job = board->jobs.at(key);
+    const bool placed_there = std::any_of(
+        job.tasks.begin(), job.tasks.end(), [&peer](const HomeTask& task) {
+          return task.state == TaskState::kAssigned && task.executor == peer;
+        });
+    if (!placed_there) continue;
+    EndJob(board, now, key, Outcome::kUnknown, Reason::kExecutorGone,
+           "An executor is gone; a task may have run.");
+  }
+  board->peers.erase(peer);
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/include/tarragon/dispatch/entry_board.h
@@ -0,0 +1,235 @@
+#ifndef TARRAGON_DISPATCH_ENTRY_BOARD_H_
+#define TARRAGON_DISPATCH_ENTRY_BOARD_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "tarragon/core/clock.h"
+#include "tarragon/core/ids.h"
+#include "tarragon/dispatch/agent_board.h"
+#include "tarragon/dispatch/invariant.h"
+#include "tarragon/dispatch/message.h"
+#include "tarragon/dispatch/note.h"
+#include "tarragon/dispatch/policy.h"
+#include "tarragon/dispatch/world.h"
+
+namespace tarragon::dispatch {
+
+// The platform's table, as far as entries use it.
+
+enum class TableRow : std::uint8_t {
+  kWorld,    // The sum of all accepted notes.
+  kEntries,  // The registered entries.
+  kKey,      // The home of one plain idempotency key.
+};
+
+enum class TableOperation : std::uint8_t { kRead, kInsert, kReplace };
+
+/// One call of the table. The runtime answers it by OnTableReply, always.
+struct TableCall {
+  std::uint64_t number = 0;
+  TableOperation operation = TableOperation::kRead;
+  TableRow row = TableRow::kWorld;
+  /// The plain key, for kKey.
+  std::string key;
+  /// Read: the version that is known already. Replace: the one expected.
+  std::uint64_t version = 0;
+  /// What to write; by row.
+  World world;
+  EntryList entries;
+  std::string text;
+};
+
+enum class TableStatus : std::uint8_t {
+  kOk,
+  kUnchanged,
+  kMissing,
+  kConflict,
+  kUnavailable,  // Certainly without effect.
+  kUnknown,      // A write may have taken effect.
+};
+
+/// The answer to the call `number`.
+struct TableReply {
+  std::uint64_t number = 0;
+  TableStatus status = TableStatus::kUnknown;
+  /// Version of the row, if there is one.
+  std::uint64_t version = 0;
+  World world;
+  EntryList entries;
+  std::string text;
+};
+
+/// Why the entry asked the table.
+enum class TablePurpose : std::uint8_t {
+  kPollWorld,
+  kPollEntries,
+  kWriteEntries,
+  kNote,
+  kBindKey,
+};
+
+struct OpenTableCall {
+  TablePurpose purpose = TablePurpose::kPollWorld;
+  core::Time sent;
+  /// The note or client request that waits for it.
+  std::uint64_t request = 0;
+};
+
+// What the entry knows of the others.
+
+/// Another registered entry.
+struct EntryPeer {
+  std::uint64_t ping_sequence = 0;
+  std::deque<std::pair<std::uint64_t, core::Time>> sent;
+  core::Time heard;
+  /// When the last ping that it answered was sent; nothing newer than what is
+  /// known here was in force there before that moment.
+  std::optional<core::Time> confirmed;
+  core::NoteVersion note_version;
+  std::uint64_t entries_version = 0;
+};
+
+/// An agent that sends heartbeats to this entry.
+struct AgentMember {
+  AgentStatus status;
+  core::Time heard;
+  /// Version of the member list that last changed this member.
+  std::uint64_t changed = 0;
+};
+
+// Requests of clients and operators.
+
+enum class RequestKind : std::uint8_t { kSubmit, kQuery, kCancel, kExplain };
+
+/// A client's request that waits for an answer.
+struct EntryRequest {
+  RequestKind kind = RequestKind::kSubmit;
+  JobSpec spec;
+  std::uint64_t body_digest = 0;
+  /// The client's own key where that is not the job's key.
+  std::string plain_key;
+  core::NodeId home;
+  core::Time deadline;
+  core::Time wait_until;
+  /// When to send it again after a broken connection.
+  core::Time resend_at = core::kNever;
+  std::optional<core::Time> lost_since;
+  bool sent = false;
+  bool wrote_row = false;
+};
+
+/// State of a release note that an operator handed in.
+enum class NoteState : std::uint8_t {
+  kAccepted,  // In the table and confirmed by enough entries.
+  kPending,   // In the table; not yet confirmed by enough entries.
+  kConflict,  // The base version is not the present one.
+  kInvalid,
+  kUnavailable,  // The table does not answer; send the same note again.
+};
+
+struct NoteAnswer {
+  NoteState state = NoteState::kUnavailable;
+  core::NoteVersion version;
+  std::vector<std::string> texts;
+};
+
+enum class NoteStep : std::uint8_t { kReading, kWriting, kConfirming };
+
+/// A release note on its way.
+struct OpenNote {
+  ReleaseNote note;
+  NoteStep step = NoteStep::kReading;
+  core::Time started;
+  core::Time retry_at = core::kNever;
+  /// Version of the world with this note; once written.
+  core::NoteVersion version;
+};
+
+// What the entry asks its runtime to do.
+
+struct AnswerClient {
+  std::uint64_t request = 0;
+  JobAnswer answer;
+};
+struct AnswerExplain {
+  std::uint64_t request = 0;
+  std::vector<std::string> lines;
+};
+struct AnswerNote {
+  std::uint64_t request = 0;
+  NoteAnswer answer;
+};
+
+using EntryAction = std::variant<SendMessage, TableCall, AnswerClient,
+                                 AnswerExplain, AnswerNote>;
+
+struct EntryCounters {
+  std::map<std::string, std::uint64_t> answers;
+  std::uint64_t heartbeats = 0;
+  std::uint64_t table_reads = 0;
+  std::uint64_t table_writes = 0;
+  std::uint64_t resubmissions = 0;
+  std::uint64_t permits_refused = 0;
+};
+
+/// All that an entry knows; the controllers read and write it. No I/O, no
+/// threads; the time is passed in.
+struct EntryBoard {
+  core::NodeId self;
+  core::DomainId domain;
+  Policy policy;
+  std::mt19937_64 random;
+  core::Time started;
+  bool stopping = false;
+  core::Time stop_requested;
+
+  // What is in force.
+  World world;
+  std::uint64_t world_row = 0;
+  EntryList entries;
+  std::uint64_t entries_row = 0;
+  /// The entries' row was read at least once; zero rows count.
+  bool entries_known = false;
+  /// A moment at which nothing newer than `world` was in force anywhere.
+  std::optional<core::Time> confirmed;
+
+  // Other entries and the table.
+  std::map<core::NodeId, EntryPeer> peers;
+  core::Time next_ping;
+  core::Time next_poll;
+  core::Time next_registration;
+  std::map<std::uint64_t, OpenTableCall> calls;
+  std::uint64_t next_call = 1;
+  std::optional<core::Time> table_answered;
+
+  // Agents.
+  std::map<core::NodeId, AgentMember> members;
+  std::uint64_t members_version = 1;
+  /// Members that went, with the version at which they did.
+  std::deque<std::pair<std::uint64_t, core::NodeId>> gone;
+  /// Members in the order of a hash, from which samples are taken.
+  std::map<std::pair<std::uint64_t, core::NodeId>, core::NodeId> ring;
+  core::NodeId last_home;
+
+  // Requests.
+  std::map<std::uint64_t, EntryRequest> requests;
+  std::uint64_t next_request = 1;
+  std::map<std::uint64_t, OpenNote> notes;
+
+  std::vector<EntryAction> actions;
+  EntryCounters counters;
+  InvariantCounts invariants;
+};
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_ENTRY_BOARD_H_
--- /dev/null
+++ b/dispatch/include/tarragon/dispatch/handle.h
@@ -0,0 +1,29 @@
+#ifndef TARRAGON_DISPATCH_HANDLE_H_
+#define TARRAGON_DISPATCH_HANDLE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "tarragon/core/ids.h"
+
+namespace tarragon::dispatch {
+
+/// Names one life of one home and the epoch in which the handle was minted.
+struct Handle {
+  core::NodeId home;
+  std::uint32_t epoch = 0;
+
+  bool operator==(const Handle&) const = default;
+};
+
+/// "IP:port~incarnation~epoch", both numbers in hexadecimal.
+std::string ToString(const Handle& handle);
+
+/// The handle in a key "<handle>.<suffix>", or nothing if the key has no such
+/// form or the suffix is not 1 to 64 characters of A-Z a-z 0-9 _ -.
+std::optional<Handle> HandleOf(const core::JobKey& key);
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_HANDLE_H_
--- /dev/null
+++ b/dispatch/include/tarragon/dispatch/invariant.h
@@ -0,0 +1,21 @@
+#ifndef TARRAGON_DISPATCH_INVARIANT_H_
+#define TARRAGON_DISPATCH_INVARIANT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tarragon::dispatch {
+
+/// How often each invariant was checked; by name.
+using InvariantCounts = std::map<std::string, std::uint64_t>;
+
+/// Counts the check of `name`. When `holds` is false, writes `history` to the
+/// standard error and ends the process: to go on would break a promise.
+void CheckInvariant(InvariantCounts* counts, const char* name, bool holds,
+                    const std::vector<std::string>& history);
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_INVARIANT_H_
--- a/dispatch/include/tarragon/dispatch/world.h
+++ b/dispatch/include/tarragon/dispatch/world.h
@@ -73,6 +73,9 @@
 struct EntryList {
   std::uint64_t version = 0;
   std::vector<EntryMember> members;
+  /// While a change is not confirmed: the members before it. Quorums are then
+  /// needed in both lists.
+  std::vector<EntryMember> previous;
 
   bool operator==(const EntryList&) const = default;
 };
--- /dev/null
+++ b/dispatch/placement.cc
@@ -0,0 +1,228 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "admission.h"
+#include "executor.h"
+#include "home.h"
+#include "outbox.h"
+#include "queue.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+/// Share of its slots that an executor is assumed to have free when nothing
+/// was heard of it for a while.
+constexpr std::uint32_t kUnheardShare = 4;
+/// Preference for the own target and the own domain, in shares of free slots.
+constexpr double kOwnTargetBonus = 0.02;
+constexpr double kOwnDomainBonus = 0.01;
+/// Breaks ties at random, so that homes do not all choose the same.
+constexpr double kJitter = 0.005;
+constexpr int kPermille = 1000;
+/// A seal is due after this many expected run times.
+constexpr int kRunsUntilSeal = 4;
+
+bool Eligible(const AgentBoard& board, core::Time now, const Peer& peer,
+              const core::ServiceId& service) {
+  const AgentStatus& status = peer.status;
+  return Offers(status, service) && !status.leaving &&
+         InService(board.world, status.domain) && peer.avoid_until <= now;
+}
+
+bool Fits(const AgentStatus& status, const TaskSpec& spec) {
+  return spec.cores <= status.cores && spec.memory_mb <= status.memory_mb;
+}
+
+double Jitter(AgentBoard* board) {
+  return std::uniform_real_distribution<double>(0, kJitter)(board->random);
+}
+
+double Score(AgentBoard* board, core::Time now, const core::NodeId& node,
+             const Peer& peer) {
+  const std::uint32_t slots = std::max(1U, peer.status.load.slots);
+  double score = static_cast<double>(BelievedFree(*board, now, node, peer)) /
+                     static_cast<double>(slots) +
+                 Jitter(board);
+  if (node == board->self) score += kOwnTargetBonus;
+  if (peer.status.domain == board->domain) score += kOwnDomainBonus;
+  return score;
+}
+
+std::optional<core::NodeId> ChooseRandom(AgentBoard* board, core::Time now,
+                                         const core::ServiceId& service,
+                                         const TaskSpec& spec) {
+  std::vector<core::NodeId> eligible;
+  for (const auto& [node, peer] : board->peers) {
+    if (!Eligible(*board, now, peer, service)) continue;
+    if (Fits(peer.status, spec)) eligible.push_back(node);
+  }
+  if (eligible.empty()) return std::nullopt;
+  std::uniform_int_distribution<std::size_t> any(0, eligible.size() - 1);
+  return eligible[any(board->random)];
+}
+
+std::optional<core::NodeId> ChooseLeastLoaded(AgentBoard* board, core::Time now,
+                                              const core::ServiceId& service,
+                                              const TaskSpec& spec) {
+  std::optional<core::NodeId> best;
+  double best_score = 0;
+  for (const auto& [node, peer] : board->peers) {
+    if (!Eligible(*board, now, peer, service)) continue;
+    if (!Fits(peer.status, spec)) continue;
+    if (BelievedFree(*board, now, node, peer) == 0) continue;
+    const double score = Score(board, now, node, peer);
+    if (best.has_value() && score <= best_score) continue;
+    best = node;
+    best_score = score;
+  }
+  return best;
+}
+
+std::optional<core::NodeId> ChooseExecutor(AgentBoard* board, core::Time now,
+                                           const core::ServiceId& service,
+                                           const TaskSpec& spec) {
+  if (board->policy.placement == Placement::kRandom) {
+    return ChooseRandom(board, now, service, spec);
+  }
+  return ChooseLeastLoaded(board, now, service, spec);
+}
+
+/// True when the budget allows one more placement of a task.
+bool SpendRetry(AgentBoard* board, const HomeTask& task) {
+  if (task.placements == 0) return true;
+  if (board->retry_tokens < 1) return false;
+  board->retry_tokens -= 1;
+  ++board->counters.retries;
+  return true;
+}
+
+/// Tells executors that tasks of `service` wait here.
+void SendWants(AgentBoard* board, core::Time now,
+               const core::ServiceId& service) {
+  ServiceQueue& queue = board->queues[service];
+  std::uint32_t told = static_cast<std::uint32_t>(queue.told.size());
+  const core::Duration oldest = OldestWait(*board, now, service);
+  for (const auto& [node, peer] : board->peers) {
+    if (told >= board->policy.want_fanout) return;
+    if (queue.told.count(node) > 0) continue;
+    if (!Eligible(*board, now, peer, service)) continue;
+    queue.told.insert(node);
+    ++told;
+    Post(board, node, Want{service, queue.size, oldest});
+  }
+}
+
+}  // namespace
+
+bool Offers(const AgentStatus& status, const core::ServiceId& service) {
+  return std::find(status.services.begin(), status.services.end(), service) !=
+         status.services.end();
+}
+
+bool InService(const World& world, const core::DomainId& domain) {
+  const auto found = world.domains.find(domain);
+  return found != world.domains.end() && found->second.in_service;
+}
+
+std::uint32_t BelievedFree(const AgentBoard& board, core::Time now,
+                           const core::NodeId& node, const Peer& peer) {
+  if (node == board.self) {
+    // What was placed here in this very event is not counted as running yet.
+    const auto told = board.told.find(node);
+    const std::uint64_t seen =
+        told == board.told.end() ? 0 : told->second.assigns_seen;
+    const std::uint64_t unseen = peer.assigns_sent - seen;
+    const std::uint32_t free = FreeSlots(board, now);
+    return unseen >= free ? 0 : free - static_cast<std::uint32_t>(unseen);
+  }
+  const Load& load = peer.status.load;
+  if (now - peer.load_at > board.policy.hint_memory) {
+    return std::max(load.free_slots, load.slots / kUnheardShare);
+  }
+  const std::uint64_t unseen = peer.assigns_sent > load.assigns_seen
+                                   ? peer.assigns_sent - load.assigns_seen
+                                   : 0;
+  return unseen >= load.free_slots
+             ? 0
+             : load.free_slots - static_cast<std::uint32_t>(unseen);
+}
+
+void LearnLoad(AgentBoard* board, core::Time now, const core::NodeId& executor,
+               const Load& load) {
+  const auto found = board->peers.find(executor);
+  if (found == board->peers.end()) return;
+  Peer& peer = found->second;
+  if (load.sequence <= peer.status.load.sequence) return;
+  peer.status.load = load;
+  peer.load_at = now;
+  peer.assigns_sent = std::max(peer.assigns_sent, load.assigns_seen);
+}
+
+Assign TakeForExecutor(AgentBoard* board, core::Time now,
+                       const core::JobKey& key, core::TaskIndex index,
+                       const core::NodeId& executor) {
+  HomeJob& job = board->jobs.at(key);
+  HomeTask& task = job.tasks[index.value()];
+  const bool queued = Dequeue(board, job, index);
+  CheckInvariant(&board->invariants, "place_only_unplaced",
+                 queued && task.state == TaskState::kQueued, job.history);
+  task.state = TaskState::kAssigned;
+  task.attempt = core::Attempt(board->next_attempt++);
+  ++task.placements;
+  task.executor = executor;
+  task.started = false;
+  task.heard = now;
+  task.unanswered_since.reset();
+  task.seal_at =
+      now + std::max(board->policy.seal_after,
+                     kRunsUntilSeal * ExpectedRun(*board, job.spec.service));
+  ++board->tenant_running[job.spec.tenant];
+  ++board->counters.placements;
+  if (task.placements == 1) {
+    const double earned =
+        static_cast<double>(board->policy.retry_permille) / kPermille;
+    board->retry_tokens =
+        std::min(static_cast<double>(board->policy.retry_burst),
+                 board->retry_tokens + earned);
+  }
+  const auto peer = board->peers.find(executor);
+  if (peer != board->peers.end()) ++peer->second.assigns_sent;
+  Record(&job, now,
+         "Placed task " + std::to_string(index.value()) + " attempt " +
+             std::to_string(task.attempt.value()) + " at " +
+             core::ToString(executor) + ".");
+  return Assign{TaskRef{key, index, task.attempt}, job.spec.service,
+                job.spec.tenant, job.deadline - now, task.spec};
+}
+
+void PlaceQueued(AgentBoard* board, core::Time now,
+                 const core::ServiceId& service) {
+  while (true) {
+    const std::optional<QueuedTask> next = NextQueued(*board, now, service);
+    if (!next.has_value()) break;
+    HomeTask& task = board->jobs.at(next->key).tasks[next->task.value()];
+    const std::optional<core::NodeId> executor =
+        ChooseExecutor(board, now, service, task.spec);
+    if (!executor.has_value()) break;
+    if (!SpendRetry(board, task)) {
+      task.not_before = now + 10 * board->policy.retry_pause;
+      continue;
+    }
+    Post(board, *executor,
+         TakeForExecutor(board, now, next->key, next->task, *executor));
+  }
+  if (board->policy.late_binding && QueueSize(*board, service) > 0) {
+    SendWants(board, now, service);
+  }
+}
+
+void PlaceAll(AgentBoard* board, core::Time now) {
+  for (const auto& [service, queue] : board->queues) {
+    if (queue.size > 0) PlaceQueued(board, now, service);
+  }
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/queue.cc
@@ -0,0 +1,105 @@
+#include "queue.h"
+
+#include <algorithm>
+
+namespace tarragon::dispatch {
+namespace {
+
+/// This home's share of a limit that holds for the whole system, rounded up.
+std::uint32_t ShareOf(const AgentBoard& board, std::uint32_t limit) {
+  std::uint32_t homes = 0;
+  for (const auto& [node, peer] : board.peers) {
+    if (!peer.status.leaving) ++homes;
+  }
+  homes = std::max(1U, homes);
+  return (limit + homes - 1) / homes;
+}
+
+bool MayRunMore(const AgentBoard& board, const core::TenantId& tenant) {
+  const auto limit = board.world.tenants.find(tenant);
+  if (limit == board.world.tenants.end()) return true;
+  if (limit->second.max_running == 0) return true;
+  const auto running = board.tenant_running.find(tenant);
+  if (running == board.tenant_running.end()) return true;
+  return running->second < ShareOf(board, limit->second.max_running);
+}
+
+/// Tasks of the tenant that run, relative to its weight.
+double Share(const AgentBoard& board, const core::TenantId& tenant) {
+  const auto running = board.tenant_running.find(tenant);
+  if (running == board.tenant_running.end()) return 0;
+  const auto limit = board.world.tenants.find(tenant);
+  const std::uint32_t weight =
+      limit == board.world.tenants.end() ? 1 : limit->second.weight;
+  return static_cast<double>(running->second) / std::max(1U, weight);
+}
+
+/// The first task of one tenant whose pause is over.
+std::optional<QueuedTask> FirstReady(const AgentBoard& board, core::Time now,
+                                     const TenantQueue& queue) {
+  for (const auto& [position, key] : queue) {
+    const HomeJob& job = board.jobs.at(key);
+    const HomeTask& task = job.tasks[position.task.value()];
+    if (task.not_before <= now) return QueuedTask{key, position.task};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+void Enqueue(AgentBoard* board, const HomeJob& job, core::TaskIndex task) {
+  ServiceQueue& queue = board->queues[job.spec.service];
+  queue.tenants[job.spec.tenant][{job.number, task}] = job.spec.key;
+  ++queue.size;
+  ++board->tenant_queued[job.spec.tenant];
+}
+
+bool Dequeue(AgentBoard* board, const HomeJob& job, core::TaskIndex task) {
+  ServiceQueue& queue = board->queues[job.spec.service];
+  const auto tenant = queue.tenants.find(job.spec.tenant);
+  if (tenant == queue.tenants.end()) return false;
+  if (tenant->second.erase({job.number, task}) == 0) return false;
+  if (tenant->second.empty()) queue.tenants.erase(tenant);
+  --queue.size;
+  const auto queued = board->tenant_queued.find(job.spec.tenant);
+  if (--queued->second == 0) board->tenant_queued.erase(queued);
+  return true;
+}
+
+std::optional<QueuedTask> NextQueued(const AgentBoard& board, core::Time now,
+                                     const core::ServiceId& service) {
+  const auto queue = board.queues.find(service);
+  if (queue == board.queues.end()) return std::nullopt;
+  std::optional<QueuedTask> best;
+  double best_share = 0;
+  for (const auto& [tenant, tasks] : queue->second.tenants) {
+    if (!MayRunMore(board, tenant)) continue;
+    const double share = Share(board, tenant);
+    if (best.has_value() && share >= best_share) continue;
+    const std::optional<QueuedTask> first = FirstReady(board, now, tasks);
+    if (!first.has_value()) continue;
+    best = first;
+    best_share = share;
+  }
+  return best;
+}
+
+core::Duration OldestWait(const AgentBoard& board, core::Time now,
+                          const core::ServiceId& service) {
+  const auto queue = board.queues.find(service);
+  if (queue == board.queues.end()) return core::Duration(0);
+  core::Time oldest = now;
+  for (const auto& [tenant, tasks] : queue->second.tenants) {
+    const HomeJob& job = board.jobs.at(tasks.begin()->second);
+    oldest = std::min(oldest, job.arrived);
+  }
+  return now - oldest;
+}
+
+std::uint32_t QueueSize(const AgentBoard& board,
+                        const core::ServiceId& service) {
+  const auto queue = board.queues.find(service);
+  return queue == board.queues.end() ? 0 : queue->second.size;
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/quorum.cc
@@ -0,0 +1,87 @@
+#include "quorum.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace tarragon::dispatch {
+namespace {
+
+using Members = std::vector<EntryMember>;
+
+bool Contains(const Members& members, const core::NodeId& node) {
+  return std::any_of(
+      members.begin(), members.end(),
+      [&node](const EntryMember& member) { return member.node == node; });
+}
+
+/// When a read quorum of `members`, this entry included, last agreed.
+std::optional<core::Time> ConfirmedBy(const EntryBoard& board, core::Time now,
+                                      const Members& members) {
+  if (!Contains(members, board.self)) return std::nullopt;
+  const std::size_t others_needed = ReadQuorum(members.size()) - 1;
+  if (others_needed == 0) return now;
+  std::vector<core::Time> moments;
+  for (const EntryMember& member : members) {
+    const auto peer = board.peers.find(member.node);
+    if (peer == board.peers.end()) continue;
+    if (peer->second.confirmed.has_value()) {
+      moments.push_back(*peer->second.confirmed);
+    }
+  }
+  if (moments.size() < others_needed) return std::nullopt;
+  std::sort(moments.begin(), moments.end(), std::greater<>());
+  return moments[others_needed - 1];
+}
+
+using HasIt = std::function<bool(const EntryPeer&)>;
+
+bool WrittenTo(const EntryBoard& board, const Members& members,
+               const HasIt& has_it) {
+  std::size_t count = Contains(members, board.self) ? 1 : 0;
+  for (const EntryMember& member : members) {
+    const auto peer = board.peers.find(member.node);
+    if (peer != board.peers.end() && has_it(peer->second)) ++count;
+  }
+  return count >= WriteQuorum(members.size());
+}
+
+bool WrittenToBoth(const EntryBoard& board, const HasIt& has_it) {
+  if (!WrittenTo(board, board.entries.members, has_it)) return false;
+  return board.entries.previous.empty() ||
+         WrittenTo(board, board.entries.previous, has_it);
+}
+
+}  // namespace
+
+std::size_t ReadQuorum(std::size_t size) { return size / 2 + 1; }
+
+std::size_t WriteQuorum(std::size_t size) {
+  return size == 0 ? 0 : size - ReadQuorum(size) + 1;
+}
+
+std::optional<core::Time> QuorumConfirmed(const EntryBoard& board,
+                                          core::Time now) {
+  const std::optional<core::Time> present =
+      ConfirmedBy(board, now, board.entries.members);
+  if (!present.has_value() || board.entries.previous.empty()) return present;
+  const std::optional<core::Time> before =
+      ConfirmedBy(board, now, board.entries.previous);
+  if (!before.has_value()) return std::nullopt;
+  return std::min(*present, *before);
+}
+
+bool NoteConfirmed(const EntryBoard& board, core::NoteVersion version) {
+  return WrittenToBoth(board, [version](const EntryPeer& peer) {
+    return peer.note_version >= version;
+  });
+}
+
+bool EntriesConfirmed(const EntryBoard& board) {
+  const std::uint64_t version = board.entries.version;
+  return WrittenToBoth(board, [version](const EntryPeer& peer) {
+    return peer.entries_version >= version;
+  });
+}
+
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/view.cc
@@ -0,0 +1,195 @@
+#include "view.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "outbox.h"
+#include "tarragon/dispatch/agent.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+/// Heartbeats of one link that may still be answered.
+constexpr std::size_t kOpenHeartbeats = 8;
+/// A link that is silent for this many heartbeats tells nothing any more.
+constexpr int kSilentHeartbeats = 8;
+
+EntryLink* FindLink(AgentBoard* board, const core::Address& address) {
+  for (EntryLink& link : board->links) {
+    if (link.address == address) return &link;
+  }
+  return nullptr;
+}
+
+/// Orders entries differently for each agent, so that heartbeats spread.
+std::size_t LinkOrder(const AgentBoard& board, const core::Address& address) {
+  return std::hash<std::string>()(board.self.address.value() + address.value());
+}
+
+/// The entries to which heartbeats go: registered ones of the own domain first,
+/// else the seeds of the settings.
+std::vector<core::Address> ChooseEntries(const AgentBoard& board) {
+  std::vector<core::Address> chosen = board.seeds;
+  if (!board.entries.members.empty()) {
+    std::vector<EntryMember> members = board.entries.members;
+    std::sort(members.begin(), members.end(),
+              [&board](const EntryMember& a, const EntryMember& b) {
+                const bool near_a = a.domain == board.domain;
+                const bool near_b = b.domain == board.domain;
+                if (near_a != near_b) return near_a;
+                return LinkOrder(board, a.node.address) <
+                       LinkOrder(board, b.node.address);
+              });
+    chosen.clear();
+    for (const EntryMember& member : members) {
+      chosen.push_back(member.node.address);
+    }
+  }
+  const std::size_t fanout = board.policy.heartbeat_fanout;
+  if (chosen.size() > fanout) chosen.resize(fanout);
+  return chosen;
+}
+
+void SetLinks(AgentBoard* board) {
+  const std::vector<core::Address> chosen = ChooseEntries(*board);
+  std::vector<EntryLink> links;
+  for (const core::Address& address : chosen) {
+    EntryLink* known = FindLink(board, address);
+    if (known != nullptr) {
+      links.push_back(std::move(*known));
+      continue;
+    }
+    EntryLink link;
+    link.address = address;
+    links.push_back(std::move(link));
+  }
+  board->links = std::move(links);
+}
+
+/// When the heartbeat `sequence` was sent; nothing if it is not open.
+std::optional<core::Time> SentAt(const EntryLink& link,
+                                 std::uint64_t sequence) {
+  for (const auto& [number, sent] : link.sent) {
+    if (number == sequence) return sent;
+  }
+  return std::nullopt;
+}
+
+/// Makes `peers` the union of what the links tell, with this agent in it.
+void MergePeers(AgentBoard* board, core::Time now) {
+  std::map<core::NodeId, AgentStatus> all;
+  for (const EntryLink& link : board->links) {
+    all.insert(link.members.begin(), link.members.end());
+  }
+  all[board->self] = Status(*board, now);
+  for (auto it = board->peers.begin(); it != board->peers.end();) {
+    it = all.count(it->first) == 0 ? board->peers.erase(it) : std::next(it);
+  }
+  for (auto& [node, status] : all) {
+    const auto [peer, added] = board->peers.try_emplace(node);
+    const Load load = peer->second.status.load;
+    const std::uint32_t slots = status.load.slots;
+    peer->second.status = std::move(status);
+    if (added) {
+      peer->second.load_at = now;
+      peer->second.status.load.sequence = 0;
+      peer->second.status.load.assigns_seen = 0;
+      continue;
+    }
+    // What the executor itself told is newer than what an entry passes on.
+    peer->second.status.load = load;
+    peer->second.status.load.slots = slots;
+  }
+}
+
+void LearnMembers(EntryLink* link, Permit* permit) {
+  if (permit->members_full) link->members.clear();
+  for (AgentStatus& status : permit->members) {
+    const core::NodeId node = status.node;
+    link->members[node] = std::move(status);
+  }
+  for (const core::NodeId& node : permit->members_gone) {
+    link->members.erase(node);
+  }
+  link->members_version = permit->members_version;
+}
+
+void LearnWorld(AgentBoard* board, Permit* permit) {
+  if (!permit->has_world) return;
+  if (permit->world.version <= board->world.version) return;
+  const core::NoteVersion before = board->world.version;
+  board->world = std::move(permit->world);
+  CheckInvariant(&board->invariants, "note_never_reverts",
+                 board->world.version > before, {});
+}
+
+}  // namespace
+
+void HandlePermit(AgentBoard* board, core::Time now, const core::NodeId& entry,
+                  Permit permit) {
+  EntryLink* link = FindLink(board, entry.address);
+  if (link == nullptr) return;
+  const std::optional<core::Time> sent = SentAt(*link, permit.sequence);
+  if (!sent.has_value()) return;
+  if (link->node != entry) {
+    link->node = entry;
+    link->members.clear();
+    // The next heartbeat asks for the whole list.
+    if (!permit.members_full) permit.members_version = 0;
+  }
+  link->heard = now;
+  LearnWorld(board, &permit);
+  LearnMembers(link, &permit);
+  const bool entries_newer = permit.entries.version > board->entries.version;
+  if (entries_newer) board->entries = std::move(permit.entries);
+  // An entry that is behind cannot vouch for what is in force here.
+  if (permit.note_version == board->world.version) {
+    const core::Duration lifetime =
+        std::min(permit.lifetime, board->policy.freshness);
+    board->permit_until = std::max(board->permit_until, *sent + lifetime);
+  }
+  MergePeers(board, now);
+  if (entries_newer) SetLinks(board);
+}
+
+void TickView(AgentBoard* board, core::Time now) {
+  if (now < board->next_heartbeat) return;
+  board->next_heartbeat = now + board->policy.heartbeat_interval;
+  if (board->links.empty()) SetLinks(board);
+  const core::Duration silent =
+      kSilentHeartbeats * board->policy.heartbeat_interval;
+  for (EntryLink& link : board->links) {
+    if (now - link.heard > silent) {
+      link.members.clear();
+      link.members_version = 0;
+    }
+    const std::uint64_t sequence = ++link.heartbeat_sequence;
+    link.sent.emplace_back(sequence, now);
+    if (link.sent.size() > kOpenHeartbeats) link.sent.pop_front();
+    const core::NodeId to =
+        link.node.address == link.address
+            ? link.node
+            : core::NodeId{link.address, core::Incarnation(0)};
+    Post(board, to,
+         Heartbeat{sequence, Status(*board, now), board->world.version,
+                   link.members_version});
+  }
+  MergePeers(board, now);
+}
+
+void HurryHeartbeat(AgentBoard* board, core::Time now) {
+  board->next_heartbeat = now;
+}
+
+void ViewPeerGone(AgentBoard* board, const core::NodeId& peer) {
+  for (EntryLink& link : board->links) {
+    link.members.erase(peer);
+    if (link.node != peer) continue;
+    link.node = core::NodeId{};
+    link.members.clear();
+    link.members_version = 0;
+  }
+}
+
+}  // namespace tarragon::dispatch
