--- a/wire/proto_state.cc
+++ b/wire/proto_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "tarragon/wire/codec.h"
 
@@ -90,6 +91,24 @@
   return true;
 }
 
+void ToProto(const dispatch::EntryMember& member, EntryMember* out) {
+  const auto& [node, domain] = member;
+  wire::ToProto(node, out->mutable_node());
+  out->set_domain(domain.value());
+}
+
+bool ReadMembers(google::protobuf::RepeatedPtrField<EntryMember>* in,
+                 std::vector<dispatch::EntryMember>* out, WireError* reason) {
+  out->reserve(static_cast<std::size_t>(in->size()));
+  for (EntryMember& member : *in) {
+    if (!Require(member.has_node(), "node", reason)) return false;
+    dispatch::EntryMember& read = out->emplace_back();
+    FromProto(member.mutable_node(), &read.node);
+    read.domain = TakeId<core::DomainId>(member.mutable_domain());
+  }
+  return true;
+}
+
 }  // namespace
 
 std::int64_t ToMicros(core::Duration duration) {
@@ -233,26 +252,20 @@
 }
 
 void ToProto(const dispatch::EntryList& list, EntryList* out) {
-  const auto& [version, members] = list;
+  const auto& [version, members, previous] = list;
   out->set_version(version);
   for (const dispatch::EntryMember& member : members) {
-    const auto& [node, domain] = member;
-    EntryMember* added = out->add_members();
-    ToProto(node, added->mutable_node());
-    added->set_domain(domain.value());
+    ToProto(member, out->add_members());
+  }
+  for (const dispatch::EntryMember& member : previous) {
+    ToProto(member, out->add_previous());
   }
 }
 
 bool FromProto(EntryList* in, dispatch::EntryList* out, WireError* reason) {
   out->version = in->version();
-  out->members.reserve(static_cast<std::size_t>(in->members_size()));
-  for (EntryMember& member : *in->mutable_members()) {
-    if (!Require(member.has_node(), "node", reason)) return false;
-    dispatch::EntryMember& read = out->members.emplace_back();
-    FromProto(member.mutable_node(), &read.node);
-    read.domain = TakeId<core::DomainId>(member.mutable_domain());
-  }
-  return true;
+  return ReadMembers(in->mutable_members(), &out->members, reason) &&
+         ReadMembers(in->mutable_previous(), &out->previous, reason);
 }
 
 }  // namespace tarragon::wire
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -66,6 +66,7 @@
   list.version = 31;
   list.members = {{SampleNode(1), core::DomainId("szeged")},
                   {SampleNode(2), core::DomainId("rabat-1")}};
+  list.previous = {{SampleNode(3), core::DomainId("szeged")}};
   return list;
 }
 
