--- a/core/log.cc
+++ b/core/log.cc
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr char kAllParts[] = "*";
+constexpr std::int64_t kMicrosPerMilli = 1000;
+constexpr std::int64_t kMicrosPerSecond = 1000 * kMicrosPerMilli;
 constexpr LogLevel kDefaultLevel = LogLevel::kInfo;
 
 /// What all parts share. Parts are never freed.
@@ -36,8 +38,8 @@
 
 LogState& State() {
   // Not freed, so that destructors of static objects can still log.
-  static LogState* const kState = new LogState;
-  return *kState;
+  static LogState* const state = new LogState;
+  return *state;
 }
 
 /// Level by the whole name, else by its last piece, else by its first piece.
@@ -75,14 +77,14 @@
 }
 
 bool ParseLevel(const std::string& text, LogLevel* level) {
-  static const std::map<std::string, LogLevel> kLevels = {
+  static const std::map<std::string, LogLevel> levels = {
       {"debug", LogLevel::kDebug},
       {"info", LogLevel::kInfo},
       {"warn", LogLevel::kWarn},
       {"error", LogLevel::kError}};
   const std::map<std::string, LogLevel>::const_iterator found =
-      kLevels.find(text);
-  if (found == kLevels.end()) return false;
+      levels.find(text);
+  if (found == levels.end()) return false;
   *level = found->second;
   return true;
 }
@@ -91,8 +93,6 @@
 
 Field::Field(std::string_view field_name, Duration field_value)
     : name(field_name) {
-  constexpr std::int64_t kMicrosPerMilli = 1000;
-  constexpr std::int64_t kMicrosPerSecond = 1000 * kMicrosPerMilli;
   const std::int64_t micros = field_value.count();
   if (micros % kMicrosPerSecond == 0) {
     value = std::to_string(micros / kMicrosPerSecond) + "s";
--- a/core/log_output.cc
+++ b/core/log_output.cc
@@ -9,20 +9,22 @@
 
 constexpr char kLoggerName[] = "tarragon";
 
-el::Logger* MakeLogger() {
+/// Makes the logger that writes lines as they are and opens no file.
+bool MakeLogger() {
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
   configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
   el::Loggers::setDefaultConfigurations(configuration, true);
-  return el::Loggers::getLogger(kLoggerName);
+  return el::Loggers::getLogger(kLoggerName) != nullptr;
 }
 
 }  // namespace
 
 void WriteLogLine(LogLevel level, const std::string& line) {
-  static el::Logger* const kLogger = MakeLogger();
+  static const bool is_made = MakeLogger();
+  if (!is_made) return;
   switch (level) {
     case LogLevel::kDebug:
       CLOG(DEBUG, kLoggerName) << line;
@@ -37,7 +39,6 @@
       CLOG(ERROR, kLoggerName) << line;
       return;
   }
-  static_cast<void>(kLogger);
 }
 
 }  // namespace tarragon::core
--- a/core/tests/command_line_test.cc
+++ b/core/tests/command_line_test.cc
@@ -11,12 +11,12 @@
 namespace {
 
 const std::vector<SettingSpec>& Specs() {
-  static const std::vector<SettingSpec> kSpecs = {
+  static const std::vector<SettingSpec> specs = {
       {.section = "clients",
        .key = "idle",
        .type = SettingType::kDuration,
        .default_value = "3s"}};
-  return kSpecs;
+  return specs;
 }
 
 class CommandLineTest : public CppUnit::TestFixture {
--- a/metrics/tests/histogram_test.cc
+++ b/metrics/tests/histogram_test.cc
@@ -35,10 +35,10 @@
 
   void QuantilesLieWithinOneBin() {
     Histogram histogram;
-    constexpr int kCount = 10000;
-    for (int i = 1; i <= kCount; ++i) histogram.Observe(milliseconds(i));
+    const int count = 10000;
+    for (int i = 1; i <= count; ++i) histogram.Observe(milliseconds(i));
     for (const double q : {0.01, 0.1, 0.5, 0.9, 0.99, 0.999}) {
-      const double exact = q * kCount / 1000;
+      const double exact = q * count / 1000;
       const double ratio = histogram.Quantile(q) / exact;
       CPPUNIT_ASSERT(ratio < kBinRatio && ratio > 1 / kBinRatio);
     }
