--- /dev/null
+++ b/daemons/agent_daemon.cc
@@ -0,0 +1,312 @@
+#include "tarragon/daemons/agent_daemon.h"
+
+#include <random>
+#include <utility>
+
+#include "agent_metrics.h"
+#include "announcement.h"
+#include "job_json.h"
+#include "process_runner.h"
+#include "target_runner.h"
+#include "tarragon/core/log.h"
+#include "tarragon/daemons/policy_settings.h"
+#include "tarragon/dispatch/agent.h"
+#include "tarragon/http/server.h"
+#include "tarragon/wire/transport.h"
+
+namespace tarragon::daemons {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+/// Connections to the pages of one agent.
+constexpr std::size_t kMaxPageConnections = 64;
+
+const core::Log& AgentLog() {
+  static const core::Log log("agent");
+  return log;
+}
+
+core::SettingSpec Spec(const char* section, const char* key,
+                       core::SettingType type, const char* default_value,
+                       bool required, const char* help) {
+  core::SettingSpec spec;
+  spec.section = section;
+  spec.key = key;
+  spec.type = type;
+  spec.default_value = default_value;
+  spec.required = required;
+  spec.help = help;
+  return spec;
+}
+
+http::Response TextResponse(int status, const std::string& text) {
+  http::Response response;
+  response.status = status;
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = text;
+  return response;
+}
+
+}  // namespace
+
+std::vector<core::SettingSpec> AgentSpecs() {
+  using core::SettingType;
+  std::vector<core::SettingSpec> specs = {
+      Spec("agent", "listen", SettingType::kAddress, "0.0.0.0:7100", false,
+           "Where the other processes of the system reach this one."),
+      Spec("agent", "advertise", SettingType::kAddress, "", false,
+           "The address told to the others; default: the one listened on."),
+      Spec("agent", "entries", SettingType::kAddressList, "", true,
+           "Entries to which the first heartbeats go."),
+      Spec("agent", "domain", SettingType::kText, "", true,
+           "Failure domain of this process and its target."),
+      Spec("agent", "target_listen", SettingType::kAddress, "127.0.0.1:7101",
+           false, "Where the target announces itself."),
+      Spec("agent", "pages_listen", SettingType::kAddress, "127.0.0.1:7102",
+           false, "Where /metrics, /healthz and /readyz are."),
+  };
+  const std::vector<core::SettingSpec> policy = PolicySpecs();
+  specs.insert(specs.end(), policy.begin(), policy.end());
+  return specs;
+}
+
+class AgentDaemon::Impl {
+ public:
+  Impl(boost::asio::io_context& io, core::Settings settings,
+       std::function<std::optional<core::Settings>()> reload)
+      : io_(io),
+        settings_(std::move(settings)),
+        reload_(std::move(reload)),
+        transport_(io, core::RandomIncarnation(), wire::TransportLimits{},
+                   Events()),
+        target_server_(io, PageLimits(), TargetHandler()),
+        pages_server_(io, PageLimits(), PagesHandler()),
+        runner_(io, TargetEnded()) {}
+
+  bool Start(std::string* reason) {
+    wire::WireError wire_error;
+    std::optional<core::Address> advertise;
+    if (settings_.Has("agent", "advertise")) {
+      advertise = settings_.Address("agent", "advertise");
+    }
+    const std::optional<core::NodeId> self = transport_.Listen(
+        settings_.Address("agent", "listen"), advertise, &wire_error);
+    if (!self.has_value()) {
+      *reason = wire_error.detail;
+      return false;
+    }
+    http::HttpError error;
+    const std::optional<core::Address> target = target_server_.Listen(
+        settings_.Address("agent", "target_listen"), &error);
+    const std::optional<core::Address> pages = pages_server_.Listen(
+        settings_.Address("agent", "pages_listen"), &error);
+    if (!target.has_value() || !pages.has_value()) {
+      *reason = error.text;
+      return false;
+    }
+    target_address_ = *target;
+    pages_address_ = *pages;
+    board_.policy = ReadPolicy(settings_);
+    dispatch::InitAgent(&board_, clock_.Now(), *self,
+                        core::DomainId(settings_.Text("agent", "domain")),
+                        settings_.Addresses("agent", "entries"),
+                        std::random_device()());
+    ProcessEvents events;
+    events.tick = [this]() { Tick(); };
+    events.stop = [this]() { Stop(); };
+    events.abort = [this]() { Abort(); };
+    events.reload = [this]() { Reload(); };
+    process_ = std::make_unique<ProcessRunner>(io_, std::move(events));
+    AgentLog().Info("Started.", {{"node", core::ToString(*self)},
+                                 {"domain", board_.domain}});
+    return true;
+  }
+
+  std::string ReadyLine() const {
+    return "ready node=" + core::ToString(transport_.self()) +
+           " target=" + target_address_.value() +
+           " pages=" + pages_address_.value();
+  }
+
+ private:
+  static http::ServerLimits PageLimits() {
+    http::ServerLimits limits;
+    limits.max_connections = kMaxPageConnections;
+    return limits;
+  }
+
+  wire::TransportEvents Events() {
+    wire::TransportEvents events;
+    events.message = [this](const core::NodeId& from,
+                            dispatch::Message message) {
+      dispatch::OnMessage(&board_, clock_.Now(), from, std::move(message));
+      Flush();
+    };
+    events.peer_lost = [this](const core::NodeId& peer) {
+      AgentLog().Info("Lost a connection.", {{"peer", core::ToString(peer)}});
+      dispatch::OnPeerLost(&board_, clock_.Now(), peer);
+      Flush();
+    };
+    events.peer_gone = [this](const core::NodeId& peer) {
+      AgentLog().Warn("A process is gone.", {{"peer", core::ToString(peer)}});
+      dispatch::OnPeerGone(&board_, clock_.Now(), peer);
+      Flush();
+    };
+    return events;
+  }
+
+  http::Handler TargetHandler() {
+    return [this](const http::Request& request,
+                  const http::Responder& respond) {
+      if (request.method != "POST" || request.path != "/v1/announce") {
+        respond(ErrorResponse(kStatusNotFound, "not_found", "No such path."));
+        return;
+      }
+      RequestError error;
+      const std::optional<dispatch::Target> target =
+          ParseAnnouncement(request.body, &error);
+      if (!target.has_value()) {
+        respond(ErrorResponse(kStatusBadRequest, "bad_request", error.detail));
+        return;
+      }
+      Announce(*target);
+      respond(http::Response{});
+    };
+  }
+
+  void Announce(dispatch::Target target) {
+    // What this process runs there is counted here; the rest is foreign.
+    target.foreign_running = target.foreign_running > board_.running
+                                 ? target.foreign_running - board_.running
+                                 : 0;
+    if (!board_.target.present) {
+      AgentLog().Info("A target announced itself.",
+                      {{"address", target.address}, {"slots", target.slots}});
+    }
+    dispatch::OnTargetAnnounce(&board_, clock_.Now(), target);
+    Flush();
+  }
+
+  http::Handler PagesHandler() {
+    return [this](const http::Request& request,
+                  const http::Responder& respond) {
+      if (request.path == "/metrics") {
+        respond(TextResponse(
+            kStatusOk,
+            metrics_.Page(board_, transport_.counters(), clock_.Now())));
+      } else if (request.path == "/healthz") {
+        respond(TextResponse(kStatusOk, "ok\n"));
+      } else if (request.path == "/readyz") {
+        const bool ready = clock_.Now() < board_.permit_until &&
+                           board_.target.present && !board_.stopping;
+        respond(ready ? TextResponse(kStatusOk, "ok\n")
+                      : TextResponse(kStatusUnavailable,
+                                     "No permit or no target.\n"));
+      } else {
+        respond(ErrorResponse(kStatusNotFound, "not_found", "No such path."));
+      }
+    };
+  }
+
+  TargetRunner::Ended TargetEnded() {
+    return [this](const dispatch::TaskRef& ref, dispatch::TargetEnd end,
+                  std::string result) {
+      dispatch::OnTargetEnd(&board_, clock_.Now(), ref, end, std::move(result));
+      Flush();
+    };
+  }
+
+  void Tick() {
+    dispatch::OnTick(&board_, clock_.Now());
+    Flush();
+    if (!ending_ && dispatch::StopFinished(board_, clock_.Now())) {
+      AgentLog().Info("Stopped.");
+      End();
+    }
+  }
+
+  void Stop() {
+    AgentLog().Info("Stopping.", {{"jobs", board_.active.size()},
+                                  {"running", board_.running}});
+    dispatch::RequestStop(&board_, clock_.Now());
+    Flush();
+  }
+
+  void Abort() {
+    for (const core::JobKey& key : board_.active) {
+      AgentLog().Error("Cut a job.", {{"key", key}});
+    }
+    End();
+  }
+
+  void End() {
+    ending_ = true;
+    transport_.Shutdown([this]() { io_.stop(); });
+  }
+
+  void Reload() {
+    const std::optional<core::Settings> next = reload_();
+    if (!next.has_value()) {
+      AgentLog().Error("Kept the old settings.");
+      return;
+    }
+    for (const std::string& key : settings_.ChangedFixed(*next)) {
+      AgentLog().Warn("A setting needs a restart.", {{"key", key}});
+    }
+    board_.policy = ReadPolicy(*next);
+    AgentLog().Info("Read the settings again.");
+  }
+
+  /// Carries out what the decisions ask for.
+  void Flush() {
+    std::vector<dispatch::AgentAction> actions;
+    actions.swap(board_.actions);
+    for (dispatch::AgentAction& action : actions) {
+      if (auto* send = std::get_if<dispatch::SendMessage>(&action)) {
+        transport_.Send(send->to, send->message);
+      } else if (auto* run = std::get_if<dispatch::RunTask>(&action)) {
+        runner_.Run(board_.target.address, *run, MaxRun(run->service));
+      } else if (auto* stop = std::get_if<dispatch::StopTask>(&action)) {
+        runner_.Stop(board_.target.address, stop->ref);
+      }
+    }
+    metrics_.Take(&board_);
+  }
+
+  core::Duration MaxRun(const core::ServiceId& service) const {
+    const auto found = board_.world.services.find(service);
+    return found == board_.world.services.end() ? dispatch::Service{}.max_run
+                                                : found->second.max_run;
+  }
+
+  boost::asio::io_context& io_;
+  core::Settings settings_;
+  std::function<std::optional<core::Settings>()> reload_;
+  core::SystemClock clock_;
+  dispatch::AgentBoard board_;
+  AgentMetrics metrics_;
+  wire::Transport transport_;
+  http::Server target_server_;
+  http::Server pages_server_;
+  TargetRunner runner_;
+  std::unique_ptr<ProcessRunner> process_;
+  core::Address target_address_;
+  core::Address pages_address_;
+  bool ending_ = false;
+};
+
+AgentDaemon::AgentDaemon(boost::asio::io_context& io, core::Settings settings,
+                         std::function<std::optional<core::Settings>()> reload)
+    : impl_(
+          std::make_unique<Impl>(io, std::move(settings), std::move(reload))) {}
+
+AgentDaemon::~AgentDaemon() = default;
+
+bool AgentDaemon::Start(std::string* reason) { return impl_->Start(reason); }
+
+std::string AgentDaemon::ReadyLine() const { return impl_->ReadyLine(); }
+
+}  // namespace tarragon::daemons
--- /dev/null
+++ b/daemons/agent_metrics.h
@@ -0,0 +1,35 @@
+#ifndef TARRAGON_DAEMONS_AGENT_METRICS_H_
+#define TARRAGON_DAEMONS_AGENT_METRICS_H_
+
+#include <string>
+
+#include "counter_mirror.h"
+#include "tarragon/core/clock.h"
+#include "tarragon/dispatch/agent_board.h"
+#include "tarragon/metrics/registry.h"
+#include "tarragon/wire/transport.h"
+
+namespace tarragon::daemons {
+
+/// The metrics page of an agent.
+class AgentMetrics {
+ public:
+  AgentMetrics();
+
+  /// Takes the samples that the decisions left on the board.
+  void Take(dispatch::AgentBoard* board);
+
+  /// The page in the text exposition format.
+  std::string Page(const dispatch::AgentBoard& board,
+                   const wire::TransportCounters& transport, core::Time now);
+
+ private:
+  void MirrorBoard(const dispatch::AgentBoard& board, core::Time now);
+
+  metrics::Registry registry_;
+  CounterMirror mirror_;
+};
+
+}  // namespace tarragon::daemons
+
+#endif  // TARRAGON_DAEMONS_AGENT_METRICS_H_
--- /dev/null
+++ b/daemons/client_api.cc
@@ -0,0 +1,156 @@
+#include "client_api.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include "job_json.h"
+#include "tarragon/dispatch/entry.h"
+
+namespace tarragon::daemons {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusMethod = 405;
+constexpr int kStatusUnavailable = 503;
+constexpr char kJobs[] = "/v1/jobs";
+constexpr char kJobPrefix[] = "/v1/jobs/";
+constexpr std::int64_t kMaxWaitMs = 600'000;
+constexpr core::Duration kCancelWait = std::chrono::seconds(10);
+constexpr core::Duration kNoHomePause = std::chrono::seconds(1);
+
+std::string HeaderOf(const http::Request& request, const char* name) {
+  const auto found = request.headers.find(name);
+  return found == request.headers.end() ? std::string() : found->second;
+}
+
+/// The query parameter `wait_ms`; nothing when it is no count.
+std::optional<core::Duration> WaitOf(const http::Request& request) {
+  const auto found = request.query.find("wait_ms");
+  if (found == request.query.end()) return core::Duration(0);
+  std::int64_t wait_ms = 0;
+  const char* last = found->second.data() + found->second.size();
+  const std::from_chars_result read =
+      std::from_chars(found->second.data(), last, wait_ms);
+  if (read.ec != std::errc() || read.ptr != last) return std::nullopt;
+  if (wait_ms < 0 || wait_ms > kMaxWaitMs) return std::nullopt;
+  return std::chrono::milliseconds(wait_ms);
+}
+
+/// Least time that a query needs to reach the home and come back.
+core::Duration AtLeastOneRoundTrip(core::Duration wait) {
+  constexpr core::Duration kRoundTrip = std::chrono::milliseconds(250);
+  return std::max(wait, kRoundTrip);
+}
+
+}  // namespace
+
+ClientApi::ClientApi(dispatch::EntryBoard* board, const core::Clock* clock,
+                     std::function<void()> flush)
+    : board_(board), clock_(clock), flush_(std::move(flush)) {}
+
+void ClientApi::Handle(const http::Request& request,
+                       const http::Responder& respond) {
+  if (request.path == "/v1/home" && request.method == "GET") {
+    MintHandle(request, respond);
+    return;
+  }
+  if (request.path == kJobs) {
+    if (request.method == "POST") {
+      Submit(request, respond);
+    } else {
+      respond(ErrorResponse(kStatusMethod, "method", "Use POST."));
+    }
+    return;
+  }
+  if (request.path.rfind(kJobPrefix, 0) != 0) {
+    respond(ErrorResponse(kStatusNotFound, "not_found", "No such path."));
+    return;
+  }
+  const std::string key = request.path.substr(sizeof(kJobPrefix) - 1);
+  const std::optional<core::Duration> wait = WaitOf(request);
+  if (!IsKeyText(key) || !wait.has_value()) {
+    respond(ErrorResponse(kStatusBadRequest, "bad_request",
+                          "The key or wait_ms is malformed."));
+    return;
+  }
+  if (request.method == "GET") {
+    Ask(dispatch::RequestKind::kQuery, key, AtLeastOneRoundTrip(*wait),
+        respond);
+  } else if (request.method == "DELETE") {
+    Ask(dispatch::RequestKind::kCancel, key, kCancelWait, respond);
+  } else {
+    respond(ErrorResponse(kStatusMethod, "method", "Use GET or DELETE."));
+  }
+}
+
+void ClientApi::MintHandle(const http::Request& request,
+                           const http::Responder& respond) {
+  const auto service = request.query.find("service");
+  const core::ServiceId id(service == request.query.end() ? std::string()
+                                                          : service->second);
+  const std::optional<std::string> handle = dispatch::MintHandle(board_, id);
+  if (!handle.has_value()) {
+    dispatch::JobAnswer answer;
+    answer.outcome = dispatch::Outcome::kNotRun;
+    answer.reason = dispatch::Reason::kNoTarget;
+    answer.detail = "No agent is known.";
+    answer.retry_after = kNoHomePause;
+    respond(AnswerResponse(answer, ""));
+    return;
+  }
+  const core::Duration valid =
+      board_->policy.handle_epoch * (board_->policy.handle_epochs - 1);
+  http::Response response;
+  response.body = json::serialize(
+      json::object{{"handle", *handle}, {"valid_ms", core::Millis(valid)}});
+  respond(response);
+}
+
+void ClientApi::Submit(const http::Request& request,
+                       const http::Responder& respond) {
+  const std::string key = HeaderOf(request, "idempotency-key");
+  if (!IsKeyText(key)) {
+    respond(ErrorResponse(kStatusBadRequest, "bad_request",
+                          "Idempotency-Key must be 1 to 200 visible "
+                          "characters."));
+    return;
+  }
+  RequestError error;
+  std::optional<Submission> submission = ParseSubmission(request.body, &error);
+  if (!submission.has_value()) {
+    respond(ErrorResponse(kStatusBadRequest, "bad_request", error.detail));
+    return;
+  }
+  const core::ServiceId service = submission->spec.service;
+  const std::uint64_t number = dispatch::OnClientSubmit(
+      board_, clock_->Now(), std::move(submission->spec), key,
+      submission->wait);
+  waiting_.emplace(number, Waiting{respond, service});
+  flush_();
+}
+
+void ClientApi::Ask(dispatch::RequestKind kind, const std::string& key,
+                    core::Duration wait, const http::Responder& respond) {
+  const std::uint64_t number =
+      dispatch::OnClientRequest(board_, clock_->Now(), kind, key, wait);
+  waiting_.emplace(number, Waiting{respond, core::ServiceId()});
+  flush_();
+}
+
+void ClientApi::Answer(const dispatch::AnswerClient& answer) {
+  const auto found = waiting_.find(answer.request);
+  if (found == waiting_.end()) return;
+  const Waiting waiting = std::move(found->second);
+  waiting_.erase(found);
+  const std::optional<std::string> handle =
+      dispatch::MintHandle(board_, waiting.service);
+  waiting.respond(AnswerResponse(answer.answer, handle.value_or("")));
+}
+
+}  // namespace tarragon::daemons
--- /dev/null
+++ b/daemons/counter_mirror.cc
@@ -0,0 +1,63 @@
+#include "counter_mirror.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace tarragon::daemons {
+
+void CounterMirror::Mirror(const std::string& name,
+                           const metrics::Labels& labels, std::uint64_t total) {
+  std::uint64_t& shown = shown_[{name, labels}];
+  if (total < shown) return;
+  registry_->Count(name, labels, total - shown);
+  shown = total;
+}
+
+void CounterMirror::MirrorAll(
+    const std::string& name, const std::string& label,
+    const std::map<std::string, std::uint64_t>& totals) {
+  for (const auto& [value, total] : totals) {
+    Mirror(name, metrics::Labels{{label, value}}, total);
+  }
+}
+
+void CounterMirror::MirrorTransport(const wire::TransportCounters& counters) {
+  for (const auto& [name, counter] : counters.sent) {
+    const metrics::Labels labels{{"name", name}};
+    Mirror("messages_out_total", labels, counter.messages);
+    Mirror("message_bytes_out_total", labels, counter.bytes);
+  }
+  for (const auto& [name, counter] : counters.received) {
+    const metrics::Labels labels{{"name", name}};
+    Mirror("messages_in_total", labels, counter.messages);
+    Mirror("message_bytes_in_total", labels, counter.bytes);
+  }
+  Mirror("socket_bytes_out_total", {}, counters.bytes_sent);
+  Mirror("socket_bytes_in_total", {}, counters.bytes_received);
+  Mirror("refused_frames_total", {}, counters.refused_frames);
+  Mirror("protocol_violations_total", {}, counters.violations);
+  Mirror("dropped_messages_total", {}, counters.dropped_messages);
+  registry_->Set("connections", {}, static_cast<double>(counters.connections));
+}
+
+void CounterMirror::MirrorProcess() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const double seconds =
+      static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+      static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) /
+          1e6;
+  registry_->Set("process_cpu_seconds", {}, seconds);
+  std::ifstream statm("/proc/self/statm");
+  std::uint64_t all_pages = 0;
+  std::uint64_t resident_pages = 0;
+  if (statm >> all_pages >> resident_pages) {
+    const double page = static_cast<double>(sysconf(_SC_PAGESIZE));
+    registry_->Set("process_resident_bytes", {},
+                   page * static_cast<double>(resident_pages));
+  }
+}
+
+}  // namespace tarragon::daemons
--- /dev/null
+++ b/daemons/entry_daemon.cc
@@ -0,0 +1,325 @@
+#include "tarragon/daemons/entry_daemon.h"
+
+#include <random>
+#include <utility>
+
+#include "client_api.h"
+#include "counter_mirror.h"
+#include "operator_api.h"
+#include "process_runner.h"
+#include "table_gateway.h"
+#include "tarragon/core/log.h"
+#include "tarragon/daemons/policy_settings.h"
+#include "tarragon/dispatch/entry.h"
+#include "tarragon/http/server.h"
+#include "tarragon/platform/http_table.h"
+#include "tarragon/wire/transport.h"
+
+namespace tarragon::daemons {
+namespace {
+
+/// Connections of operators and of what reads the metrics.
+constexpr std::size_t kMaxOperatorConnections = 64;
+
+const core::Log& EntryLog() {
+  static const core::Log log("entry");
+  return log;
+}
+
+core::SettingSpec Spec(const char* section, const char* key,
+                       core::SettingType type, const char* default_value,
+                       bool required, const char* help) {
+  core::SettingSpec spec;
+  spec.section = section;
+  spec.key = key;
+  spec.type = type;
+  spec.default_value = default_value;
+  spec.required = required;
+  spec.help = help;
+  return spec;
+}
+
+core::SettingSpec Ranged(core::SettingSpec spec, const char* minimum,
+                         const char* maximum) {
+  spec.minimum = minimum;
+  spec.maximum = maximum;
+  return spec;
+}
+
+}  // namespace
+
+std::vector<core::SettingSpec> EntrySpecs() {
+  using core::SettingType;
+  core::SettingSpec token =
+      Spec("operators", "token", SettingType::kText, "", true,
+           "Token that operators' calls carry; env:NAME reads a variable.");
+  token.secret = true;
+  std::vector<core::SettingSpec> specs = {
+      Spec("entry", "listen", SettingType::kAddress, "0.0.0.0:7000", false,
+           "Where the other processes of the system reach this one."),
+      Spec("entry", "advertise", SettingType::kAddress, "", false,
+           "The address told to the others; default: the one listened on."),
+      Spec("entry", "domain", SettingType::kText, "", true,
+           "Failure domain of this process."),
+      Spec("clients", "listen", SettingType::kAddress, "0.0.0.0:8080", false,
+           "Where clients reach this process."),
+      Ranged(Spec("clients", "max_connections", SettingType::kInteger, "4000",
+                  false, "Open connections of clients."),
+             "1", "100000"),
+      Ranged(Spec("clients", "max_body", SettingType::kBytes, "1MiB", false,
+                  "Largest body of a request."),
+             "1KiB", "16MiB"),
+      Ranged(Spec("clients", "header_timeout", SettingType::kDuration, "10s",
+                  false, "Time for the header and the body of a request."),
+             "100ms", "10min"),
+      Ranged(Spec("clients", "idle_timeout", SettingType::kDuration, "60s",
+                  false, "How long an unused connection stays open."),
+             "100ms", "1h"),
+      Spec("operators", "listen", SettingType::kAddress, "127.0.0.1:8081",
+           false, "Where operators reach this process."),
+      token,
+      Spec("platform", "table", SettingType::kAddress, "", true,
+           "Address of the platform's table."),
+      Ranged(Spec("platform", "timeout", SettingType::kDuration, "2s", false,
+                  "Longest wait for an answer of the table."),
+             "100ms", "1min"),
+  };
+  const std::vector<core::SettingSpec> policy = PolicySpecs();
+  specs.insert(specs.end(), policy.begin(), policy.end());
+  return specs;
+}
+
+class EntryDaemon::Impl {
+ public:
+  Impl(boost::asio::io_context& io, core::Settings settings,
+       std::function<std::optional<core::Settings>()> reload)
+      : io_(io),
+        settings_(std::move(settings)),
+        reload_(std::move(reload)),
+        mirror_(&registry_),
+        transport_(io, core::RandomIncarnation(), wire::TransportLimits{},
+                   Events()),
+        table_(io, TableSettings()),
+        clients_(&board_, &clock_, [this]() { Flush(); }),
+        operators_(
+            &board_, &clock_, settings_.Text("operators", "token"),
+            [this]() { Flush(); }, [this]() { return MetricsPage(); }),
+        client_server_(io, ClientLimits(),
+                       [this](const http::Request& request,
+                              const http::Responder& respond) {
+                         clients_.Handle(request, respond);
+                       }),
+        operator_server_(io, OperatorLimits(),
+                         [this](const http::Request& request,
+                                const http::Responder& respond) {
+                           operators_.Handle(request, respond);
+                         }) {}
+
+  bool Start(std::string* reason) {
+    wire::WireError wire_error;
+    std::optional<core::Address> advertise;
+    if (settings_.Has("entry", "advertise")) {
+      advertise = settings_.Address("entry", "advertise");
+    }
+    const std::optional<core::NodeId> self = transport_.Listen(
+        settings_.Address("entry", "listen"), advertise, &wire_error);
+    if (!self.has_value()) {
+      *reason = wire_error.detail;
+      return false;
+    }
+    http::HttpError error;
+    const std::optional<core::Address> clients =
+        client_server_.Listen(settings_.Address("clients", "listen"), &error);
+    const std::optional<core::Address> operators = operator_server_.Listen(
+        settings_.Address("operators", "listen"), &error);
+    if (!clients.has_value() || !operators.has_value()) {
+      *reason = error.text;
+      return false;
+    }
+    clients_address_ = *clients;
+    operators_address_ = *operators;
+    board_.policy = ReadPolicy(settings_);
+    dispatch::InitEntry(&board_, clock_.Now(), *self,
+                        core::DomainId(settings_.Text("entry", "domain")),
+                        std::random_device()());
+    ProcessEvents events;
+    events.tick = [this]() { Tick(); };
+    events.stop = [this]() { Stop(); };
+    events.abort = [this]() { Abort(); };
+    events.reload = [this]() { Reload(); };
+    process_ = std::make_unique<ProcessRunner>(io_, std::move(events));
+    EntryLog().Info("Started.", {{"node", core::ToString(*self)},
+                                 {"domain", board_.domain}});
+    return true;
+  }
+
+  std::string ReadyLine() const {
+    return "ready node=" + core::ToString(transport_.self()) +
+           " clients=" + clients_address_.value() +
+           " operators=" + operators_address_.value();
+  }
+
+ private:
+  http::ServerLimits ClientLimits() const {
+    http::ServerLimits limits;
+    limits.max_connections = static_cast<std::size_t>(
+        settings_.Integer("clients", "max_connections"));
+    limits.max_body_bytes = settings_.Bytes("clients", "max_body");
+    limits.header_timeout = settings_.Duration("clients", "header_timeout");
+    limits.body_timeout = limits.header_timeout;
+    limits.idle_timeout = settings_.Duration("clients", "idle_timeout");
+    return limits;
+  }
+
+  static http::ServerLimits OperatorLimits() {
+    http::ServerLimits limits;
+    limits.max_connections = kMaxOperatorConnections;
+    return limits;
+  }
+
+  platform::HttpTableSettings TableSettings() const {
+    platform::HttpTableSettings table;
+    table.address = settings_.Address("platform", "table");
+    table.timeout = settings_.Duration("platform", "timeout");
+    return table;
+  }
+
+  wire::TransportEvents Events() {
+    wire::TransportEvents events;
+    events.message = [this](const core::NodeId& from,
+                            dispatch::Message message) {
+      dispatch::OnMessage(&board_, clock_.Now(), from, std::move(message));
+      Flush();
+    };
+    events.peer_lost = [this](const core::NodeId& peer) {
+      EntryLog().Info("Lost a connection.", {{"peer", core::ToString(peer)}});
+      dispatch::OnPeerLost(&board_, clock_.Now(), peer);
+      Flush();
+    };
+    events.peer_gone = [this](const core::NodeId& peer) {
+      EntryLog().Warn("A process is gone.", {{"peer", core::ToString(peer)}});
+      dispatch::OnPeerGone(&board_, clock_.Now(), peer);
+      Flush();
+    };
+    return events;
+  }
+
+  void Tick() {
+    dispatch::OnTick(&board_, clock_.Now());
+    Flush();
+    const bool finished = dispatch::StopFinished(board_, clock_.Now()) &&
+                          client_server_.open_requests() == 0;
+    if (!ending_ && finished) {
+      EntryLog().Info("Stopped.");
+      End();
+    }
+  }
+
+  void Stop() {
+    EntryLog().Info("Stopping.", {{"requests", board_.requests.size()}});
+    client_server_.StopAccepting();
+    dispatch::RequestStop(&board_, clock_.Now());
+    Flush();
+  }
+
+  void Abort() {
+    for (const auto& [number, request] : board_.requests) {
+      EntryLog().Error("Cut a request.", {{"key", request.spec.key}});
+    }
+    End();
+  }
+
+  void End() {
+    ending_ = true;
+    transport_.Shutdown([this]() { io_.stop(); });
+  }
+
+  void Reload() {
+    const std::optional<core::Settings> next = reload_();
+    if (!next.has_value()) {
+      EntryLog().Error("Kept the old settings.");
+      return;
+    }
+    for (const std::string& key : settings_.ChangedFixed(*next)) {
+      EntryLog().Warn("A setting needs a restart.", {{"key", key}});
+    }
+    board_.policy = ReadPolicy(*next);
+    EntryLog().Info("Read the settings again.");
+  }
+
+  std::string MetricsPage() {
+    mirror_.MirrorAll("answers_total", "outcome", board_.counters.answers);
+    mirror_.MirrorAll("invariant_checks_total", "name", board_.invariants);
+    mirror_.Mirror("heartbeats_total", {}, board_.counters.heartbeats);
+    mirror_.Mirror("table_reads_total", {}, board_.counters.table_reads);
+    mirror_.Mirror("table_writes_total", {}, board_.counters.table_writes);
+    mirror_.Mirror("resubmissions_total", {}, board_.counters.resubmissions);
+    mirror_.Mirror("permits_refused_total", {},
+                   board_.counters.permits_refused);
+    registry_.Set("members", {}, static_cast<double>(board_.members.size()));
+    registry_.Set("open_requests", {},
+                  static_cast<double>(board_.requests.size()));
+    registry_.Set("note_version", {},
+                  static_cast<double>(board_.world.version.value()));
+    mirror_.MirrorTransport(transport_.counters());
+    mirror_.MirrorProcess();
+    return registry_.Exposition();
+  }
+
+  /// Carries out what the decisions ask for.
+  void Flush() {
+    std::vector<dispatch::EntryAction> actions;
+    actions.swap(board_.actions);
+    for (dispatch::EntryAction& action : actions) {
+      if (auto* send = std::get_if<dispatch::SendMessage>(&action)) {
+        transport_.Send(send->to, send->message);
+      } else if (auto* call = std::get_if<dispatch::TableCall>(&action)) {
+        Call(std::move(*call));
+      } else if (auto* client = std::get_if<dispatch::AnswerClient>(&action)) {
+        clients_.Answer(*client);
+      } else if (auto* note = std::get_if<dispatch::AnswerNote>(&action)) {
+        operators_.Answer(*note);
+      } else if (auto* lines = std::get_if<dispatch::AnswerExplain>(&action)) {
+        operators_.Answer(*lines);
+      }
+    }
+  }
+
+  void Call(dispatch::TableCall call) {
+    CallTable(&table_, std::move(call), [this](dispatch::TableReply reply) {
+      dispatch::OnTableReply(&board_, clock_.Now(), std::move(reply));
+      Flush();
+    });
+  }
+
+  boost::asio::io_context& io_;
+  core::Settings settings_;
+  std::function<std::optional<core::Settings>()> reload_;
+  core::SystemClock clock_;
+  dispatch::EntryBoard board_;
+  metrics::Registry registry_;
+  CounterMirror mirror_;
+  wire::Transport transport_;
+  platform::HttpTable table_;
+  ClientApi clients_;
+  OperatorApi operators_;
+  http::Server client_server_;
+  http::Server operator_server_;
+  std::unique_ptr<ProcessRunner> process_;
+  core::Address clients_address_;
+  core::Address operators_address_;
+  bool ending_ = false;
+};
+
+EntryDaemon::EntryDaemon(boost::asio::io_context& io, core::Settings settings,
+                         std::function<std::optional<core::Settings>()> reload)
+    : impl_(
+          std::make_unique<Impl>(io, std::move(settings), std::move(reload))) {}
+
+EntryDaemon::~EntryDaemon() = default;
+
+bool EntryDaemon::Start(std::string* reason) { return impl_->Start(reason); }
+
+std::string EntryDaemon::ReadyLine() const { return impl_->ReadyLine(); }
+
+}  // namespace tarragon::daemons
--- /dev/null
+++ b/daemons/job_json.cc
@@ -0,0 +1,253 @@
+#include "job_json.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <utility>
+
+namespace tarragon::daemons {
+namespace {
+
+namespace json = boost::json;
+using dispatch::Outcome;
+using dispatch::Reason;
+
+constexpr std::size_t kMaxDepth = 8;
+constexpr std::size_t kMaxPayload = 64 * 1024;
+constexpr std::size_t kMaxName = 64;
+constexpr std::size_t kMaxKey = 200;
+constexpr std::int64_t kMaxDeadlineMs = 600'000;
+constexpr std::int64_t kMaxCores = 4096;
+constexpr std::int64_t kMaxMemoryMb = 64 * 1024 * 1024;
+constexpr std::int64_t kMsPerSecond = 1000;
+
+/// Reads the members of one object and remembers the first fault.
+class ObjectReader {
+ public:
+  ObjectReader(const json::object& object, std::string where)
+      : object_(object), where_(std::move(where)) {}
+
+  /// A text; refused when missing, empty or longer than `most`.
+  std::string Text(const char* key, std::size_t most, bool may_be_empty) {
+    const json::value* value = Find(key);
+    if (value == nullptr || !value->is_string()) {
+      Fail(key, "must be a text");
+      return {};
+    }
+    const json::string& text = value->get_string();
+    if (text.size() > most) Fail(key, "is too long");
+    if (text.empty() && !may_be_empty) Fail(key, "must not be empty");
+    return std::string(text.data(), text.size());
+  }
+
+  /// A whole number from `least` to `most`; `fallback` when it is missing.
+  std::int64_t Integer(const char* key, std::int64_t least, std::int64_t most,
+                       std::int64_t fallback) {
+    const json::value* value = Find(key);
+    if (value == nullptr) return fallback;
+    if (!value->is_int64() || value->get_int64() < least ||
+        value->get_int64() > most) {
+      Fail(key, "must be a whole number from " + std::to_string(least) +
+                    " to " + std::to_string(most));
+      return fallback;
+    }
+    return value->get_int64();
+  }
+
+  const json::array* Array(const char* key) {
+    const json::value* value = Find(key);
+    if (value == nullptr || !value->is_array()) {
+      Fail(key, "must be a list");
+      return nullptr;
+    }
+    return &value->get_array();
+  }
+
+  /// Refuses members that were not asked for.
+  void RefuseOthers() {
+    if (object_.size() <= known_) return;
+    if (error_.empty()) error_ = where_ + "has members that are not known.";
+  }
+
+  const std::string& error() const { return error_; }
+
+ private:
+  const json::value* Find(const char* key) {
+    const json::value* value = object_.if_contains(key);
+    if (value != nullptr) ++known_;
+    return value;
+  }
+
+  void Fail(const char* key, const std::string& what) {
+    if (error_.empty()) error_ = where_ + std::string(key) + " " + what + ".";
+  }
+
+  const json::object& object_;
+  std::string where_;
+  std::string error_;
+  std::size_t known_ = 0;
+};
+
+bool ReadTask(const json::value& value, std::size_t index,
+              dispatch::TaskSpec* task, RequestError* reason) {
+  const std::string where = "tasks[" + std::to_string(index) + "] ";
+  if (!value.is_object()) {
+    reason->detail = where + "must be an object.";
+    return false;
+  }
+  ObjectReader reader(value.get_object(), where);
+  task->payload = reader.Text("payload", kMaxPayload, true);
+  task->cores =
+      static_cast<std::uint32_t>(reader.Integer("cores", 0, kMaxCores, 1));
+  task->memory_mb = static_cast<std::uint32_t>(
+      reader.Integer("memory_mb", 0, kMaxMemoryMb, 0));
+  reader.RefuseOthers();
+  if (reader.error().empty()) return true;
+  reason->detail = reader.error();
+  return false;
+}
+
+bool ReadTasks(const json::array& tasks, dispatch::JobSpec* spec,
+               RequestError* reason) {
+  if (tasks.empty() || tasks.size() > dispatch::kMaxTasksPerJob) {
+    reason->detail = "A job has 1 to " +
+                     std::to_string(dispatch::kMaxTasksPerJob) + " tasks.";
+    return false;
+  }
+  for (std::size_t i = 0; i < tasks.size(); ++i) {
+    dispatch::TaskSpec task;
+    if (!ReadTask(tasks[i], i, &task, reason)) return false;
+    spec->tasks.push_back(std::move(task));
+  }
+  return true;
+}
+
+int NotRunStatus(Reason reason) {
+  switch (reason) {
+    case Reason::kNone:
+      return 404;
+    case Reason::kUnknownService:
+      return 400;
+    case Reason::kKeyReused:
+      return 409;
+    case Reason::kCancelled:
+      return 410;
+    case Reason::kTooLarge:
+      return 413;
+    case Reason::kTenantLimit:
+      return 429;
+    default:
+      return 503;
+  }
+}
+
+int StatusOf(const dispatch::JobAnswer& answer) {
+  switch (answer.outcome) {
+    case Outcome::kRunning:
+      return 202;
+    case Outcome::kComplete:
+      return 200;
+    case Outcome::kFailed:
+      if (answer.reason == Reason::kDeadline) return 504;
+      return answer.reason == Reason::kCancelled ? 410 : 502;
+    case Outcome::kNotRun:
+      return NotRunStatus(answer.reason);
+    case Outcome::kUnknown:
+      return 502;
+  }
+  return 500;
+}
+
+void SetRetryAfter(core::Duration pause, http::Response* response) {
+  if (pause.count() <= 0) return;
+  const std::int64_t seconds =
+      (core::Millis(pause) + kMsPerSecond - 1) / kMsPerSecond;
+  response->headers["retry-after"] =
+      std::to_string(std::max<std::int64_t>(1, seconds));
+}
+
+}  // namespace
+
+std::optional<Submission> ParseSubmission(const std::string& body,
+                                          RequestError* reason) {
+  json::parse_options options;
+  options.max_depth = kMaxDepth;
+  boost::system::error_code error;
+  const json::value value = json::parse(body, error, {}, options);
+  if (error || !value.is_object()) {
+    reason->detail = "The body is not a JSON object.";
+    return std::nullopt;
+  }
+  ObjectReader reader(value.get_object(), "");
+  Submission submission;
+  dispatch::JobSpec& spec = submission.spec;
+  spec.service = core::ServiceId(reader.Text("service", kMaxName, false));
+  spec.tenant = core::TenantId(reader.Text("tenant", kMaxName, false));
+  const std::int64_t deadline_ms =
+      reader.Integer("deadline_ms", 1, kMaxDeadlineMs, 0);
+  const std::int64_t wait_ms =
+      reader.Integer("wait_ms", 0, kMaxDeadlineMs, deadline_ms);
+  const json::array* tasks = reader.Array("tasks");
+  reader.RefuseOthers();
+  if (!reader.error().empty()) {
+    reason->detail = reader.error();
+    return std::nullopt;
+  }
+  if (deadline_ms == 0) {
+    reason->detail = "deadline_ms is missing.";
+    return std::nullopt;
+  }
+  if (!ReadTasks(*tasks, &spec, reason)) return std::nullopt;
+  spec.time_left = std::chrono::milliseconds(deadline_ms);
+  // Waiting for the whole deadline includes the answer that it has passed.
+  submission.wait =
+      wait_ms >= deadline_ms
+          ? core::Duration(std::chrono::milliseconds(kMaxDeadlineMs * 2))
+          : core::Duration(std::chrono::milliseconds(wait_ms));
+  return submission;
+}
+
+bool IsKeyText(const std::string& text) {
+  if (text.empty() || text.size() > kMaxKey) return false;
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+http::Response AnswerResponse(const dispatch::JobAnswer& answer,
+                              const std::string& handle) {
+  json::object body;
+  body["key"] = answer.key.value();
+  body["outcome"] = std::string(dispatch::Name(answer.outcome));
+  body["reason"] = std::string(dispatch::Name(answer.reason));
+  body["detail"] = answer.detail;
+  if (!handle.empty()) body["handle"] = handle;
+  if (answer.retry_after.count() > 0) {
+    body["retry_after_ms"] =
+        std::max<std::int64_t>(1, core::Millis(answer.retry_after));
+  }
+  if (answer.outcome == Outcome::kComplete) {
+    json::array results;
+    for (const std::string& result : answer.results) {
+      results.emplace_back(result);
+    }
+    body["results"] = std::move(results);
+  }
+  http::Response response;
+  response.status = StatusOf(answer);
+  response.body = json::serialize(body);
+  SetRetryAfter(answer.retry_after, &response);
+  return response;
+}
+
+http::Response ErrorResponse(int status, const std::string& reason,
+                             const std::string& detail) {
+  json::object body;
+  body["outcome"] = "not_run";
+  body["reason"] = reason;
+  body["detail"] = detail;
+  http::Response response;
+  response.status = status;
+  response.body = json::serialize(body);
+  return response;
+}
+
+}  // namespace tarragon::daemons
--- /dev/null
+++ b/daemons/process_runner.cc
@@ -0,0 +1,41 @@
+#include "process_runner.h"
+
+#include <csignal>
+#include <utility>
+
+namespace tarragon::daemons {
+
+ProcessRunner::ProcessRunner(boost::asio::io_context& io, ProcessEvents events)
+    : timer_(io),
+      signals_(io, SIGTERM, SIGINT, SIGHUP),
+      events_(std::move(events)) {
+  ScheduleTick();
+  AwaitSignal();
+}
+
+void ProcessRunner::ScheduleTick() {
+  timer_.expires_after(kTickInterval);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    events_.tick();
+    ScheduleTick();
+  });
+}
+
+void ProcessRunner::AwaitSignal() {
+  signals_.async_wait(
+      [this](const boost::system::error_code& error, int signal) {
+        if (error) return;
+        if (signal == SIGHUP) {
+          events_.reload();
+        } else if (stopping_) {
+          events_.abort();
+        } else {
+          stopping_ = true;
+          events_.stop();
+        }
+        AwaitSignal();
+      });
+}
+
+}  // namespace tarragon::daemons
--- /dev/null
+++ b/daemons/state_json.h
@@ -0,0 +1,30 @@
+#ifndef TARRAGON_DAEMONS_STATE_JSON_H_
+#define TARRAGON_DAEMONS_STATE_JSON_H_
+
+#include <string>
+
+#include "tarragon/core/clock.h"
+#include "tarragon/dispatch/entry_board.h"
+#include "tarragon/http/message.h"
+
+/// What operators see as JSON; see docs/INTERFACES.md.
+
+namespace tarragon::daemons {
+
+/// The state of the world: all accepted notes.
+std::string WorldJson(const dispatch::World& world);
+
+/// Entries, agents and requests as this entry sees them.
+std::string StateJson(const dispatch::EntryBoard& board, core::Time now);
+
+/// The answer to a release note.
+http::Response NoteResponse(const dispatch::NoteAnswer& answer,
+                            const std::string& note_id);
+
+/// The history of a job.
+http::Response ExplainResponse(const std::string& key,
+                               const std::vector<std::string>& lines);
+
+}  // namespace tarragon::daemons
+
+#endif  // TARRAGON_DAEMONS_STATE_JSON_H_
--- /dev/null
+++ b/daemons/table_gateway.cc
@@ -0,0 +1,128 @@
+#include "table_gateway.h"
+
+#include <string>
+#include <utility>
+
+#include "tarragon/core/log.h"
+#include "tarragon/platform/world_codec.h"
+
+namespace tarragon::daemons {
+namespace {
+
+using dispatch::TableCall;
+using dispatch::TableOperation;
+using dispatch::TableReply;
+using dispatch::TableRow;
+using dispatch::TableStatus;
+
+constexpr char kStateTable[] = "tarragon";
+constexpr char kKeyTable[] = "tarragon-keys";
+
+const core::Log& TableLog() {
+  static const core::Log log("table");
+  return log;
+}
+
+std::string TableOf(const TableCall& call) {
+  return call.row == TableRow::kKey ? kKeyTable : kStateTable;
+}
+
+std::string KeyOf(const TableCall& call) {
+  switch (call.row) {
+    case TableRow::kWorld:
+      return "world";
+    case TableRow::kEntries:
+      return "entries";
+    case TableRow::kKey:
+      return call.key;
+  }
+  return {};
+}
+
+std::string ValueOf(const TableCall& call) {
+  switch (call.row) {
+    case TableRow::kWorld:
+      return platform::EncodeWorld(call.world);
+    case TableRow::kEntries:
+      return platform::EncodeEntries(call.entries);
+    case TableRow::kKey:
+      return call.text;
+  }
+  return {};
+}
+
+TableStatus StatusOf(platform::TableStatus status) {
+  switch (status) {
+    case platform::TableStatus::kOk:
+      return TableStatus::kOk;
+    case platform::TableStatus::kUnchanged:
+      return TableStatus::kUnchanged;
+    case platform::TableStatus::kMissing:
+      return TableStatus::kMissing;
+    case platform::TableStatus::kConflict:
+      return TableStatus::kConflict;
+    case platform::TableStatus::kUnavailable:
+      return TableStatus::kUnavailable;
+    case platform::TableStatus::kUnknown:
+      return TableStatus::kUnknown;
+  }
+  return TableStatus::kUnknown;
+}
+
+/// Decodes the value read into `reply`. False when it cannot be read.
+bool DecodeValue(TableRow row, const std::string& value, TableReply* reply) {
+  platform::PlatformError error;
+  if (row == TableRow::kWorld) {
+    std::optional<dispatch::World> world = platform::DecodeWorld(value, &error);
+    if (world.has_value())
+      reply->world = std::move(*world);
+    else
+      TableLog().Error("Cannot read the world.", {{"why", error.detail}});
+    return world.has_value();
+  }
+  if (row == TableRow::kEntries) {
+    std::optional<dispatch::EntryList> entries =
+        platform::DecodeEntries(value, &error);
+    if (entries.has_value())
+      reply->entries = std::move(*entries);
+    else
+      TableLog().Error("Cannot read the entries.", {{"why", error.detail}});
+    return entries.has_value();
+  }
+  reply->text = value;
+  return true;
+}
+
+}  // namespace
+
+void CallTable(platform::Table* table, TableCall call,
+               std::function<void(TableReply)> done) {
+  const bool is_read = call.operation == TableOperation::kRead;
+  const auto answered = [number = call.number, row = call.row, is_read,
+                         done = std::move(done)](platform::TableReply answer) {
+    TableReply reply;
+    reply.number = number;
+    reply.status = StatusOf(answer.status);
+    reply.version = answer.version;
+    const bool has_value = is_read && reply.status == TableStatus::kOk;
+    if (has_value && !DecodeValue(row, answer.value, &reply)) {
+      reply.status = TableStatus::kUnavailable;
+    }
+    done(std::move(reply));
+  };
+  const std::string name = TableOf(call);
+  const std::string key = KeyOf(call);
+  switch (call.operation) {
+    case TableOperation::kRead:
+      table->Read(name, key, call.version, answered);
+      return;
+    case TableOperation::kInsert:
+      table->Insert(name, key, ValueOf(call), answered);
+      return;
+    case TableOperation::kReplace:
+      table->Replace(name, key, ValueOf(call), call.version, answered);
+      return;
+  }
+}
+
+}  // namespace tarragon::daemons
--- /dev/null
+++ b/daemons/target_runner.cc
@@ -0,0 +1,111 @@
+#include "target_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "tarragon/core/log.h"
+
+namespace tarragon::daemons {
+namespace {
+
+using dispatch::TargetEnd;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+/// Idle connections to the target; it allows about 60.
+constexpr std::size_t kIdleConnections = 32;
+constexpr std::size_t kMaxResultBytes = 1024 * 1024;
+constexpr core::Duration kStopTimeout = std::chrono::seconds(2);
+constexpr char kKeyHeader[] = "tarragon-key";
+constexpr char kTaskHeader[] = "tarragon-task";
+constexpr char kNotStartedHeader[] = "tarragon-not-started";
+
+const core::Log& TargetLog() {
+  static const core::Log log("target");
+  return log;
+}
+
+http::ClientLimits Limits() {
+  http::ClientLimits limits;
+  limits.max_idle_per_host = kIdleConnections;
+  limits.max_response_bytes = kMaxResultBytes;
+  return limits;
+}
+
+std::string Header(const http::Response& response, const char* name) {
+  const auto found = response.headers.find(name);
+  return found == response.headers.end() ? std::string() : found->second;
+}
+
+/// The answer names the very task that was asked for.
+bool IsAnswerTo(const http::Response& response, const dispatch::TaskRef& ref) {
+  return Header(response, kKeyHeader) == ref.key.value() &&
+         Header(response, kTaskHeader) == std::to_string(ref.task.value());
+}
+
+TargetEnd EndOf(const std::optional<http::Response>& response,
+                const http::HttpError& error, const dispatch::TaskRef& ref) {
+  if (!response.has_value()) {
+    const bool not_sent = error.kind == http::HttpErrorKind::kNotSent ||
+                          error.kind == http::HttpErrorKind::kBadAddress ||
+                          error.kind == http::HttpErrorKind::kBadRequest;
+    return not_sent ? TargetEnd::kNotStarted : TargetEnd::kUnknown;
+  }
+  const bool refused = response->status == kStatusUnavailable &&
+                       Header(*response, kNotStartedHeader) == "1";
+  if (refused) return TargetEnd::kNotStarted;
+  if (response->status != kStatusOk) return TargetEnd::kFailed;
+  return IsAnswerTo(*response, ref) ? TargetEnd::kOk : TargetEnd::kUnknown;
+}
+
+}  // namespace
+
+TargetRunner::TargetRunner(boost::asio::io_context& io, Ended ended)
+    : client_(io, Limits()), ended_(std::move(ended)) {}
+
+void TargetRunner::Run(const core::Address& address,
+                       const dispatch::RunTask& task, core::Duration max_run) {
+  http::Request request;
+  request.method = "POST";
+  request.path = "/v1/tasks";
+  request.headers[kKeyHeader] = task.ref.key.value();
+  request.headers[kTaskHeader] = std::to_string(task.ref.task.value());
+  request.headers["tarragon-attempt"] =
+      std::to_string(task.ref.attempt.value());
+  request.headers["tarragon-service"] = task.service.value();
+  request.headers["tarragon-time-left-ms"] =
+      std::to_string(core::Millis(task.time_left));
+  request.body = task.payload;
+  client_.Send(address, request, max_run,
+               [this, address, ref = task.ref](
+                   const std::optional<http::Response>& response,
+                   const http::HttpError& error) {
+                 Answered(address, ref, response, error);
+               });
+}
+
+void TargetRunner::Answered(const core::Address& address,
+                            const dispatch::TaskRef& ref,
+                            const std::optional<http::Response>& response,
+                            const http::HttpError& error) {
+  const TargetEnd end = EndOf(response, error, ref);
+  if (end == TargetEnd::kUnknown) {
+    TargetLog().Warn("A task gave no whole answer.",
+                     {{"key", ref.key}, {"why", error.text}});
+    Stop(address, ref);
+  }
+  ended_(ref, end, end == TargetEnd::kOk ? response->body : std::string());
+}
+
+void TargetRunner::Stop(const core::Address& address,
+                        const dispatch::TaskRef& ref) {
+  http::Request request;
+  request.method = "DELETE";
+  request.path =
+      "/v1/tasks/" + ref.key.value() + "/" + std::to_string(ref.task.value());
+  client_.Send(
+      address, request, kStopTimeout,
+      [](const std::optional<http::Response>&, const http::HttpError&) {});
+}
+
+}  // namespace tarragon::daemons
