--- a/dispatch/executor_gate.cc
+++ b/dispatch/executor_gate.cc
@@ -43,6 +43,7 @@
 void Refuse(AgentBoard* board, core::Time now, const TaskRef& ref,
             const core::NodeId& home, Reason reason) {
   BuryAttempt(board, now, ref, home);
+  if (home != board->self) ++board->counters.refused_assigns;
   ++board->counters.refusals[std::string(Name(reason))];
   Post(board, home,
        Refused{ref, reason, core::Duration(0), MakeLoad(board, now, home)});
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -245,6 +245,8 @@
   std::uint64_t empty_pulls = 0;
   std::uint64_t hints = 0;
   std::uint64_t duplicates = 0;
+  /// Assignments of other homes that this executor refused.
+  std::uint64_t refused_assigns = 0;
 };
 
 /// One finished job, for the histograms of the metrics page.
