--- a/ctl/include/tarragon/ctl/table.h
+++ b/ctl/include/tarragon/ctl/table.h
@@ -19,9 +19,9 @@
 std::string FormatTable(const Table& table);
 
 /// A JSON object as text for people: plain members as "name: value", then one
-/// table for each member that is an object of objects or an array of objects.
-/// The members of an object within a row become columns "outer.inner". Nothing
-/// if `json_text` is no JSON object.
+/// table for each member, at any depth, that is an object of objects or an
+/// array of objects. Nested names are written "outer.inner". Nothing if
+/// `json_text` is no JSON object.
 std::optional<std::string> FormatJsonForPeople(std::string_view json_text);
 
 }  // namespace tarragon::ctl
--- a/ctl/operator_commands.cc
+++ b/ctl/operator_commands.cc
@@ -61,8 +61,7 @@
   output.err << "The note has errors:\n";
   const std::vector<std::string> errors = TextsOf(body, "errors");
   for (const std::string& error : errors) output.err << "  " << error << "\n";
-  const std::string detail = TextOf(body, "detail");
-  if (!detail.empty()) output.err << "  " << detail << "\n";
+  if (errors.empty()) output.err << "  " << TextOf(body, "detail") << "\n";
 }
 
 /// Prints what the answer to a note means.
--- a/ctl/table.cc
+++ b/ctl/table.cc
@@ -128,6 +128,20 @@
   }
 }
 
+/// Adds one table for each member that holds objects, at any depth.
+void AppendTables(const std::string& prefix, const json::object& object,
+                  std::string* out) {
+  for (const json::key_value_pair& member : object) {
+    const std::string name = prefix + std::string(member.key());
+    if (HoldsObjects(member.value())) {
+      if (!out->empty()) *out += "\n";
+      *out += name + ":\n" + FormatTable(ToTable(member.value()));
+    } else if (member.value().is_object()) {
+      AppendTables(name + ".", member.value().get_object(), out);
+    }
+  }
+}
+
 }  // namespace
 
 std::string FormatTable(const Table& table) {
@@ -162,12 +176,7 @@
   if (error || !parsed.is_object()) return std::nullopt;
   std::string out;
   AppendPlain("", parsed.get_object(), &out);
-  for (const json::key_value_pair& member : parsed.get_object()) {
-    if (!HoldsObjects(member.value())) continue;
-    if (!out.empty()) out += "\n";
-    out += std::string(member.key()) + ":\n" +
-           FormatTable(ToTable(member.value()));
-  }
+  AppendTables("", parsed.get_object(), &out);
   return out;
 }
 
