--- a/http/session.cc
+++ b/http/session.cc
@@ -26,7 +26,7 @@
   if (error == beast_http::error::body_limit) {
     return {413, "too_large", "The body is too long."};
   }
-  return {400, "bad_request", "This is no HTTP/1.1 request."};
+  return {400, "bad_request", "The request is malformed."};
 }
 
 /// Whether the peer sent bytes that are no request, rather than vanished.
