--- a/ctl/job_commands.cc
+++ b/ctl/job_commands.cc
@@ -42,7 +42,11 @@
   const json::object body = ParseObject(response.body);
   const std::string outcome = TextOf(body, "outcome");
   const std::string reason = TextOf(body, "reason");
-  const int code = JobExitCode(response.status, outcome, reason);
+  // What was to be cancelled is cancelled.
+  const bool cancelled =
+      options.command == Command::kCancel && reason == "cancelled";
+  const int code =
+      cancelled ? kExitOk : JobExitCode(response.status, outcome, reason);
   if (options.json) {
     output.out << WithLineEnd(response.body);
     return code;
