--- a/dispatch/tests/note_test.cc
+++ b/dispatch/tests/note_test.cc
@@ -144,8 +144,8 @@
 
   void KeepsTheLatestIds() {
     World world = FirstWorld();
-    constexpr std::uint64_t kMore = 10;
-    for (std::uint64_t i = 1; i < kRecentNotes + kMore; ++i) {
+    constexpr std::uint64_t more = 10;
+    for (std::uint64_t i = 1; i < kRecentNotes + more; ++i) {
       ReleaseNote note = Note("n" + std::to_string(i), i);
       note.changed_domains[kSzeged].in_service = i % 2 == 0;
       const std::optional<World> next = ApplyNote(world, note, nullptr);
@@ -244,14 +244,15 @@
     TenantLimit& tenant = note.added_tenants[kKaptafa];
     tenant.weight = 0;
     tenant.max_running = kMaxTasksLimit + 1;
+    const std::string service_text = "service heel-pitch: ";
+    const std::string tenant_text = "tenant kaptafa: ";
     const std::vector<std::string> expected = {
-        "service heel-pitch: max_run_ms is 0, allowed are whole numbers from "
-        "1 to 600000",
-        "service heel-pitch: max_cores is 0, allowed are 1 to 4096",
-        "service heel-pitch: max_memory_mb is 16777217, allowed are 0 to "
-        "16777216",
-        "tenant kaptafa: max_running is 10000001, allowed are 0 to 10000000",
-        "tenant kaptafa: weight is 0, allowed are 1 to 1000"};
+        service_text +
+            "max_run_ms is 0, allowed are whole numbers from 1 to 600000",
+        service_text + "max_cores is 0, allowed are 1 to 4096",
+        service_text + "max_memory_mb is 16777217, allowed are 0 to 16777216",
+        tenant_text + "max_running is 10000001, allowed are 0 to 10000000",
+        tenant_text + "weight is 0, allowed are 1 to 1000"};
     CPPUNIT_ASSERT(expected == Errors(World(), note));
 
     ReleaseNote change = Note("second", 1);
@@ -293,12 +294,12 @@
   }
 
   void RandomNotesApplyWholeOrNotAtAll() {
-    constexpr unsigned kSeed = 20261204;
-    constexpr int kNotes = 2000;
-    std::mt19937 random(kSeed);
+    constexpr unsigned seed = 20261204;
+    constexpr int notes = 2000;
+    std::mt19937 random(seed);
     World world;
     int accepted = 0;
-    for (int i = 0; i < kNotes; ++i) {
+    for (int i = 0; i < notes; ++i) {
       const ReleaseNote note = RandomNote(&random, world.version.value());
       NoteError reason;
       const std::optional<World> next = ApplyNote(world, note, &reason);
@@ -309,18 +310,18 @@
       world = *next;
     }
     CPPUNIT_ASSERT(accepted > 0);
-    CPPUNIT_ASSERT(accepted < kNotes);
+    CPPUNIT_ASSERT(accepted < notes);
   }
 
  private:
   /// Up to three steps on a small set of domains; often contradicts the world.
   static ReleaseNote RandomNote(std::mt19937* random, std::uint64_t version) {
-    constexpr unsigned kNames = 4;
-    constexpr unsigned kSteps = 3;
+    constexpr unsigned names = 4;
+    constexpr unsigned steps = 3;
     const std::uint64_t base = (*random)() % 8 == 0 ? version + 1 : version;
     ReleaseNote note = Note("n" + std::to_string((*random)()), base);
-    for (unsigned step = 0; step <= (*random)() % kSteps; ++step) {
-      const core::DomainId id("d" + std::to_string((*random)() % kNames));
+    for (unsigned step = 0; step <= (*random)() % steps; ++step) {
+      const core::DomainId id("d" + std::to_string((*random)() % names));
       const unsigned kind = (*random)() % 3;
       if (kind == 0) note.added_domains[id] = InAlfold();
       if (kind == 1) note.changed_domains[id].in_service = (*random)() % 2 == 0;
--- a/tests/standins/platform_standin.cc
+++ b/tests/standins/platform_standin.cc
@@ -16,17 +16,16 @@
 namespace {
 
 constexpr int kExitUsage = 2;
-constexpr std::size_t kMaxBodyBytes = 8 * 1024 * 1024;
+constexpr int kListenOption = 'l';
+constexpr std::size_t kMaxBodyBytes = std::size_t{8} * 1024 * 1024;
 
 /// The address of the command line; empty when the command line is bad.
 std::optional<std::string> ReadListenAddress(int argc, char** argv) {
-  constexpr int kListenOption = 'l';
-  const option options[] = {{"listen", required_argument, nullptr, 'l'},
-                            {nullptr, 0, nullptr, 0}};
+  const option options[] = {
+      {"listen", required_argument, nullptr, kListenOption},
+      {nullptr, 0, nullptr, 0}};
   std::string address = "127.0.0.1:0";
   int found = 0;
-  // One thread only, so that getopt's globals are safe.
-  // NOLINTNEXTLINE(concurrency-mt-unsafe)
   while ((found = getopt_long(argc, argv, "", options, nullptr)) != -1) {
     if (found != kListenOption) return std::nullopt;
     address = optarg;
@@ -52,10 +51,10 @@
     std::cerr << reason.text << std::endl;
     return 1;
   }
-  std::cout << "listening " << bound->value() << std::endl;
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait(
       [&io](boost::system::error_code, int /*signal*/) { io.stop(); });
+  std::cout << "listening " << bound->value() << std::endl;
   io.run();
   return 0;
 }
--- a/tests/standins/platform_standin_table.cc
+++ b/tests/standins/platform_standin_table.cc
@@ -19,6 +19,8 @@
 constexpr int kUnavailable = 503;
 /// Tells the server to close the connection without an answer.
 constexpr int kCloseUnanswered = 0;
+constexpr std::string_view kPrefix = "/v1/tables/";
+constexpr std::string_view kRows = "/rows";
 
 http::Response Status(int status) {
   http::Response response;
@@ -43,13 +45,13 @@
 }
 
 std::optional<FaultMode> ReadMode(const std::string& name) {
-  static const std::map<std::string, FaultMode> kModes = {
+  static const std::map<std::string, FaultMode> modes = {
       {"none", FaultMode::kNone},     {"down", FaultMode::kDown},
       {"slow", FaultMode::kSlow},     {"late", FaultMode::kLate},
       {"refuse", FaultMode::kRefuse}, {"lose_reply", FaultMode::kLoseReply}};
   const std::map<std::string, FaultMode>::const_iterator found =
-      kModes.find(name);
-  if (found == kModes.end()) return std::nullopt;
+      modes.find(name);
+  if (found == modes.end()) return std::nullopt;
   return found->second;
 }
 
@@ -75,8 +77,6 @@
 };
 
 std::optional<RowName> ReadPath(const std::string& path) {
-  constexpr std::string_view kPrefix = "/v1/tables/";
-  constexpr std::string_view kRows = "/rows";
   if (!path.starts_with(kPrefix)) return std::nullopt;
   const std::string rest = path.substr(kPrefix.size());
   const std::size_t slash = rest.find('/');
