--- a/bench/arrivals.cc
+++ b/bench/arrivals.cc
@@ -11,6 +11,8 @@
 
 constexpr double kMicrosPerMs = 1000;
 constexpr double kPermille = 1000;
+/// Of 64 random bits, those that a double cannot hold.
+constexpr int kDroppedBits = 11;
 
 /// Numbers that are the same with every standard library.
 class Random {
@@ -20,7 +22,6 @@
 
   /// Uniform in (0, 1].
   double Uniform() {
-    constexpr int kDroppedBits = 11;
     return static_cast<double>((engine_() >> kDroppedBits) + 1) * 0x1p-53;
   }
 
--- a/bench/driver.cc
+++ b/bench/driver.cc
@@ -9,7 +9,7 @@
 namespace tarragon::bench {
 namespace {
 
-constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = std::size_t{16} * 1024 * 1024;
 /// Beyond the client's deadline: for the way of the final answer.
 constexpr std::chrono::seconds kAnswerMargin{2};
 /// Pause before a lost call is sent again; doubles with each loss.
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds kLongestPause{500};
 constexpr std::chrono::milliseconds kHandlePause{50};
 constexpr std::chrono::seconds kHandleTimeout{2};
+constexpr std::uint64_t kRunIdMask = 0xffffffff;
 
 http::ClientLimits Limits(const DriverOptions& options) {
   http::ClientLimits limits;
@@ -26,11 +27,10 @@
 }
 
 std::string RunId() {
-  constexpr std::uint64_t kMask = 0xffffffff;
   char text[16];
   std::snprintf(text, sizeof(text), "%08llx",
                 static_cast<unsigned long long>(
-                    core::RandomIncarnation().value() & kMask));
+                    core::RandomIncarnation().value() & kRunIdMask));
   return text;
 }
 
--- a/bench/include/tarragon/bench/preset.h
+++ b/bench/include/tarragon/bench/preset.h
@@ -84,7 +84,8 @@
 ///   [service NAME]      idempotent, weight
 ///   [tenant NAME]       weight
 ///   [size NAME]         min_tasks, max_tasks, weight
-/// Durations are written "200ms". What is left out keeps its default.
+/// Durations are written "200ms". What is left out keeps its default. A section
+/// without any key does not count.
 std::optional<Preset> ParsePreset(const std::string& ini_text,
                                   BenchError* reason);
 
--- a/bench/options.cc
+++ b/bench/options.cc
@@ -12,6 +12,12 @@
 namespace tarragon::bench {
 namespace {
 
+constexpr double kPermille = 1000;
+/// Greatest load, as a share of the capacity.
+constexpr double kMostLoad = 100;
+/// Longest run, in seconds.
+constexpr std::uint32_t kMostSeconds = 24 * 3600;
+
 // Values above any character, since no option has a short form but -h.
 enum Choice : int {
   kHelp = 256,
@@ -57,8 +63,6 @@
 }
 
 bool ReadLoad(const std::string& text, std::uint32_t* permille) {
-  constexpr double kPermille = 1000;
-  constexpr double kMostLoad = 100;
   double share = 0;
   if (!ReadNumber(text, &share) || !(share > 0 && share <= kMostLoad)) {
     return false;
@@ -68,7 +72,6 @@
 }
 
 bool ReadSeconds(const std::string& text, core::Duration* length) {
-  constexpr std::uint32_t kMostSeconds = 24 * 3600;
   std::uint32_t seconds = 0;
   if (!ReadNumber(text, &seconds) || seconds == 0 || seconds > kMostSeconds) {
     return false;
--- a/bench/program.cc
+++ b/bench/program.cc
@@ -25,7 +25,7 @@
 constexpr std::chrono::milliseconds kSettleTime{300};
 /// Open files that are not connections of outstanding jobs.
 constexpr rlim_t kSpareFiles = 64;
-constexpr std::size_t kMaxPageBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxPageBytes = std::size_t{16} * 1024 * 1024;
 
 const core::Log& RunLog() {
   static const core::Log log("run");
--- a/bench/report.cc
+++ b/bench/report.cc
@@ -10,6 +10,10 @@
 namespace tarragon::bench {
 namespace {
 
+constexpr double kP50 = 0.5;
+constexpr double kP99 = 0.99;
+constexpr double kP999 = 0.999;
+
 using Counts = std::map<std::string, std::uint64_t>;
 
 /// One complete job.
@@ -128,6 +132,7 @@
     ++counts[{record.end, record.reason}];
   }
   std::vector<OutcomeCount> outcomes;
+  outcomes.reserve(counts.size());
   for (const auto& [key, jobs] : counts) {
     outcomes.push_back({key.first, key.second, jobs});
   }
@@ -156,9 +161,6 @@
 }  // namespace
 
 Quantiles QuantilesOf(std::vector<core::Duration> values) {
-  constexpr double kP50 = 0.5;
-  constexpr double kP99 = 0.99;
-  constexpr double kP999 = 0.999;
   Quantiles quantiles;
   if (values.empty()) return quantiles;
   std::sort(values.begin(), values.end());
--- a/bench/report_text.cc
+++ b/bench/report_text.cc
@@ -126,7 +126,7 @@
 
  private:
   static std::string Text(std::optional<double> value, int decimals) {
-    return value ? NumberText(*value, decimals) : kNotMeasured;
+    return value ? NumberText(*value, decimals) : std::string();
   }
   static double Ms(core::Duration time) {
     return static_cast<double>(time.count()) / kPermille;
@@ -213,7 +213,8 @@
     const GroupReport* other = FindGroup(b, group);
     if (other != nullptr) AddGroup(group, *other, &rows);
   }
-  return "a: " + FormatHead(a) + "\nb: " + FormatHead(b) + "\n" + rows.Text();
+  return "a: " + FormatHead(a) + "\nb: " + FormatHead(b) + "\n" + rows.Text() +
+         "\"-\" stands for what was not measured.\n";
 }
 
 }  // namespace tarragon::bench
--- a/ctl/command_spec.cc
+++ b/ctl/command_spec.cc
@@ -5,6 +5,9 @@
 namespace tarragon::ctl {
 namespace {
 
+/// Column of the help in which the purpose of a command begins.
+constexpr std::size_t kPurposeColumn = 24;
+
 constexpr char kExitCodes[] =
     "Exit codes:\n"
     "  0  done, accepted or complete\n"
@@ -127,7 +130,6 @@
 }
 
 std::string ProgramHelp() {
-  constexpr std::size_t kPurposeColumn = 24;
   std::string text =
       "Usage: tarragonctl [OPTION]... COMMAND [ARGUMENT]\n"
       "Asks a running system for what operators and clients need.\n\n"
--- a/ctl/job_commands.cc
+++ b/ctl/job_commands.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <random>
+#include <string_view>
 #include <utility>
 
 #include "answer_body.h"
@@ -19,6 +20,8 @@
 constexpr std::chrono::seconds kAnswerMargin{1};
 /// Longest wait that is asked for in one call.
 constexpr std::chrono::seconds kMaxWait{60};
+constexpr std::string_view kSuffixDigits = "0123456789abcdef";
+constexpr int kSuffixLength = 16;
 
 http::Request JobRequest(std::string method, const core::JobKey& key) {
   http::Request request;
@@ -29,10 +32,10 @@
 
 std::string RandomSuffix() {
   std::random_device source;
-  constexpr char kDigits[] = "0123456789abcdef";
-  constexpr int kLength = 16;
   std::string suffix;
-  for (int i = 0; i < kLength; ++i) suffix += kDigits[source() % 16];
+  for (int i = 0; i < kSuffixLength; ++i) {
+    suffix += kSuffixDigits[source() % kSuffixDigits.size()];
+  }
   return suffix;
 }
 
--- a/ctl/options.cc
+++ b/ctl/options.cc
@@ -18,6 +18,20 @@
 
 /// As many tasks as a job may have.
 constexpr std::size_t kMaxTasks = 110;
+constexpr char kSpaces[] = " \t\r\n";
+
+struct TimeUnit {
+  const char* name;
+  core::Duration length;
+};
+
+constexpr std::array<TimeUnit, 5> kTimeUnits = {{
+    {"us", std::chrono::microseconds(1)},
+    {"ms", std::chrono::milliseconds(1)},
+    {"s", std::chrono::seconds(1)},
+    {"min", std::chrono::minutes(1)},
+    {"h", std::chrono::hours(1)},
+}};
 
 // Values above any character, since no option has a short form but -h.
 enum Choice : int {
@@ -84,7 +98,6 @@
 }
 
 std::string Trimmed(const std::string& text) {
-  constexpr char kSpaces[] = " \t\r\n";
   const std::size_t first = text.find_first_not_of(kSpaces);
   if (first == std::string::npos) return "";
   return text.substr(first, text.find_last_not_of(kSpaces) - first + 1);
@@ -345,24 +358,13 @@
 }
 
 std::optional<core::Duration> ParseDuration(const std::string& text) {
-  struct Unit {
-    const char* name;
-    core::Duration length;
-  };
-  constexpr std::array<Unit, 5> kUnits = {{
-      {"us", std::chrono::microseconds(1)},
-      {"ms", std::chrono::milliseconds(1)},
-      {"s", std::chrono::seconds(1)},
-      {"min", std::chrono::minutes(1)},
-      {"h", std::chrono::hours(1)},
-  }};
   std::uint32_t number = 0;
   const std::size_t digits =
       std::min(text.find_first_not_of("0123456789"), text.size());
   if (!ReadNumber(text.substr(0, digits), &number) || number == 0) {
     return std::nullopt;
   }
-  for (const Unit& unit : kUnits) {
+  for (const TimeUnit& unit : kTimeUnits) {
     if (text.substr(digits) == unit.name) return number * unit.length;
   }
   return std::nullopt;
--- a/ctl/peer.cc
+++ b/ctl/peer.cc
@@ -11,7 +11,7 @@
 namespace {
 
 /// Largest answer that is read.
-constexpr std::size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = std::size_t{64} * 1024 * 1024;
 
 /// One HTTP client whose loop runs only while a call waits.
 class HttpCaller {
