--- a/demo/run.sh
+++ b/demo/run.sh
@@ -5,36 +5,13 @@
 # everything gracefully. Exits 0 only if all was right.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-. demo/lib.sh
-export TARRAGON_TOKEN=demo-token
-DOMAINS=(szeged kecskemet rabat-1 casablanca)
-SERVICES=heel-pitch,carve,retrieve-form,consent
-
-start platform "$BIN/platform_standin" --listen 127.0.0.1:0
-TABLE=$(listening platform)
-for i in 0 1; do
-  start "entry-$i" "$BIN/tarragon-entry" --set entry.listen=127.0.0.1:0 \
-    --set clients.listen=127.0.0.1:0 --set operators.listen=127.0.0.1:0 \
-    --set "entry.domain=${DOMAINS[$i]}" --set operators.token=env:TARRAGON_TOKEN \
-    --set "platform.table=$TABLE"
-done
-ENTRIES=$(field entry-0 node | cut -d'~' -f1),$(field entry-1 node | cut -d'~' -f1)
-CLIENTS=$(field entry-0 clients),$(field entry-1 clients)
-export TARRAGON_OPERATORS=$(field entry-0 operators)
-for i in 0 1 2 3; do
-  start "agent-$i" "$BIN/tarragon-agent" --set agent.listen=127.0.0.1:0 \
-    --set agent.target_listen=127.0.0.1:0 --set agent.pages_listen=127.0.0.1:0 \
-    --set "agent.entries=$ENTRIES" --set "agent.domain=${DOMAINS[$i]}"
-  start "target-$i" "$BIN/target_standin" --listen 127.0.0.1:0 \
-    --agent "$(field "agent-$i" target)" --services "$SERVICES" --slots 8 \
-    --cores 16 --memory-mb 65536
-done
+. scripts/cluster.sh
+start_cluster 2 4 heel-pitch,carve,retrieve-form,consent szeged,kecskemet,rabat-1,casablanca
 say "Started the platform, 2 entries, 4 agents and 4 targets."
 
 "$BIN/tarragonctl" note apply demo/first.ini >"$WORK/note" || fail "the first note: $(cat "$WORK/note")"
 say "The first release note is accepted."
-ready() { [ "$("$BIN/tarragonctl" --json state | { grep -o heel-pitch || true; } | wc -l)" -eq 4 ]; }
-until_true 10 ready || fail "the targets did not announce themselves"
+until_true 10 targets_ready 4 || fail "the targets did not announce themselves"
 
 # submit NAME SERVICE TENANT PAYLOAD...: submits and expects a whole answer.
 submit() {
