--- a/http/client_state.cc
+++ b/http/client_state.cc
@@ -35,7 +35,7 @@
   while (true) {
     const auto host = state->idle.find(address);
     if (host == state->idle.end()) return nullptr;
-    const std::shared_ptr<Connection> connection = host->second.back();
+    std::shared_ptr<Connection> connection = host->second.back();
     RemoveIdle(state, *connection);
     if (connection->Reusable()) return connection;
     connection->Close();
--- a/http/connection.cc
+++ b/http/connection.cc
@@ -6,7 +6,7 @@
 namespace tarragon::http {
 namespace {
 
-constexpr std::size_t kMaxResponseHeaderBytes = 16 * 1024;
+constexpr std::size_t kMaxResponseHeaderBytes = std::size_t{16} * 1024;
 constexpr int kSwitchingProtocols = 101;
 
 bool IsInterim(unsigned status) {
--- a/http/convert.cc
+++ b/http/convert.cc
@@ -14,6 +14,8 @@
 constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 999;
 constexpr char kDelete = 0x7f;
+/// Characters of a token besides letters and digits.
+constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
 
 using Headers = std::map<std::string, std::string>;
 
@@ -30,9 +32,9 @@
 }
 
 bool IsTokenChar(char c) {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
   return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
-         (c >= 'A' && c <= 'Z') || kMarks.find(c) != std::string_view::npos;
+         (c >= 'A' && c <= 'Z') ||
+         kTokenMarks.find(c) != std::string_view::npos;
 }
 
 bool IsToken(std::string_view text) {
--- a/http/include/tarragon/http/client.h
+++ b/http/include/tarragon/http/client.h
@@ -22,7 +22,7 @@
 struct ClientLimits {
   core::Duration connect_timeout{std::chrono::seconds(1)};
   /// A longer body of an answer is kTooLarge.
-  std::size_t max_response_bytes = 1024 * 1024;
+  std::size_t max_response_bytes = std::size_t{1024} * 1024;
   /// Idle connections kept for each address; zero turns keep-alive off.
   std::size_t max_idle_per_host = 8;
   /// An idle connection is closed at this age.
--- a/http/include/tarragon/http/server.h
+++ b/http/include/tarragon/http/server.h
@@ -27,9 +27,9 @@
   /// Connections beyond this are answered 503 and closed.
   std::size_t max_connections = 1024;
   /// A longer body is answered 413.
-  std::size_t max_body_bytes = 1024 * 1024;
+  std::size_t max_body_bytes = std::size_t{1024} * 1024;
   /// A longer request line and header are answered 431.
-  std::size_t max_header_bytes = 16 * 1024;
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
   /// From the first byte of a request to the end of its header, else 408. Also
   /// how long a new connection may stay silent.
   core::Duration header_timeout{std::chrono::seconds(10)};
--- a/http/net.h
+++ b/http/net.h
@@ -31,9 +31,9 @@
                                Executor>;
 
 /// Bytes reserved for reading when a message begins; most fit whole.
-inline constexpr std::size_t kFirstReadBytes = 4 * 1024;
+inline constexpr std::size_t kFirstReadBytes = std::size_t{4} * 1024;
 /// Most bytes reserved for reading when a long body follows.
-inline constexpr std::size_t kMaxReadBytes = 64 * 1024;
+inline constexpr std::size_t kMaxReadBytes = std::size_t{64} * 1024;
 
 /// Reads "IP:port", with an IPv6 address in brackets. Nothing else is
 /// resolved.
--- a/http/session.cc
+++ b/http/session.cc
@@ -1,6 +1,7 @@
 #include "session.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "responder.h"
@@ -12,6 +13,8 @@
 /// reads the response before a reset can discard it.
 constexpr core::Duration kLingerTime = std::chrono::seconds(2);
 
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
 struct Refusal {
   int status;
   const char* reason;
@@ -31,8 +34,8 @@
 
 /// Whether the peer sent bytes that are no request, rather than vanished.
 bool IsProtocolError(ErrorCode error) {
-  static const ErrorCode kAnyParseError = beast_http::error::bad_method;
-  return error.category() == kAnyParseError.category() &&
+  const ErrorCode parse_error = beast_http::error::bad_method;
+  return error.category() == parse_error.category() &&
          error != beast_http::error::end_of_stream &&
          error != beast_http::error::partial_message;
 }
@@ -160,9 +163,8 @@
 }
 
 void Session::Continue() {
-  static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
   watchdog_->SetAfter(server_->limits.body_timeout);
-  asio::async_write(socket_, asio::buffer(kContinue, sizeof(kContinue) - 1),
+  asio::async_write(socket_, asio::buffer(kContinue),
                     [self = shared_from_this()](ErrorCode error, std::size_t) {
                       if (self->closed_) return;
                       if (error) return self->OnReadError(error);
--- a/http/tests/client_fixture.h
+++ b/http/tests/client_fixture.h
@@ -54,7 +54,7 @@
   std::shared_ptr<Result> Send(const core::Address& address,
                                const Request& request,
                                core::Duration timeout = kLong) {
-    const auto result = std::make_shared<Result>();
+    auto result = std::make_shared<Result>();
     result->id = client_->Send(
         address, request, timeout,
         [result](std::optional<Response> response, HttpError error) {
--- a/http/tests/client_test.cc
+++ b/http/tests/client_test.cc
@@ -7,6 +7,9 @@
 namespace tarragon::http {
 namespace {
 
+/// More bytes than the buffers of both sides take.
+constexpr std::size_t kHugeBody = std::size_t{64} * 1024 * 1024;
+
 class ClientTest : public ClientFixture {
   CPPUNIT_TEST_SUITE(ClientTest);
   CPPUNIT_TEST(SendsTheWholeRequest);
@@ -94,8 +97,7 @@
 
   void ReadsAnswerThatComesBeforeTheRequestIsWritten() {
     MakeClient(Patient());
-    // More than the buffers of both sides take.
-    const auto result = Send(Post(std::string(64 * 1024 * 1024, 'x')));
+    const auto result = Send(Post(std::string(kHugeBody, 'x')));
     const auto peer = AwaitRequest(0, "POST /post");
     peer->Write(Ok("enough"));
     ExpectBody(result, "enough");
@@ -188,8 +190,8 @@
     ClientLimits limits = Patient();
     limits.max_idle_per_host = 2;
     MakeClient(limits);
-    std::vector<std::shared_ptr<Result>> results;
-    for (int i = 0; i < 4; ++i) results.push_back(Send(Get("/x")));
+    std::vector<std::shared_ptr<Result>> results(4);
+    for (auto& result : results) result = Send(Get("/x"));
     for (std::size_t i = 0; i < 4; ++i) AwaitRequest(i, "/x")->Write(Ok("x"));
     for (const auto& result : results) ExpectBody(result, "x");
     RunUntil(io_, [this] { return Ended() == 2; });
--- a/http/tests/loopback.cc
+++ b/http/tests/loopback.cc
@@ -68,7 +68,7 @@
                                           const core::Address& address) {
   Socket socket(io.get_executor());
   socket.connect(*ParseEndpoint(address));
-  const auto connection = std::make_shared<RawConnection>(std::move(socket));
+  auto connection = std::make_shared<RawConnection>(std::move(socket));
   connection->Read();
   return connection;
 }
--- a/http/tests/round_trip_test.cc
+++ b/http/tests/round_trip_test.cc
@@ -10,6 +10,11 @@
 namespace tarragon::http {
 namespace {
 
+constexpr std::size_t kConcurrent = 100;
+constexpr int kInARow = 2000;
+constexpr std::size_t kLoops = 20;
+/// Answers after which a test stops the server under load.
+constexpr std::size_t kStopAfter = 500;
 constexpr core::Duration kTimeout = std::chrono::minutes(10);
 
 /// The client of this library against its server.
@@ -79,11 +84,10 @@
   }
 
   void HundredConcurrentRequestsGetTheirOwnAnswers() {
-    constexpr std::size_t kRequests = 100;
     Listen(ServerLimits());
     Client client(io_, ClientLimits());
     std::map<std::string, std::string> answers;
-    for (std::size_t i = 0; i < kRequests; ++i) {
+    for (std::size_t i = 0; i < kConcurrent; ++i) {
       Request request;
       request.path = "/" + std::to_string(i);
       client.Send(address_, request, kTimeout,
@@ -92,17 +96,16 @@
                     answers[path] = response ? response->body : "none";
                   });
     }
-    AwaitOpen(kRequests);
-    CPPUNIT_ASSERT_EQUAL(kRequests, server_->open_requests());
+    AwaitOpen(kConcurrent);
+    CPPUNIT_ASSERT_EQUAL(kConcurrent, server_->open_requests());
     std::mt19937 random(7);
     std::shuffle(open_.begin(), open_.end(), random);
     for (const Open& open : open_) open.respond(Text(open.request.path));
-    RunUntil(io_, [&] { return answers.size() == kRequests; });
+    RunUntil(io_, [&] { return answers.size() == kConcurrent; });
     for (const auto& [path, body] : answers) CPPUNIT_ASSERT_EQUAL(path, body);
   }
 
   void ManyRequestsInARow() {
-    constexpr int kRequests = 2000;
     echo_ = true;
     Listen(ServerLimits());
     Client client(io_, ClientLimits());
@@ -116,19 +119,17 @@
             CPPUNIT_ASSERT_MESSAGE(error.text, response.has_value());
             CPPUNIT_ASSERT_EQUAL("/" + std::to_string(answered) + "|",
                                  response->body);
-            if (++answered < kRequests) next();
+            if (++answered < kInARow) next();
           });
     };
     next();
-    RunUntil(io_, [&] { return answered == kRequests; });
+    RunUntil(io_, [&] { return answered == kInARow; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, server_->connections());
   }
 
   /// Each request that the server has handled is answered, and none that the
   /// client calls not sent was handled.
   void StopUnderLoadAnswersOrRefusesHonestly() {
-    constexpr std::size_t kWorkers = 20;
-    constexpr std::size_t kStopAfter = 500;
     Listen(ServerLimits());
     Client client(io_, ClientLimits());
     std::size_t sent = 0;
@@ -154,11 +155,11 @@
             ++ended;
           });
     };
-    for (std::size_t i = 0; i < kWorkers; ++i) next();
+    for (std::size_t i = 0; i < kLoops; ++i) next();
     std::size_t handled = 0;
     RunUntil(io_, [&] {
       // Answers some requests late, so that the stop meets open ones.
-      while (handled + kWorkers / 2 < open_.size() ||
+      while (handled + kLoops / 2 < open_.size() ||
              (stopped && handled < open_.size())) {
         const Open& open = open_[handled++];
         open.respond(Text(open.request.path));
@@ -167,10 +168,10 @@
         stopped = true;
         server_->StopAccepting();
       }
-      return ended == kWorkers;
+      return ended == kLoops;
     });
     CPPUNIT_ASSERT_EQUAL(open_.size(), answered);
-    CPPUNIT_ASSERT_EQUAL(kWorkers, not_sent + no_answer);
+    CPPUNIT_ASSERT_EQUAL(kLoops, not_sent + no_answer);
     CPPUNIT_ASSERT_EQUAL(sent, answered + not_sent + no_answer);
   }
 };
--- a/http/tests/server_limits_test.cc
+++ b/http/tests/server_limits_test.cc
@@ -11,6 +11,9 @@
 constexpr core::Duration kShort = std::chrono::milliseconds(30);
 constexpr core::Duration kLong = std::chrono::hours(1);
 
+/// More bytes than the buffers of both sides take.
+constexpr std::size_t kHugeBody = std::size_t{64} * 1024 * 1024;
+
 /// Limits under which only what a test shortens can time out.
 ServerLimits Patient() {
   ServerLimits limits;
@@ -21,6 +24,10 @@
   return limits;
 }
 
+constexpr char kBothLengths[] =
+    "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
 class ServerLimitsTest : public ServerFixture {
   CPPUNIT_TEST_SUITE(ServerLimitsTest);
   CPPUNIT_TEST(RefusesLongStatedBody);
@@ -104,8 +111,7 @@
           "GET / HTTP/1.1\r\nno colon\r\n\r\n",
           "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
           "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
-          "POST / HTTP/1.1\r\nContent-Length: 1\r\n"
-          "Transfer-Encoding: chunked\r\n\r\n",
+          kBothLengths,
           "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
       const auto peer = Connect();
       peer->Write(text);
@@ -213,8 +219,7 @@
     const std::string request = "GET / HTTP/1.1\r\n\r\n";
     asio::write(deaf, asio::buffer(request));
     AwaitOpen(1);
-    // More than the buffers of both sides take.
-    open_[0].respond(Text(std::string(64 * 1024 * 1024, 'x')));
+    open_[0].respond(Text(std::string(kHugeBody, 'x')));
     RunUntil(io_, [this] { return server_->connections() == 0; });
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->open_requests());
   }
--- a/http/url.cc
+++ b/http/url.cc
@@ -9,6 +9,7 @@
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
 /// Characters that stand for themselves in a path besides the unreserved ones.
 constexpr std::string_view kPathMarks = "/:@!$&'()*+,;=";
+constexpr std::string_view kScheme = "http://";
 constexpr std::string_view kHexDigits = "0123456789ABCDEF";
 constexpr int kHexBase = 16;
 
@@ -81,7 +82,6 @@
 
 /// Cuts "http://host" from the absolute form of a target.
 std::string_view WithoutAuthority(std::string_view text) {
-  constexpr std::string_view kScheme = "http://";
   if (text.substr(0, kScheme.size()) != kScheme) return text;
   const std::size_t path = text.find('/', kScheme.size());
   if (path == std::string_view::npos) return "/";
--- a/tests/standins/target_standin.cc
+++ b/tests/standins/target_standin.cc
@@ -21,7 +21,7 @@
 constexpr int kExitUsage = 2;
 /// How often a stopping target looks whether its answers are written.
 constexpr std::chrono::milliseconds kDrainCheck{5};
-constexpr std::size_t kMaxBodyBytes = 1024 * 1024;
+constexpr std::size_t kMaxBodyBytes = std::size_t{1024} * 1024;
 
 http::ServerLimits Limits(const TargetOptions& options) {
   http::ServerLimits limits;
