Dispatch: say unknown, not not_run, of a plain key whose row cannot be read

Cause: an entry that could not read the row of a plain key answered submissions, queries and cancellations with not_run, although an earlier submission of the same key may have run. Ruled out: a late start; the job had run 12 s before. Change: not_run only if the row was read as absent while this request was open and no write of it is in doubt; else unknown, reason platform_out, with retry_after.

--- a/dispatch/entry_requests.cc
+++ b/dispatch/entry_requests.cc
@@ -54,6 +54,17 @@
              core::Duration(0));
 }
 
+/// The table did not answer for a plain key. Without its row nobody knows
+/// whether an earlier submission of the key has run.
+void GiveUpOnTable(EntryBoard* board, std::uint64_t number) {
+  const bool missing = board->requests.at(number).row_missing;
+  FinishWith(board, number, missing ? Outcome::kNotRun : Outcome::kUnknown,
+             Reason::kPlatformOut,
+             "The platform's table does not answer; take a handle, or come "
+             "back.",
+             kPlatformPause);
+}
+
 void SendToHome(EntryBoard* board, core::Time now, std::uint64_t number) {
   EntryRequest& request = board->requests.at(number);
   request.resend_at = core::kNever;
@@ -225,6 +236,7 @@
     return;
   }
   const bool wrote = request.wrote_row;
+  if (reply.status == TableStatus::kMissing) request.row_missing = true;
   if (reply.status == TableStatus::kMissing &&
       request.kind == RequestKind::kSubmit) {
     InsertKeyRow(board, now, number);
@@ -238,13 +250,11 @@
   // A conflict, or a write whose reply was lost: the row tells who won.
   if (wrote && reply.status != TableStatus::kUnavailable) {
     request.wrote_row = false;
+    request.row_missing = false;
     ReadKeyRow(board, now, number);
     return;
   }
-  FinishWith(board, number, Outcome::kNotRun, Reason::kPlatformOut,
-             "The platform's table does not answer; take a handle, or come "
-             "back.",
-             kPlatformPause);
+  GiveUpOnTable(board, number);
 }
 
 void TickRequests(EntryBoard* board, core::Time now) {
@@ -269,8 +279,7 @@
       GiveUp(board, number);
       continue;
     }
-    FinishWith(board, number, Outcome::kNotRun, Reason::kPlatformOut,
-               "The platform's table did not answer in time.", kPlatformPause);
+    GiveUpOnTable(board, number);
   }
   for (const std::uint64_t number : resend) {
     ++board->counters.resubmissions;
--- a/dispatch/include/tarragon/dispatch/entry_board.h
+++ b/dispatch/include/tarragon/dispatch/entry_board.h
@@ -125,6 +125,9 @@
   std::optional<core::Time> lost_since;
   bool sent = false;
   bool wrote_row = false;
+  /// The key's row was read as absent, and nothing that was written since may
+  /// have changed that: no submission of the key had run anything by then.
+  bool row_missing = false;
 };
 
 /// State of a release note that an operator handed in.
@@ -218,7 +221,7 @@
   std::deque<std::pair<std::uint64_t, core::NodeId>> gone;
   /// Members in the order of a hash, from which samples are taken.
   std::map<std::pair<std::uint64_t, core::NodeId>, core::NodeId> ring;
-  core::NodeId last_home;
+  std::uint64_t next_home = 0;
 
   // Requests.
   std::map<std::uint64_t, EntryRequest> requests;
