Dispatch: answer unknown for keys older than the home's memory

Cause: a query or a cancellation of a key whose tombstone was swept got not_run, although the job had completed; the submission of such a key was answered right. Change: queries and cancellations look at the epoch as submissions do.

--- a/dispatch/home_requests.cc
+++ b/dispatch/home_requests.cc
@@ -51,6 +51,29 @@
                  core::Duration(0));
 }
 
+/// True while every key of this epoch that was used is still remembered.
+bool RemembersEpoch(const AgentBoard& board, core::Time now,
+                    std::uint32_t epoch) {
+  const std::uint32_t present = HandleEpoch(board, now);
+  return epoch > present || present - epoch <= board.policy.handle_epochs;
+}
+
+/// Answers a query or cancellation of a key about which nothing can be known
+/// here. True when it was answered.
+bool AnswerForeignKey(AgentBoard* board, core::Time now, const Waiter& waiter,
+                      const core::JobKey& key) {
+  const std::optional<Handle> handle = HandleOf(key);
+  if (!handle.has_value() || handle->home != board->self) {
+    AnswerDirectly(board, waiter, key, Outcome::kUnknown, Reason::kHomeGone,
+                   "The key names another process.", core::Duration(0));
+    return true;
+  }
+  if (RemembersEpoch(*board, now, handle->epoch)) return false;
+  AnswerDirectly(board, waiter, key, Outcome::kUnknown, Reason::kHandleExpired,
+                 "The key is older than the home's memory.", core::Duration(0));
+  return true;
+}
+
 /// Refuses a first submission whose handle is not of an accepted epoch. True
 /// when it was answered.
 bool AnswerWrongEpoch(AgentBoard* board, core::Time now, const Waiter& waiter,
@@ -158,7 +181,6 @@
 
 void HandleQuery(AgentBoard* board, core::Time now, const core::NodeId& entry,
                  const Query& query) {
-  (void)now;
   const Waiter waiter{entry, query.request};
   const auto found = board->jobs.find(query.key);
   if (found != board->jobs.end()) {
@@ -174,6 +196,7 @@
     AnswerFromTombstone(board, waiter, query.key, tombstone->second);
     return;
   }
+  if (AnswerForeignKey(board, now, waiter, query.key)) return;
   AnswerDirectly(board, waiter, query.key, Outcome::kNotRun, Reason::kNone,
                  "No job is known under this key.", core::Duration(0));
 }
@@ -192,20 +215,16 @@
     }
     return;
   }
-  // A submission that arrives after its cancellation must not run.
-  const std::optional<Handle> handle = HandleOf(cancel.key);
-  if (handle.has_value() && handle->home == board->self) {
-    const Tombstone cancelled{handle->epoch, Outcome::kNotRun};
-    board->tombstones.emplace(cancel.key, cancelled);
-  }
-  const auto tombstone = board->tombstones.find(cancel.key);
-  if (tombstone == board->tombstones.end()) {
-    AnswerDirectly(board, waiter, cancel.key, Outcome::kUnknown,
-                   Reason::kHomeGone, "The key names another process.",
-                   core::Duration(0));
+  const auto known = board->tombstones.find(cancel.key);
+  if (known != board->tombstones.end()) {
+    AnswerFromTombstone(board, waiter, cancel.key, known->second);
     return;
   }
-  AnswerFromTombstone(board, waiter, cancel.key, tombstone->second);
+  if (AnswerForeignKey(board, now, waiter, cancel.key)) return;
+  // A submission that arrives after its cancellation must not run.
+  const Tombstone cancelled{HandleOf(cancel.key)->epoch, Outcome::kNotRun};
+  board->tombstones.emplace(cancel.key, cancelled);
+  AnswerFromTombstone(board, waiter, cancel.key, cancelled);
 }
 
 void HandleExplain(AgentBoard* board, core::Time now, const core::NodeId& entry,
