--- a/dispatch/entry_members.cc
+++ b/dispatch/entry_members.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -89,6 +90,39 @@
   known.status.failure_permille = told;
 }
 
+/// The agents that take new jobs of `service`: the first of the ring, so that
+/// all entries choose the same, from as many failure domains as there are. One
+/// that offers the service is preferred: it can start tasks without a hop.
+std::vector<const AgentMember*> ChooseHomes(const EntryBoard& board,
+                                            const core::ServiceId& service) {
+  std::vector<const AgentMember*> offering, others, homes;
+  for (const auto& [position, node] : board.ring) {
+    const AgentMember& member = board.members.at(node);
+    if (member.status.leaving) continue;
+    const bool useful = Offers(member.status, service) &&
+                        InService(board.world, member.status.domain);
+    (useful ? offering : others).push_back(&member);
+  }
+  const std::vector<const AgentMember*>& from =
+      offering.empty() ? others : offering;
+  const std::size_t wanted = std::max<std::size_t>(
+      board.policy.min_homes, from.size() / board.policy.agents_per_home);
+  std::set<core::DomainId> domains;
+  for (const bool any_domain : {false, true}) {
+    for (const AgentMember* member : from) {
+      if (homes.size() >= wanted) return homes;
+      const bool seen = domains.count(member->status.domain) > 0;
+      if (seen != any_domain) continue;
+      if (std::find(homes.begin(), homes.end(), member) != homes.end()) {
+        continue;
+      }
+      domains.insert(member->status.domain);
+      homes.push_back(member);
+    }
+  }
+  return homes;
+}
+
 }  // namespace
 
 void RemoveMember(EntryBoard* board, const core::NodeId& node) {
@@ -131,24 +165,10 @@
 
 std::optional<std::string> MintHandle(EntryBoard* board,
                                       const core::ServiceId& service) {
-  // Homes take turns. One that offers the service is preferred, because it can
-  // often start a task without a further hop.
-  const AgentMember* first_any = nullptr;
-  const AgentMember* chosen = nullptr;
-  auto next = board->members.upper_bound(board->last_home);
-  for (std::size_t i = 0; i < board->members.size(); ++i, ++next) {
-    if (next == board->members.end()) next = board->members.begin();
-    const AgentStatus& status = next->second.status;
-    if (status.leaving) continue;
-    if (first_any == nullptr) first_any = &next->second;
-    if (!Offers(status, service)) continue;
-    if (!InService(board->world, status.domain)) continue;
-    chosen = &next->second;
-    break;
-  }
-  if (chosen == nullptr) chosen = first_any;
-  if (chosen == nullptr) return std::nullopt;
-  board->last_home = chosen->status.node;
+  const std::vector<const AgentMember*> homes = ChooseHomes(*board, service);
+  if (homes.empty()) return std::nullopt;
+  // Homes take turns.
+  const AgentMember* chosen = homes[board->next_home++ % homes.size()];
   return ToString(Handle{chosen->status.node, chosen->status.handle_epoch});
 }
 
--- a/dispatch/executor_gate.cc
+++ b/dispatch/executor_gate.cc
@@ -40,8 +40,34 @@
   Schedule(board, key, &execution, now + board->policy.tombstone_memory);
 }
 
+/// Who proves that a refused task has not started.
+enum class Proof : std::uint8_t {
+  kGate,    // It was never handed to the target.
+  kTarget,  // It was, and the target refused it.
+};
+
+/// A refusal proves that the task was not run: its record must agree.
+void AssertNotStarted(AgentBoard* board, const TaskRef& ref, Proof proof) {
+  const auto found = board->executions.find(TaskKey{ref.key, ref.task});
+  bool not_started = true;
+  if (found != board->executions.end()) {
+    const ExecutionState state = found->second.state;
+    not_started = state == ExecutionState::kSealed ||
+                  state == ExecutionState::kWaiting ||
+                  (state == ExecutionState::kRunning &&
+                   proof == Proof::kTarget &&
+                   found->second.attempt == ref.attempt);
+  }
+  CheckInvariant(&board->invariants, "not_run_means_not_started", not_started,
+                 {"key=" + ref.key.value() +
+                  " task=" + std::to_string(ref.task.value()) +
+                  " executor=" + core::ToString(board->self)});
+}
+
 void Refuse(AgentBoard* board, core::Time now, const TaskRef& ref,
-            const core::NodeId& home, Reason reason) {
+            const core::NodeId& home, Reason reason,
+            Proof proof = Proof::kGate) {
+  AssertNotStarted(board, ref, proof);
   BuryAttempt(board, now, ref, home);
   if (home != board->self) ++board->counters.refused_assigns;
   ++board->counters.refusals[std::string(Name(reason))];
@@ -238,7 +264,7 @@
     const Target& target = board->target;
     board->target.foreign_running =
         target.slots > board->running ? target.slots - board->running : 0;
-    Refuse(board, now, ref, home, Reason::kNoSlot);
+    Refuse(board, now, ref, home, Reason::kNoSlot, Proof::kTarget);
     return;
   }
   const core::Duration run_time = now - execution.started;
@@ -255,6 +281,9 @@
   finished.result = std::move(result);
   finished.result_digest = Digest(finished.result);
   finished.run_time = run_time;
+  // Homes that wait come first: a slot that the load shows free as well would
+  // be taken twice.
+  FillSlots(board, now);
   finished.load = MakeLoad(board, now, home);
   Post(board, home, finished);
 }
--- a/dispatch/include/tarragon/dispatch/policy.h
+++ b/dispatch/include/tarragon/dispatch/policy.h
@@ -72,6 +72,13 @@
   /// A sealed task that never started is remembered this long.
   core::Duration tombstone_memory{std::chrono::minutes(10)};
 
+  // Homes.
+  /// Agents that take new jobs as homes: at least this many,
+  std::uint32_t min_homes = 2;
+  /// and one for each so many agents. Few homes know the load better, many
+  /// lose fewer jobs each when they die.
+  std::uint32_t agents_per_home = 32;
+
   // Keys.
   /// Final answers are kept this long.
   core::Duration answer_memory{std::chrono::minutes(10)};
