--- a/wire/frame.cc
+++ b/wire/frame.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <cstring>
 #include <utility>
 
 namespace tarragon::wire {
@@ -45,8 +44,9 @@
     if (length > max_frame_bytes_) return RefuseLarge(reason);
     if (partial_.size() < kFrameHeaderBytes + length) continue;
     // The memory of a large frame is not kept for the next one.
-    const std::string whole = std::exchange(partial_, std::string());
-    if (!sink(std::string_view(whole).substr(kFrameHeaderBytes))) return false;
+    const std::string whole = std::exchange(partial_, {});
+    const std::string_view content = whole;
+    if (!sink(content.substr(kFrameHeaderBytes))) return false;
   }
   return true;
 }
@@ -61,7 +61,7 @@
   while (taken < length && !frames_.empty()) {
     const std::string& first = frames_.front();
     const std::size_t part = std::min(first.size() - offset_, length - taken);
-    std::memcpy(out + taken, first.data() + offset_, part);
+    std::copy_n(first.data() + offset_, part, out + taken);
     taken += part;
     offset_ += part;
     if (offset_ < first.size()) break;
--- a/wire/tests/transport_test.cc
+++ b/wire/tests/transport_test.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr std::size_t kMebibyte = std::size_t{1} << 20;
+constexpr std::uint32_t kPayloads = 12;
+constexpr std::uint32_t kShortMessages = 3000;
+constexpr std::size_t kNodes = 200;
 
 class TransportTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(TransportTest);
@@ -74,15 +77,16 @@
   }
 
   void StreamsKeepTheirOrder() {
-    constexpr std::uint32_t kMessages = 3000;
     boost::asio::io_context io;
     TestNode a(io);
     TestNode b(io);
-    for (std::uint32_t i = 0; i < kMessages; ++i) {
+    for (std::uint32_t i = 0; i < kShortMessages; ++i) {
       a.transport().Send(b.id(), SampleAssign(i, i % 700));
       a.transport().Send(b.id(), dispatch::Pull{i, {}, {}});
     }
-    RunUntil(io, [&] { return b.received.size() == 2 * kMessages; });
+    RunUntil(io, [&] {
+      return b.received.size() == std::size_t{2} * kShortMessages;
+    });
     std::uint32_t assigns = 0;
     std::uint32_t pulls = 0;
     for (const auto& [from, message] : b.received) {
@@ -97,7 +101,6 @@
 
   /// A heartbeat that is sent while payloads wait arrives before them.
   void ControlOvertakesWork() {
-    constexpr std::uint32_t kPayloads = 12;
     boost::asio::io_context io;
     TestNode a(io);
     TestNode b(io);
@@ -142,20 +145,20 @@
   }
 
   void SimultaneousDialLosesNothing() {
-    constexpr std::uint32_t kMessages = 50;
     boost::asio::io_context io;
     TestNode a(io);
     TestNode b(io);
-    for (std::uint32_t i = 0; i < kMessages; ++i) {
+    for (std::uint32_t i = 0; i < kShortMessages; ++i) {
       a.transport().Send(b.id(), SampleAssign(i, 1000));
       b.transport().Send(a.id(), SampleAssign(i, 1000));
     }
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, a.counters().dialled);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, b.counters().dialled);
     RunUntil(io, [&] {
-      return a.received.size() == kMessages && b.received.size() == kMessages;
+      return a.received.size() == kShortMessages &&
+             b.received.size() == kShortMessages;
     });
-    for (std::uint32_t i = 0; i < kMessages; ++i) {
+    for (std::uint32_t i = 0; i < kShortMessages; ++i) {
       CPPUNIT_ASSERT(a.received[i].second ==
                      dispatch::Message(SampleAssign(i, 1000)));
       CPPUNIT_ASSERT(b.received[i].second ==
@@ -166,7 +169,6 @@
   }
 
   void ManyConnections() {
-    constexpr std::size_t kNodes = 200;
     boost::asio::io_context io;
     TestNode hub(io);
     std::vector<std::unique_ptr<TestNode>> nodes;
@@ -209,7 +211,6 @@
   }
 
   void ShutdownSendsWhatWaits() {
-    constexpr std::uint32_t kPayloads = 10;
     boost::asio::io_context io;
     TestNode a(io);
     TestNode b(io);
--- a/wire/transport_state.cc
+++ b/wire/transport_state.cc
@@ -144,9 +144,7 @@
 void TransportState::OnMessage(Connection* connection, Inbound inbound) {
   Count(inbound.message, inbound.bytes, &received_);
   if (!events_.message) return;
-  // A copy, because the handler may drop the peer.
-  const core::NodeId from = connection->peer();
-  events_.message(from, std::move(inbound.message));
+  events_.message(connection->peer(), std::move(inbound.message));
 }
 
 void TransportState::OnEnd(Connection* connection, ConnectionEnd end,
