Dispatch: let a pull take a task that pauses after a refusal

Cause: with the retry budget used up a refused task pauses for 50 ms and the home announces it at once; the executors' pulls arrive within the pause and come back empty, again and again, until the deadline. Ruled out: lost capacity; all slots of the run were free.

--- a/dispatch/home_requests.cc
+++ b/dispatch/home_requests.cc
@@ -246,7 +246,7 @@
 void HandlePull(AgentBoard* board, core::Time now, const core::NodeId& executor,
                 const Pull& pull) {
   LearnLoad(board, now, executor, pull.load);
-  const std::optional<QueuedTask> next = NextQueued(*board, now, pull.service);
+  const std::optional<QueuedTask> next = NextPulled(*board, pull.service);
   ServiceQueue& queue = board->queues[pull.service];
   if (!next.has_value()) {
     queue.told.erase(executor);
--- a/dispatch/queue.cc
+++ b/dispatch/queue.cc
@@ -84,6 +84,11 @@
   return best;
 }
 
+std::optional<QueuedTask> NextPulled(const AgentBoard& board,
+                                     const core::ServiceId& service) {
+  return NextQueued(board, core::kNever, service);
+}
+
 core::Duration OldestWait(const AgentBoard& board, core::Time now,
                           const core::ServiceId& service) {
   const auto queue = board.queues.find(service);
--- a/dispatch/queue.h
+++ b/dispatch/queue.h
@@ -25,9 +25,15 @@
 bool Dequeue(AgentBoard* board, const HomeJob& job, core::TaskIndex task);
 
 /// The task of `service` that is to be placed next, without taking it out.
+/// Tasks that pause after a refusal are passed over.
 std::optional<QueuedTask> NextQueued(const AgentBoard& board, core::Time now,
                                      const core::ServiceId& service);
 
+/// The same for an executor that holds a slot ready: a pause after a refusal
+/// has no use there.
+std::optional<QueuedTask> NextPulled(const AgentBoard& board,
+                                     const core::ServiceId& service);
+
 /// How long the oldest waiting task of `service` has waited.
 core::Duration OldestWait(const AgentBoard& board, core::Time now,
                           const core::ServiceId& service);
