Dispatch: ask for the next task in the message that ends one

Ruled out: a longer pause between hints (fewer hints, more refusals). Change: the end of a task reserves its slot for the home it goes to if that home has waited longest, and the confirmation says when nothing waits; executors are told when a queue has emptied; admission counts the homes that take jobs, not all agents; tasks are placed in one order over all services, and a pull takes only a task that fits the executor. Both orders stay as a setting.

--- a/daemons/policy_settings.cc
+++ b/daemons/policy_settings.cc
@@ -101,6 +101,8 @@
 constexpr FlagSetting kFlags[] = {
     {"late_binding", &Policy::late_binding,
      "Tasks wait at their home and freed slots ask for them."},
+    {"retract_wants", &Policy::retract_wants,
+     "Executors are told when no task waits any more."},
     {"ejection", &Policy::ejection,
      "Targets that fail most tasks get only single trials."},
 };
@@ -145,6 +147,10 @@
                              defaults.*s.member ? "true" : "false", "", "",
                              s.help));
   }
+  specs.push_back(MakeSpec("fair_tenants", core::SettingType::kBool, "true", "",
+                           "",
+                           "The tenant that runs least for its weight goes "
+                           "first; else whoever came first."));
   specs.push_back(MakeSpec("random_placement", core::SettingType::kBool,
                            "false", "", "",
                            "Place at any target, whatever its load."));
@@ -163,6 +169,9 @@
   for (const FlagSetting& s : kFlags) {
     policy.*s.member = settings.Bool(kSection, s.key);
   }
+  policy.order = settings.Bool(kSection, "fair_tenants")
+                     ? dispatch::Order::kFair
+                     : dispatch::Order::kArrival;
   policy.placement = settings.Bool(kSection, "random_placement")
                          ? dispatch::Placement::kRandom
                          : dispatch::Placement::kLeastLoaded;
--- a/dispatch/admission.cc
+++ b/dispatch/admission.cc
@@ -19,7 +19,7 @@
   std::uint32_t usable = 0;    // Of these, in service and staying.
   std::uint32_t slots = 0;     // Slots of the usable ones.
   std::uint32_t free = 0;      // Believed free.
-  std::uint32_t homes = 0;     // Agents that coordinate jobs.
+  std::uint32_t homes = 0;     // Agents that take new jobs as homes.
   std::uint32_t most_cores = 0;
   std::uint32_t most_memory_mb = 0;
 };
@@ -29,7 +29,6 @@
   Capacity capacity;
   for (const auto& [node, peer] : board.peers) {
     const AgentStatus& status = peer.status;
-    if (!status.leaving) ++capacity.homes;
     if (!Offers(status, service)) continue;
     ++capacity.offering;
     capacity.most_cores = std::max(capacity.most_cores, status.cores);
@@ -40,6 +39,10 @@
     capacity.slots += status.load.slots;
     capacity.free += BelievedFree(board, now, node, peer);
   }
+  // As many as the entries choose; see ChooseHomes.
+  capacity.homes = std::max(board.policy.min_homes,
+                            capacity.usable / board.policy.agents_per_home);
+  capacity.homes = std::min(capacity.homes, std::max(1U, capacity.usable));
   return capacity;
 }
 
--- a/dispatch/executor.h
+++ b/dispatch/executor.h
@@ -32,6 +32,15 @@
 void HandleTargetEnd(AgentBoard* board, core::Time now, const TaskRef& ref,
                      TargetEnd end, std::string result);
 
+/// Asks `home`, to which `finished` goes, for its next task in the same message
+/// if it has waited longer than the other homes.
+void ReserveForHome(AgentBoard* board, core::Time now, const core::NodeId& home,
+                    Finished* finished);
+
+/// Frees the slot of a pull for which the home has no task, and forgets that
+/// tasks wait there. Zero is no pull.
+void ReleasePull(AgentBoard* board, std::uint64_t number);
+
 /// Fills free slots: from the executor's own queue or by asking homes.
 void FillSlots(AgentBoard* board, core::Time now);
 
--- a/dispatch/executor_gate.cc
+++ b/dispatch/executor_gate.cc
@@ -52,16 +52,15 @@
   bool not_started = true;
   if (found != board->executions.end()) {
     const ExecutionState state = found->second.state;
-    not_started = state == ExecutionState::kSealed ||
-                  state == ExecutionState::kWaiting ||
-                  (state == ExecutionState::kRunning &&
-                   proof == Proof::kTarget &&
-                   found->second.attempt == ref.attempt);
+    not_started =
+        state == ExecutionState::kSealed || state == ExecutionState::kWaiting ||
+        (state == ExecutionState::kRunning && proof == Proof::kTarget &&
+         found->second.attempt == ref.attempt);
   }
-  CheckInvariant(&board->invariants, "not_run_means_not_started", not_started,
-                 {"key=" + ref.key.value() +
-                  " task=" + std::to_string(ref.task.value()) +
-                  " executor=" + core::ToString(board->self)});
+  CheckInvariant(
+      &board->invariants, "not_run_means_not_started", not_started,
+      {"key=" + ref.key.value() + " task=" + std::to_string(ref.task.value()) +
+       " executor=" + core::ToString(board->self)});
 }
 
 void Refuse(AgentBoard* board, core::Time now, const TaskRef& ref,
@@ -238,6 +237,7 @@
 void HandleFinishedAck(AgentBoard* board, core::Time now,
                        const FinishedAck& ack) {
   const TaskKey key{ack.ref.key, ack.ref.task};
+  ReleasePull(board, ack.pull);
   const auto found = board->executions.find(key);
   if (found == board->executions.end()) return;
   if (found->second.state != ExecutionState::kFinished) return;
@@ -283,9 +283,12 @@
   finished.run_time = run_time;
   // Homes that wait come first: a slot that the load shows free as well would
   // be taken twice.
+  ReserveForHome(board, now, home, &finished);
   FillSlots(board, now);
   finished.load = MakeLoad(board, now, home);
   Post(board, home, finished);
+  // A repeated end asks for nothing.
+  finished.pull = 0;
 }
 
 void StartWaiting(AgentBoard* board, core::Time now) {
--- a/dispatch/executor_pull.cc
+++ b/dispatch/executor_pull.cc
@@ -42,13 +42,19 @@
   board->wants[key] = RemoteWant{waiting, now - oldest_wait};
 }
 
-/// Reserves a slot and asks the home for a task.
-void OpenOnePull(AgentBoard* board, core::Time now, const WantKey& key) {
+/// Reserves a slot for a task that waits at a home.
+std::uint64_t Reserve(AgentBoard* board, core::Time now, const WantKey& key) {
   const std::uint64_t number = board->next_pull++;
   const auto want = board->wants.find(key);
   if (--want->second.waiting == 0) board->wants.erase(want);
   board->pulls[number] =
       OpenPull{key.first, key.second, now + board->policy.pull_timeout};
+  return number;
+}
+
+/// Reserves a slot and asks the home for a task.
+void OpenOnePull(AgentBoard* board, core::Time now, const WantKey& key) {
+  const std::uint64_t number = Reserve(board, now, key);
   ++board->counters.pulls;
   Post(board, key.first,
        Pull{number, key.second, MakeLoad(board, now, key.first)});
@@ -71,6 +77,22 @@
 
 }  // namespace
 
+void ReserveForHome(AgentBoard* board, core::Time now, const core::NodeId& home,
+                    Finished* finished) {
+  if (FreeSlots(*board, now) == 0) return;
+  const WantKey* oldest = OldestWant(*board);
+  if (oldest == nullptr || oldest->first != home) return;
+  finished->pull_service = oldest->second;
+  finished->pull = Reserve(board, now, WantKey(*oldest));
+}
+
+void ReleasePull(AgentBoard* board, std::uint64_t number) {
+  const auto pull = board->pulls.find(number);
+  if (pull == board->pulls.end()) return;
+  board->wants.erase({pull->second.home, pull->second.service});
+  board->pulls.erase(pull);
+}
+
 void FillSlots(AgentBoard* board, core::Time now) {
   StartWaiting(board, now);
   while (FreeSlots(*board, now) > 0) {
@@ -98,8 +120,8 @@
                      const core::NodeId& home, const PullEmpty& empty) {
   (void)now;
   ++board->counters.empty_pulls;
-  board->pulls.erase(empty.number);
   board->wants.erase({home, empty.service});
+  ReleasePull(board, empty.number);
 }
 
 void SendHints(AgentBoard* board, core::Time now) {
--- a/dispatch/home.h
+++ b/dispatch/home.h
@@ -29,6 +29,10 @@
                    const core::NodeId& executor, const Started& started);
 void HandleFinished(AgentBoard* board, core::Time now,
                     const core::NodeId& executor, Finished finished);
+/// Sends a waiting task of `service` for the pull `number`. False when none
+/// waits: the executor must be told.
+bool AnswerPull(AgentBoard* board, core::Time now, const core::NodeId& executor,
+                std::uint64_t number, const core::ServiceId& service);
 void HandlePull(AgentBoard* board, core::Time now, const core::NodeId& executor,
                 const Pull& pull);
 
--- a/dispatch/home_requests.cc
+++ b/dispatch/home_requests.cc
@@ -141,13 +141,12 @@
          "Took in " + std::to_string(job.tasks.size()) + " tasks of service " +
              job.spec.service.value() + " for tenant " +
              job.spec.tenant.value() + ".");
-  const core::ServiceId service = job.spec.service;
   const HomeJob& kept = board->jobs.emplace(key, std::move(job)).first->second;
   board->active.insert(key);
   for (std::uint32_t i = 0; i < kept.tasks.size(); ++i) {
     Enqueue(board, kept, core::TaskIndex(i));
   }
-  PlaceQueued(board, now, service);
+  PlaceAll(board, now);
 }
 
 }  // namespace
@@ -243,23 +242,36 @@
   Post(board, entry, std::move(explanation));
 }
 
-void HandlePull(AgentBoard* board, core::Time now, const core::NodeId& executor,
-                const Pull& pull) {
-  LearnLoad(board, now, executor, pull.load);
-  const std::optional<QueuedTask> next = NextPulled(*board, pull.service);
-  ServiceQueue& queue = board->queues[pull.service];
+bool AnswerPull(AgentBoard* board, core::Time now, const core::NodeId& executor,
+                std::uint64_t number, const core::ServiceId& service) {
+  const auto peer = board->peers.find(executor);
+  std::optional<QueuedTask> next;
+  if (peer != board->peers.end()) {
+    next = NextForExecutor(*board, peer->second.status);
+  }
   if (!next.has_value()) {
-    queue.told.erase(executor);
-    Post(board, executor, PullEmpty{pull.number, pull.service});
-    return;
+    board->queues[service].told.erase(executor);
+    // The slot that was kept for this home is free again.
+    if (peer != board->peers.end()) ++peer->second.status.load.free_slots;
+    return false;
   }
+  ServiceQueue& queue = board->queues[next->service];
   PullTask task;
-  task.number = pull.number;
+  task.number = number;
   task.assign = TakeForExecutor(board, now, next->key, next->task, executor);
   task.waiting = queue.size;
-  task.oldest_wait = OldestWait(*board, now, pull.service);
+  task.oldest_wait = OldestWait(*board, now, next->service);
   if (queue.size == 0) queue.told.erase(executor);
   Post(board, executor, std::move(task));
+  RetractWants(board, next->service);
+  return true;
+}
+
+void HandlePull(AgentBoard* board, core::Time now, const core::NodeId& executor,
+                const Pull& pull) {
+  LearnLoad(board, now, executor, pull.load);
+  if (AnswerPull(board, now, executor, pull.number, pull.service)) return;
+  Post(board, executor, PullEmpty{pull.number, pull.service});
 }
 
 }  // namespace tarragon::dispatch
--- a/dispatch/home_settle.cc
+++ b/dispatch/home_settle.cc
@@ -89,6 +89,45 @@
   return true;
 }
 
+/// Takes the end of a task into its job.
+void RecordEnd(AgentBoard* board, core::Time now, const core::NodeId& executor,
+               Finished finished) {
+  HomeTask* task = FindPlaced(board, finished.ref, executor);
+  if (task == nullptr) {
+    ++board->counters.duplicates;
+    return;
+  }
+  HomeJob& job = board->jobs.at(finished.ref.key);
+  const core::ServiceId service = job.spec.service;
+  Record(&job, now,
+         "Task " + std::to_string(finished.ref.task.value()) + " ended at " +
+             core::ToString(executor) +
+             (finished.ok
+                  ? " well."
+                  : ", reason " + std::string(Name(finished.reason)) + "."));
+  if (finished.ok && Digest(finished.result) != finished.result_digest) {
+    finished.ok = false;
+    finished.reason = Reason::kTruncated;
+  }
+  if (!finished.ok) {
+    const bool known = finished.reason == Reason::kTaskFailed;
+    EndJob(board, now, finished.ref.key,
+           known ? Outcome::kFailed : Outcome::kUnknown, finished.reason,
+           "Task " + std::to_string(finished.ref.task.value()) +
+               (known ? " failed." : " gave no whole answer."));
+    return;
+  }
+  LearnRun(board, service, finished.run_time);
+  task->state = TaskState::kEnded;
+  task->result = std::move(finished.result);
+  board->bytes_held += task->result.size();
+  --board->tenant_running[job.spec.tenant];
+  ++job.ended;
+  if (job.ended == job.tasks.size()) {
+    CompleteJob(board, now, finished.ref.key);
+  }
+}
+
 }  // namespace
 
 void HandleRefused(AgentBoard* board, core::Time now,
@@ -117,7 +156,7 @@
            "A task was refused too often.");
     return;
   }
-  PlaceQueued(board, now, board->jobs.at(refused.ref.key).spec.service);
+  PlaceAll(board, now);
 }
 
 void HandleStarted(AgentBoard* board, core::Time now,
@@ -133,45 +172,17 @@
 void HandleFinished(AgentBoard* board, core::Time now,
                     const core::NodeId& executor, Finished finished) {
   LearnLoad(board, now, executor, finished.load);
-  Post(board, executor, FinishedAck{finished.ref});
-  HomeTask* task = FindPlaced(board, finished.ref, executor);
-  if (task == nullptr) {
-    ++board->counters.duplicates;
-    return;
-  }
-  HomeJob& job = board->jobs.at(finished.ref.key);
-  const core::ServiceId service = job.spec.service;
-  Record(&job, now,
-         "Task " + std::to_string(finished.ref.task.value()) + " ended at " +
-             core::ToString(executor) +
-             (finished.ok
-                  ? " well."
-                  : ", reason " + std::string(Name(finished.reason)) + "."));
-  if (finished.ok && Digest(finished.result) != finished.result_digest) {
-    finished.ok = false;
-    finished.reason = Reason::kTruncated;
-  }
-  if (!finished.ok) {
-    const bool known = finished.reason == Reason::kTaskFailed;
-    EndJob(board, now, finished.ref.key,
-           known ? Outcome::kFailed : Outcome::kUnknown, finished.reason,
-           "Task " + std::to_string(finished.ref.task.value()) +
-               (known ? " failed." : " gave no whole answer."));
-    return;
-  }
-  LearnRun(board, service, finished.run_time);
-  task->state = TaskState::kEnded;
-  task->result = std::move(finished.result);
-  board->bytes_held += task->result.size();
-  --board->tenant_running[job.spec.tenant];
-  ++job.ended;
-  if (job.ended == job.tasks.size()) {
-    CompleteJob(board, now, finished.ref.key);
-  }
+  const std::uint64_t pull = finished.pull;
+  const core::ServiceId pull_service = finished.pull_service;
+  FinishedAck ack{finished.ref, 0};
+  RecordEnd(board, now, executor, std::move(finished));
+  const bool pulled =
+      pull != 0 && AnswerPull(board, now, executor, pull, pull_service);
+  if (!pulled) ack.pull = pull;
+  Post(board, executor, std::move(ack));
   // The load that came along may show a free slot.
-  PlaceQueued(board, now, service);
+  PlaceAll(board, now);
 }
-
 void TickHome(AgentBoard* board, core::Time now) {
   const std::vector<core::JobKey> keys(board->active.begin(),
                                        board->active.end());
--- a/dispatch/include/tarragon/dispatch/message.h
+++ b/dispatch/include/tarragon/dispatch/message.h
@@ -192,6 +192,10 @@
   /// Measured run time.
   core::Duration run_time{0};
   Load load;
+  /// Not zero: the slot is reserved under this number for a waiting task of
+  /// `pull_service` at the home; answered by PullTask or by the confirmation.
+  std::uint64_t pull = 0;
+  core::ServiceId pull_service;
 
   bool operator==(const Finished&) const = default;
 };
@@ -199,6 +203,8 @@
 /// Home to executor: the end of a task has been recorded and may be forgotten.
 struct FinishedAck {
   TaskRef ref;
+  /// Not zero: no task for this pull.
+  std::uint64_t pull = 0;
 
   bool operator==(const FinishedAck&) const = default;
 };
--- a/dispatch/include/tarragon/dispatch/policy.h
+++ b/dispatch/include/tarragon/dispatch/policy.h
@@ -15,11 +15,20 @@
   kLeastLoaded,
 };
 
+/// In which order waiting tasks of different tenants get slots.
+enum class Order : std::uint8_t {
+  /// The tenant that runs least for its weight goes first.
+  kFair,
+  /// Whoever came first.
+  kArrival,
+};
+
 /// The tunable behaviour of agents and entries. The defaults serve both of
 /// today's deployments.
 struct Policy {
   // Placement.
   Placement placement = Placement::kLeastLoaded;
+  Order order = Order::kFair;
   /// Tasks wait at their home and a freed slot asks for one. Otherwise they
   /// wait at the executor to which they were sent.
   bool late_binding = true;
@@ -31,6 +40,8 @@
   core::Duration trial_interval{std::chrono::seconds(2)};
   /// Executors to which one home announces that it has waiting tasks.
   std::uint32_t want_fanout = 32;
+  /// Executors are told when no task waits any more.
+  bool retract_wants = true;
   /// Executors are told anew of waiting tasks after this time.
   core::Duration want_refresh{std::chrono::seconds(1)};
   /// Least time between two load hints to the same home.
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -1,6 +1,7 @@
 #include "placement.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -32,10 +33,6 @@
          InService(board.world, status.domain) && peer.avoid_until <= now;
 }
 
-bool Fits(const AgentStatus& status, const TaskSpec& spec) {
-  return spec.cores <= status.cores && spec.memory_mb <= status.memory_mb;
-}
-
 double Jitter(AgentBoard* board) {
   return std::uniform_real_distribution<double>(0, kJitter)(board->random);
 }
@@ -115,6 +112,35 @@
   }
 }
 
+/// The task that goes first among the services that are not blocked.
+std::optional<QueuedTask> NextToPlace(
+    const AgentBoard& board, core::Time now,
+    const std::set<core::ServiceId>& blocked) {
+  std::optional<QueuedTask> best;
+  for (const auto& [service, queue] : board.queues) {
+    if (queue.size == 0 || blocked.count(service) > 0) continue;
+    const std::optional<QueuedTask> next = NextQueued(board, now, service);
+    if (!next.has_value()) continue;
+    if (!best.has_value() || GoesBefore(*next, *best)) best = next;
+  }
+  return best;
+}
+
+/// Tells executors which services have waiting tasks, and which no more.
+void TellWaiting(AgentBoard* board, core::Time now) {
+  std::vector<core::ServiceId> services;
+  for (const auto& [service, queue] : board->queues) {
+    services.push_back(service);
+  }
+  for (const core::ServiceId& service : services) {
+    if (QueueSize(*board, service) == 0) {
+      RetractWants(board, service);
+    } else if (board->policy.late_binding) {
+      SendWants(board, now, service);
+    }
+  }
+}
+
 }  // namespace
 
 bool Offers(const AgentStatus& status, const core::ServiceId& service) {
@@ -198,31 +224,34 @@
                 job.spec.tenant, job.deadline - now, task.spec};
 }
 
-void PlaceQueued(AgentBoard* board, core::Time now,
-                 const core::ServiceId& service) {
+void RetractWants(AgentBoard* board, const core::ServiceId& service) {
+  ServiceQueue& queue = board->queues[service];
+  if (!board->policy.retract_wants || queue.size > 0) return;
+  for (const core::NodeId& node : queue.told) {
+    Post(board, node, Want{service, 0, core::Duration(0)});
+  }
+  queue.told.clear();
+}
+
+void PlaceAll(AgentBoard* board, core::Time now) {
+  // Services for which no executor is believed free.
+  std::set<core::ServiceId> blocked;
   while (true) {
-    const std::optional<QueuedTask> next = NextQueued(*board, now, service);
+    const std::optional<QueuedTask> next = NextToPlace(*board, now, blocked);
     if (!next.has_value()) break;
     HomeTask& task = board->jobs.at(next->key).tasks[next->task.value()];
     const std::optional<core::NodeId> executor =
-        ChooseExecutor(board, now, service, task.spec);
-    if (!executor.has_value()) break;
-    if (!SpendRetry(board, task)) {
+        ChooseExecutor(board, now, next->service, task.spec);
+    if (!executor.has_value()) {
+      blocked.insert(next->service);
+    } else if (!SpendRetry(board, task)) {
       task.not_before = now + 10 * board->policy.retry_pause;
-      continue;
+    } else {
+      Post(board, *executor,
+           TakeForExecutor(board, now, next->key, next->task, *executor));
     }
-    Post(board, *executor,
-         TakeForExecutor(board, now, next->key, next->task, *executor));
-  }
-  if (board->policy.late_binding && QueueSize(*board, service) > 0) {
-    SendWants(board, now, service);
-  }
-}
-
-void PlaceAll(AgentBoard* board, core::Time now) {
-  for (const auto& [service, queue] : board->queues) {
-    if (queue.size > 0) PlaceQueued(board, now, service);
   }
+  TellWaiting(board, now);
 }
 
 }  // namespace tarragon::dispatch
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -27,12 +27,12 @@
 void LearnLoad(AgentBoard* board, core::Time now, const core::NodeId& executor,
                const Load& load);
 
-/// Places waiting tasks of `service` as far as executors are believed free, and
-/// tells executors if some must wait on.
-void PlaceQueued(AgentBoard* board, core::Time now,
-                 const core::ServiceId& service);
+/// Tells the executors that were told of waiting tasks of `service` that none
+/// waits any more.
+void RetractWants(AgentBoard* board, const core::ServiceId& service);
 
-/// Places waiting tasks of every service.
+/// Places waiting tasks as far as executors are believed free, and tells
+/// executors if some must wait on.
 void PlaceAll(AgentBoard* board, core::Time now);
 
 /// Records the placement of a queued task at `executor` and returns what to
--- a/dispatch/queue.cc
+++ b/dispatch/queue.cc
@@ -34,17 +34,45 @@
   return static_cast<double>(running->second) / std::max(1U, weight);
 }
 
-/// The first task of one tenant whose pause is over.
+/// The first task of one tenant whose pause is over and that fits `executor`,
+/// if one is given.
 std::optional<QueuedTask> FirstReady(const AgentBoard& board, core::Time now,
-                                     const TenantQueue& queue) {
+                                     const TenantQueue& queue,
+                                     const AgentStatus* executor) {
   for (const auto& [position, key] : queue) {
     const HomeJob& job = board.jobs.at(key);
     const HomeTask& task = job.tasks[position.task.value()];
-    if (task.not_before <= now) return QueuedTask{key, position.task};
+    if (task.not_before > now) continue;
+    if (executor != nullptr && !Fits(*executor, task.spec)) continue;
+    QueuedTask ready;
+    ready.key = key;
+    ready.task = position.task;
+    ready.service = job.spec.service;
+    ready.job_number = position.job_number;
+    if (board.policy.order == Order::kFair) {
+      ready.share = Share(board, job.spec.tenant);
+    }
+    return ready;
   }
   return std::nullopt;
 }
 
+std::optional<QueuedTask> NextOf(const AgentBoard& board, core::Time now,
+                                 const core::ServiceId& service,
+                                 const AgentStatus* executor) {
+  const auto queue = board.queues.find(service);
+  if (queue == board.queues.end()) return std::nullopt;
+  std::optional<QueuedTask> best;
+  for (const auto& [tenant, tasks] : queue->second.tenants) {
+    if (!MayRunMore(board, tenant)) continue;
+    const std::optional<QueuedTask> first =
+        FirstReady(board, now, tasks, executor);
+    if (!first.has_value()) continue;
+    if (!best.has_value() || GoesBefore(*first, *best)) best = first;
+  }
+  return best;
+}
+
 }  // namespace
 
 void Enqueue(AgentBoard* board, const HomeJob& job, core::TaskIndex task) {
@@ -68,25 +96,29 @@
 
 std::optional<QueuedTask> NextQueued(const AgentBoard& board, core::Time now,
                                      const core::ServiceId& service) {
-  const auto queue = board.queues.find(service);
-  if (queue == board.queues.end()) return std::nullopt;
+  return NextOf(board, now, service, nullptr);
+}
+
+std::optional<QueuedTask> NextForExecutor(const AgentBoard& board,
+                                          const AgentStatus& executor) {
   std::optional<QueuedTask> best;
-  double best_share = 0;
-  for (const auto& [tenant, tasks] : queue->second.tenants) {
-    if (!MayRunMore(board, tenant)) continue;
-    const double share = Share(board, tenant);
-    if (best.has_value() && share >= best_share) continue;
-    const std::optional<QueuedTask> first = FirstReady(board, now, tasks);
-    if (!first.has_value()) continue;
-    best = first;
-    best_share = share;
+  for (const core::ServiceId& service : executor.services) {
+    const std::optional<QueuedTask> next =
+        NextOf(board, core::kNever, service, &executor);
+    if (!next.has_value()) continue;
+    if (!best.has_value() || GoesBefore(*next, *best)) best = next;
   }
   return best;
 }
 
-std::optional<QueuedTask> NextPulled(const AgentBoard& board,
-                                     const core::ServiceId& service) {
-  return NextQueued(board, core::kNever, service);
+bool GoesBefore(const QueuedTask& a, const QueuedTask& b) {
+  if (a.share != b.share) return a.share < b.share;
+  if (a.job_number != b.job_number) return a.job_number < b.job_number;
+  return a.task < b.task;
+}
+
+bool Fits(const AgentStatus& executor, const TaskSpec& spec) {
+  return spec.cores <= executor.cores && spec.memory_mb <= executor.memory_mb;
 }
 
 core::Duration OldestWait(const AgentBoard& board, core::Time now,
--- a/dispatch/queue.h
+++ b/dispatch/queue.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_DISPATCH_QUEUE_H_
 #define TARRAGON_DISPATCH_QUEUE_H_
 
+#include <cstdint>
 #include <optional>
 
 #include "tarragon/core/clock.h"
@@ -12,10 +13,15 @@
 
 namespace tarragon::dispatch {
 
-/// A task at its home.
+/// A task at its home and its place among all that wait there; the lowest goes
+/// first.
 struct QueuedTask {
   core::JobKey key;
   core::TaskIndex task;
+  core::ServiceId service;
+  /// What the tenant runs for its weight; zero when that does not count.
+  double share = 0;
+  std::uint64_t job_number = 0;
 };
 
 /// Puts a task into the queue. It is counted as queued from now on.
@@ -24,15 +30,22 @@
 /// Takes a task out of the queue. False when it was not there.
 bool Dequeue(AgentBoard* board, const HomeJob& job, core::TaskIndex task);
 
-/// The task of `service` that is to be placed next, without taking it out.
-/// Tasks that pause after a refusal are passed over.
+/// The task of `service` that is to be placed next, without taking it out. A
+/// task that pauses after a refusal is passed over.
 std::optional<QueuedTask> NextQueued(const AgentBoard& board, core::Time now,
                                      const core::ServiceId& service);
 
-/// The same for an executor that holds a slot ready: a pause after a refusal
-/// has no use there.
-std::optional<QueuedTask> NextPulled(const AgentBoard& board,
-                                     const core::ServiceId& service);
+/// The task for an executor that asks, among all services that it offers and
+/// the tasks that fit it. A pause after a refusal does not hold it back: the
+/// executor has just kept a slot free.
+std::optional<QueuedTask> NextForExecutor(const AgentBoard& board,
+                                          const AgentStatus& executor);
+
+/// True when `a` is to be placed before `b`.
+bool GoesBefore(const QueuedTask& a, const QueuedTask& b);
+
+/// What the task asks for is there.
+bool Fits(const AgentStatus& executor, const TaskSpec& spec);
 
 /// How long the oldest waiting task of `service` has waited.
 core::Duration OldestWait(const AgentBoard& board, core::Time now,
--- a/simulate/main.cc
+++ b/simulate/main.cc
@@ -180,16 +180,18 @@
       std::max(1.0, static_cast<double>(report.completed_tasks));
   const bench::GroupReport& all = report.groups.front();
   std::printf(
-      "load %-5s complete %6llu not_run %5llu others %4llu goodput %.3f  over "
-      "ideal ms: mean %6.1f p50 %6.1f p99 %7.1f p99.9 %7.1f  resp/ideal p99 "
-      "%.2f  messages/task %.2f wasted/task %.4f\n",
+      "load %-5s complete %6llu not_run %5llu others %4llu work %.3f | over "
+      "ideal ms: mean %6.1f p50 %6.1f p99 %7.1f p99.9 %7.1f | response less "
+      "ideal: mean %6.1f p50 %6.1f p99 %7.1f p99.9 %7.1f | per task: messages "
+      "%.2f wasted %.4f\n",
       load.c_str(), static_cast<unsigned long long>(complete),
       static_cast<unsigned long long>(not_run),
       static_cast<unsigned long long>(others), bench::Completed(report),
       Ms(all.excess.mean), Ms(all.excess.p50), Ms(all.excess.p99),
-      Ms(all.excess.p999),
-      all.ideal.p99.count() == 0 ? 0.0
-                                 : Ms(all.response.p99) / Ms(all.ideal.p99),
+      Ms(all.excess.p999), Ms(all.response.mean - all.ideal.mean),
+      Ms(all.response.p50 - all.ideal.p50),
+      Ms(all.response.p99 - all.ideal.p99),
+      Ms(all.response.p999 - all.ideal.p999),
       static_cast<double>(Sum(*bench::MessagesSent(report))) / tasks,
       static_cast<double>(Sum(*bench::MessagesWasted(report))) / tasks);
 }
--- a/wire/proto_tasks.cc
+++ b/wire/proto_tasks.cc
@@ -64,8 +64,8 @@
 }
 
 void ToProto(const dispatch::Finished& message, Envelope* out) {
-  const auto& [ref, ok, reason, result, result_digest, run_time, load] =
-      message;
+  const auto& [ref, ok, reason, result, result_digest, run_time, load, pull,
+               pull_service] = message;
   Finished* finished = out->mutable_finished();
   ToProto(ref, finished->mutable_ref());
   finished->set_ok(ok);
@@ -74,6 +74,8 @@
   finished->set_result_digest(result_digest);
   finished->set_run_time_us(ToMicros(run_time));
   ToProto(load, finished->mutable_load());
+  finished->set_pull(pull);
+  finished->set_pull_service(pull_service.value());
 }
 
 bool FromProto(Finished* in, dispatch::Finished* out, WireError* reason) {
@@ -84,18 +86,22 @@
   out->ok = in->ok();
   out->result = std::move(*in->mutable_result());
   out->result_digest = in->result_digest();
+  out->pull = in->pull();
+  out->pull_service = core::ServiceId(std::move(*in->mutable_pull_service()));
   return FromNumber(in->reason(), &out->reason, reason) &&
          FromMicros(in->run_time_us(), &out->run_time, reason);
 }
 
 void ToProto(const dispatch::FinishedAck& message, Envelope* out) {
-  const auto& [ref] = message;
+  const auto& [ref, pull] = message;
   ToProto(ref, out->mutable_finished_ack()->mutable_ref());
+  out->mutable_finished_ack()->set_pull(pull);
 }
 
 bool FromProto(FinishedAck* in, dispatch::FinishedAck* out, WireError* reason) {
   if (!Require(in->has_ref(), "ref", reason)) return false;
   FromProto(in->mutable_ref(), &out->ref);
+  out->pull = in->pull();
   return true;
 }
 
--- a/wire/tests/transport_test.cc
+++ b/wire/tests/transport_test.cc
@@ -3,7 +3,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -29,6 +31,7 @@
   CPPUNIT_TEST(WhoeverIsThereIsFound);
   CPPUNIT_TEST(ProcessMaySendToItself);
   CPPUNIT_TEST(SimultaneousDialLosesNothing);
+  CPPUNIT_TEST(SimultaneousDialsMeet);
   CPPUNIT_TEST(ManyConnections);
   CPPUNIT_TEST(IdleConnectionsCloseSilently);
   CPPUNIT_TEST(ShutdownSendsWhatWaits);
@@ -99,19 +102,15 @@
     }
   }
 
-  /// A heartbeat that is sent while payloads wait arrives before them.
+  /// A heartbeat that is sent while payloads wait arrives before them, from
+  /// whichever end.
   void ControlOvertakesWork() {
     boost::asio::io_context io;
     TestNode a(io);
     TestNode b(io);
-    for (std::uint32_t i = 0; i < kPayloads; ++i) {
-      a.transport().Send(b.id(), SampleAssign(i, kMebibyte));
-    }
-    RunUntil(io, [&] { return !b.received.empty(); });
-    a.transport().Send(b.id(), dispatch::Heartbeat());
-    RunUntil(io, [&] { return b.received.size() == kPayloads + 1; });
-    CPPUNIT_ASSERT(
-        std::holds_alternative<dispatch::Assign>(b.received.back().second));
+    AssertControlOvertakes(io, &a, &b);
+    AssertControlOvertakes(io, &b, &a);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, b.counters().dialled);
   }
 
   void WhoeverIsThereIsFound() {
@@ -168,6 +167,37 @@
     CPPUNIT_ASSERT(b.lost.empty());
   }
 
+  /// Two that have dialled each other at once use one connection later, and the
+  /// other one closes.
+  void SimultaneousDialsMeet() {
+    TransportLimits limits;
+    limits.idle_timeout = std::chrono::milliseconds(700);
+    const std::chrono::milliseconds interval(300);
+    boost::asio::io_context io;
+    TestNode a(io, limits);
+    TestNode b(io, limits);
+    a.transport().Send(b.id(), dispatch::Heartbeat());
+    b.transport().Send(a.id(), dispatch::Heartbeat());
+    RunUntil(io, [&] {
+      return a.counters().connections == 2 && b.counters().connections == 2;
+    });
+    boost::asio::steady_timer timer(io);
+    std::function<void()> repeat = [&] {
+      a.transport().Send(b.id(), dispatch::Heartbeat());
+      b.transport().Send(a.id(), dispatch::Heartbeat());
+      timer.expires_after(interval);
+      timer.async_wait([&](const boost::system::error_code& error) {
+        if (!error) repeat();
+      });
+    };
+    repeat();
+    RunUntil(io, [&] {
+      return a.counters().connections == 1 && b.counters().connections == 1;
+    });
+    CPPUNIT_ASSERT(a.lost.empty());
+    CPPUNIT_ASSERT(b.lost.empty());
+  }
+
   void ManyConnections() {
     boost::asio::io_context io;
     TestNode hub(io);
@@ -314,6 +344,19 @@
   }
 
  private:
+  static void AssertControlOvertakes(boost::asio::io_context& io,
+                                     TestNode* from, TestNode* to) {
+    for (std::uint32_t i = 0; i < kPayloads; ++i) {
+      from->transport().Send(to->id(), SampleAssign(i, kMebibyte));
+    }
+    RunUntil(io, [&] { return !to->received.empty(); });
+    from->transport().Send(to->id(), dispatch::Heartbeat());
+    RunUntil(io, [&] { return to->received.size() == kPayloads + 1; });
+    CPPUNIT_ASSERT(
+        std::holds_alternative<dispatch::Assign>(to->received.back().second));
+    to->received.clear();
+  }
+
   static bool Holds(const TestNode& node, const core::NodeId& from,
                     const dispatch::Message& message) {
     for (const auto& [sender, held] : node.received) {
