--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -72,6 +72,8 @@
 struct TargetProcess {
   std::unique_ptr<ChildProcess> process;
   std::string address;
+  /// The witness at its graceful end, if that was asked for.
+  std::future<Reply> last_witness;
 };
 
 /// Runs the platform's stand-in, entries, agents and targets as processes, and
@@ -127,6 +129,9 @@
   std::vector<WitnessedStart> Witness(std::size_t target,
                                       std::size_t min_starts = 0,
                                       std::size_t min_ends = 0);
+  /// To be called before a target is stopped gracefully: keeps what it has
+  /// started until its end.
+  void KeepWitness(std::size_t target);
   void Hold(std::size_t target);
   void Release(std::size_t target);
   void PlatformFault(const std::string& body);
@@ -155,7 +160,7 @@
  private:
   std::vector<std::string> Settings(std::vector<std::string> own) const;
   void Keep(const JobResult& result);
-  std::string Logs() const;
+  std::vector<WitnessedStart> FinalWitness(std::size_t target);
 
   ClusterOptions options_;
   std::unique_ptr<ChildProcess> platform_;
--- a/tests/system/cluster_jobs.cc
+++ b/tests/system/cluster_jobs.cc
@@ -34,6 +34,31 @@
   return result;
 }
 
+http::Request AskWitness(std::size_t min_starts, std::size_t min_ends) {
+  http::Request request;
+  request.path = "/witness";
+  request.query["min_starts"] = std::to_string(min_starts);
+  request.query["min_ends"] = std::to_string(min_ends);
+  return request;
+}
+
+std::vector<WitnessedStart> StartsOf(std::size_t target, const Reply& reply) {
+  if (reply.status != 200) FailTest("No witness: " + reply.error);
+  std::vector<WitnessedStart> starts;
+  const boost::json::value body = boost::json::parse(reply.body);
+  for (const boost::json::value& item : body.at("starts").as_array()) {
+    WitnessedStart start;
+    start.key = item.at("key").as_string().c_str();
+    start.task = static_cast<std::uint32_t>(
+        std::stoul(item.at("task").as_string().c_str()));
+    start.at_ms = item.at("at_ms").to_number<std::int64_t>();
+    start.ended = item.at("ended").as_bool();
+    start.target = target;
+    starts.push_back(std::move(start));
+  }
+  return starts;
+}
+
 }  // namespace
 
 std::string Cluster::Body(const std::vector<TaskText>& tasks,
@@ -110,32 +135,29 @@
 std::vector<WitnessedStart> Cluster::Witness(std::size_t target,
                                              std::size_t min_starts,
                                              std::size_t min_ends) {
-  http::Request request;
-  request.path = "/witness";
-  request.query["min_starts"] = std::to_string(min_starts);
-  request.query["min_ends"] = std::to_string(min_ends);
-  const Reply reply = loop_.Call(targets_.at(target).address, request);
-  if (reply.status != 200) FailTest("No witness: " + reply.error);
-  std::vector<WitnessedStart> starts;
-  const boost::json::value body = boost::json::parse(reply.body);
-  for (const boost::json::value& item : body.at("starts").as_array()) {
-    WitnessedStart start;
-    start.key = item.at("key").as_string().c_str();
-    start.task = static_cast<std::uint32_t>(
-        std::stoul(item.at("task").as_string().c_str()));
-    start.at_ms = item.at("at_ms").to_number<std::int64_t>();
-    start.ended = item.at("ended").as_bool();
-    start.target = target;
-    starts.push_back(std::move(start));
-  }
-  return starts;
+  const Reply reply =
+      loop_.Call(targets_.at(target).address, AskWitness(min_starts, min_ends));
+  return StartsOf(target, reply);
+}
+
+void Cluster::KeepWitness(std::size_t target) {
+  TargetProcess& kept = targets_.at(target);
+  constexpr std::size_t kNeverReached = 1'000'000'000;
+  kept.last_witness =
+      loop_.Start(kept.address, AskWitness(kNeverReached, kNeverReached));
+}
+
+std::vector<WitnessedStart> Cluster::FinalWitness(std::size_t target) {
+  TargetProcess& process = targets_[target];
+  if (process.process->running()) return Witness(target);
+  if (!process.last_witness.valid()) return {};
+  return StartsOf(target, Await(std::move(process.last_witness), "a witness"));
 }
 
 void Cluster::CheckAnswers() {
   std::map<std::string, std::multiset<std::uint32_t>> started;
   for (std::size_t i = 0; i < targets_.size(); ++i) {
-    if (!targets_[i].process->running()) continue;
-    for (const WitnessedStart& start : Witness(i)) {
+    for (const WitnessedStart& start : FinalWitness(i)) {
       started[start.key].insert(start.task);
     }
   }
--- a/tests/system/fault_settings.cc
+++ b/tests/system/fault_settings.cc
@@ -1,5 +1,9 @@
 #include "fault_settings.h"
 
+#include <csignal>
+
+#include "tarragon/core/clock.h"
+
 namespace tarragon::system_test {
 
 ClusterOptions FastOptions() {
@@ -39,6 +43,38 @@
   return answer;
 }
 
+std::future<JobResult> StartAssigned(Cluster* cluster, const std::string& key,
+                                     const std::vector<TaskText>& tasks) {
+  const std::string handle = key.substr(0, key.rfind('.'));
+  const std::size_t home = cluster->HomeOf(key);
+  const std::string earlier = cluster->NewKey(handle);
+  const std::string line = "placements_total";
+  std::future<JobResult> first = StartHeld(cluster, earlier, EightTasks());
+  for (std::size_t i = 0; i < cluster->agents(); ++i) cluster->Release(i);
+  if (Await(std::move(first), "the first answer").outcome != "complete") {
+    FailTest("The first job did not complete.");
+  }
+  const double before = cluster->Metric(cluster->agent(home).pages, line);
+  for (std::size_t i = 0; i < cluster->agents(); ++i) cluster->Hold(i);
+  cluster->agent(1 - home).process->Signal(SIGSTOP);
+  std::future<JobResult> answer = cluster->Start(0, key, Cluster::Body(tasks));
+  cluster->AwaitMetric(cluster->agent(home).pages, line, before + 8);
+  return answer;
+}
+
+std::int64_t NowMs() {
+  return core::Millis(core::SystemClock().Now().since_start);
+}
+
+void AwaitStartAfter(Cluster* cluster, Load* load, std::size_t target,
+                     std::int64_t at_ms) {
+  Cluster::AwaitTrue("a later start", [&] {
+    load->AwaitCompleted(1);
+    const std::vector<WitnessedStart> starts = cluster->Witness(target, 1);
+    return starts.back().at_ms > at_ms;
+  });
+}
+
 void AwaitNotMember(Cluster* cluster, std::size_t agent) {
   const std::string& node = cluster->agent(agent).node;
   Cluster::AwaitTrue("the end of a membership", [&] {
--- a/tests/system/fault_settings.h
+++ b/tests/system/fault_settings.h
@@ -1,11 +1,13 @@
 #ifndef TARRAGON_TESTS_SYSTEM_FAULT_SETTINGS_H_
 #define TARRAGON_TESTS_SYSTEM_FAULT_SETTINGS_H_
 
+#include <cstdint>
 #include <future>
 #include <string>
 #include <vector>
 
 #include "cluster.h"
+#include "load.h"
 
 namespace tarragon::system_test {
 
@@ -22,6 +24,19 @@
 std::future<JobResult> StartHeld(Cluster* cluster, const std::string& key,
                                  const std::vector<TaskText>& tasks);
 
+/// Holds all targets, freezes the agent that is not the home, submits through
+/// entry 0 and waits until the home has placed all tasks: half of them at the
+/// frozen agent, whose load it has learned from an earlier job.
+std::future<JobResult> StartAssigned(Cluster* cluster, const std::string& key,
+                                     const std::vector<TaskText>& tasks);
+
+/// Milliseconds of CLOCK_BOOTTIME, as the witnesses count them.
+std::int64_t NowMs();
+
+/// Waits until the target has started a task of the load after `at_ms`.
+void AwaitStartAfter(Cluster* cluster, Load* load, std::size_t target,
+                     std::int64_t at_ms);
+
 /// Waits until no running entry lists the agent.
 void AwaitNotMember(Cluster* cluster, std::size_t agent);
 
