--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -36,6 +36,12 @@
   FailTest("No " + key + " in: " + line);
 }
 
+std::vector<std::string> Joined(std::vector<std::string> texts,
+                                const std::vector<std::string>& more) {
+  texts.insert(texts.end(), more.begin(), more.end());
+  return texts;
+}
+
 std::string AfterListening(const std::string& line) {
   return line.substr(std::string("listening ").size());
 }
@@ -70,7 +76,18 @@
   for (std::size_t i = 0; i < agents_.size(); ++i) AwaitAgent(i);
 }
 
-Cluster::~Cluster() = default;
+Cluster::~Cluster() {
+  // The relays may be destroyed only when nothing runs in them any more.
+  loop_.Stop();
+}
+
+std::vector<std::string> Cluster::WireSettings(const std::string& section) {
+  if (!options_.relays) return {section + ".listen=127.0.0.1:0"};
+  relays_.push_back(std::make_unique<CutProxy>(&loop_));
+  const CutProxy& relay = *relays_.back();
+  return {section + ".listen=" + relay.inner(),
+          section + ".advertise=" + relay.address()};
+}
 
 std::vector<std::string> Cluster::Settings(std::vector<std::string> own) const {
   std::vector<std::string> arguments;
@@ -87,13 +104,14 @@
       options_.domains[entries_.size() % options_.domains.size()];
   EntryProcess entry;
   entry.process = std::make_unique<ChildProcess>(
-      "tarragon-entry", Settings({Setting("entry.listen", Loopback()),
-                                  Setting("clients.listen", Loopback()),
-                                  Setting("operators.listen", Loopback()),
-                                  Setting("entry.domain", domain),
-                                  Setting("operators.token", kToken),
-                                  Setting("platform.table", platform_address_),
-                                  Setting("platform.timeout", "1s")}));
+      "tarragon-entry",
+      Settings(Joined(
+          WireSettings("entry"),
+          {Setting("clients.listen", Loopback()),
+           Setting("operators.listen", Loopback()),
+           Setting("entry.domain", domain), Setting("operators.token", kToken),
+           Setting("platform.table", platform_address_),
+           Setting("platform.timeout", "1s")})));
   const std::string line = entry.process->FirstLine();
   entry.node = Field(line, "node");
   entry.clients = Field(line, "clients");
@@ -112,11 +130,12 @@
   AgentProcess agent;
   agent.domain = domain;
   agent.process = std::make_unique<ChildProcess>(
-      "tarragon-agent", Settings({Setting("agent.listen", Loopback()),
-                                  Setting("agent.target_listen", Loopback()),
-                                  Setting("agent.pages_listen", Loopback()),
-                                  Setting("agent.entries", seeds),
-                                  Setting("agent.domain", domain)}));
+      "tarragon-agent",
+      Settings(Joined(
+          WireSettings("agent"),
+          {Setting("agent.target_listen", Loopback()),
+           Setting("agent.pages_listen", Loopback()),
+           Setting("agent.entries", seeds), Setting("agent.domain", domain)})));
   const std::string line = agent.process->FirstLine();
   agent.node = Field(line, "node");
   agent.announce = Field(line, "target");
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "child_process.h"
+#include "cut_proxy.h"
 #include "http_loop.h"
 
 namespace tarragon::system_test {
@@ -23,6 +24,8 @@
   /// One agent with its target for each name of a failure domain.
   std::vector<std::string> domains = {"szeged", "kecskemet"};
   std::uint32_t slots = 8;
+  /// Puts a relay in front of every entry and agent.
+  bool relays = false;
   /// "policy.name=value" for all entries and agents.
   std::vector<std::string> settings;
 };
@@ -150,6 +153,8 @@
   void Expect(const std::string& key, const std::vector<TaskText>& tasks);
 
   HttpLoop& loop() { return loop_; }
+  /// The relays in front of all entries and agents.
+  const std::vector<std::unique_ptr<CutProxy>>& relays() { return relays_; }
   EntryProcess& entry(std::size_t i) { return entries_.at(i); }
   AgentProcess& agent(std::size_t i) { return agents_.at(i); }
   TargetProcess& target(std::size_t i) { return targets_.at(i); }
@@ -159,6 +164,8 @@
 
  private:
   std::vector<std::string> Settings(std::vector<std::string> own) const;
+  /// The settings "SECTION.listen" and, behind a relay, "SECTION.advertise".
+  std::vector<std::string> WireSettings(const std::string& section);
   void Keep(const JobResult& result);
   std::vector<WitnessedStart> FinalWitness(std::size_t target);
 
@@ -173,6 +180,7 @@
   std::vector<JobResult> answers_;
   std::map<std::string, std::vector<TaskText>> expected_;
   HttpLoop loop_;
+  std::vector<std::unique_ptr<CutProxy>> relays_;
 };
 
 }  // namespace tarragon::system_test
--- a/tests/system/domain_test.cc
+++ b/tests/system/domain_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <future>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,7 @@
 class DomainTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DomainTest);
   CPPUNIT_TEST(NothingStartsInAWithdrawnDomain);
+  CPPUNIT_TEST(NothingStartsWhereTheNoteCannotReach);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -41,7 +43,7 @@
     AwaitStartAfter(&cluster, &load, 2, accepted + kWithdrawnMs + 200);
     frozen.Signal(SIGCONT);
     load.AwaitCompleted(300);
-    AssertNoLateStart(&cluster, accepted + kWithdrawnMs);
+    AssertNoLateStart(&cluster, accepted + kWithdrawnMs, 2);
     const std::size_t first = cluster.Witness(0).size();
     const std::size_t second = cluster.Witness(1).size();
     CPPUNIT_ASSERT_EQUAL(200, cluster.Note(1, "in", 2, kIn).status);
@@ -51,6 +53,39 @@
     cluster.CheckAnswers();
   }
 
+  /// All processes are cut off from each other while the note is accepted and
+  /// tasks wait at the home in the withdrawn domain.
+  void NothingStartsWhereTheNoteCannotReach() {
+    ClusterOptions options;
+    options.entries = 1;
+    options.slots = 4;
+    options.relays = true;
+    options.settings = {"policy.max_queue_delay=1min"};
+    Cluster cluster(options);
+    const std::vector<TaskText> tasks(110, TaskText{50, "last"});
+    std::vector<std::future<JobResult>> answers;
+    for (std::size_t i = 0; i < 4; ++i) {
+      const std::string key = cluster.NewKey(cluster.Handle(0));
+      cluster.Expect(key, tasks);
+      answers.push_back(cluster.Start(0, key, Cluster::Body(tasks)));
+    }
+    for (std::size_t i = 0; i < 2; ++i) cluster.Witness(i, 8);
+    for (const auto& relay : cluster.relays()) relay->Cut(true);
+    const Reply note = cluster.Note(0, "out", 1, kOut);
+    CPPUNIT_ASSERT_EQUAL(200, note.status);
+    const std::int64_t latest =
+        core::Millis(note.at.since_start) + kWithdrawnMs;
+    Cluster::AwaitTrue("time", [latest] { return NowMs() > latest + 500; });
+    for (const auto& relay : cluster.relays()) relay->Cut(false);
+    for (std::future<JobResult>& answer : answers) {
+      const JobResult result = Await(std::move(answer), "an answer");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(result.body, std::string("complete"),
+                                   result.outcome);
+    }
+    AssertNoLateStart(&cluster, latest, 1);
+    cluster.CheckAnswers();
+  }
+
  private:
   /// An agent of szeged that is the home of no new job.
   static std::size_t NoHome(Cluster* cluster) {
@@ -63,8 +98,10 @@
     FailTest("Both agents of szeged are homes.");
   }
 
-  static void AssertNoLateStart(Cluster* cluster, std::int64_t latest) {
-    for (std::size_t i = 0; i < 2; ++i) {
+  /// The first `targets` targets started nothing later.
+  static void AssertNoLateStart(Cluster* cluster, std::int64_t latest,
+                                std::size_t targets) {
+    for (std::size_t i = 0; i < targets; ++i) {
       for (const WitnessedStart& start : cluster->Witness(i)) {
         CPPUNIT_ASSERT_MESSAGE(
             "Started " + std::to_string(start.at_ms - latest) + " ms late.",
--- a/tests/system/fault_settings.cc
+++ b/tests/system/fault_settings.cc
@@ -75,15 +75,12 @@
   });
 }
 
-void AwaitNotMember(Cluster* cluster, std::size_t agent) {
+void AwaitNotMember(Cluster* cluster, std::size_t agent, std::size_t entry) {
   const std::string& node = cluster->agent(agent).node;
   Cluster::AwaitTrue("the end of a membership", [&] {
-    for (std::size_t i = 0; i < cluster->entries(); ++i) {
-      if (!cluster->entry(i).process->running()) continue;
-      const boost::json::object state = cluster->Operators(i, "/v1/state");
-      for (const boost::json::value& item : state.at("agents").as_array()) {
-        if (item.at("node").as_string() == node) return false;
-      }
+    const boost::json::object state = cluster->Operators(entry, "/v1/state");
+    for (const boost::json::value& item : state.at("agents").as_array()) {
+      if (item.at("node").as_string() == node) return false;
     }
     return true;
   });
--- a/tests/system/fault_settings.h
+++ b/tests/system/fault_settings.h
@@ -37,8 +37,8 @@
 void AwaitStartAfter(Cluster* cluster, Load* load, std::size_t target,
                      std::int64_t at_ms);
 
-/// Waits until no running entry lists the agent.
-void AwaitNotMember(Cluster* cluster, std::size_t agent);
+/// Waits until the entry does not list the agent any more.
+void AwaitNotMember(Cluster* cluster, std::size_t agent, std::size_t entry);
 
 }  // namespace tarragon::system_test
 
--- a/tests/system/home_fault_test.cc
+++ b/tests/system/home_fault_test.cc
@@ -49,7 +49,7 @@
     std::future<JobResult> answer = StartHeld(&cluster, key, tasks);
     const std::size_t home = cluster.HomeOf(key);
     cluster.agent(home).process->Signal(SIGSTOP);
-    AwaitNotMember(&cluster, home);
+    for (std::size_t i = 0; i < 2; ++i) AwaitNotMember(&cluster, home, i);
     std::future<JobResult> again = cluster.Start(1, key, Cluster::Body(tasks));
     cluster.agent(home).process->Signal(SIGCONT);
     for (std::size_t i = 0; i < 2; ++i) cluster.Release(i);
--- a/tests/system/http_loop.cc
+++ b/tests/system/http_loop.cc
@@ -29,11 +29,24 @@
 }
 
 HttpLoop::~HttpLoop() {
-  io_.stop();
-  thread_.join();
+  Stop();
   client_.reset();
 }
 
+void HttpLoop::Stop() {
+  io_.stop();
+  if (thread_.joinable()) thread_.join();
+}
+
+void HttpLoop::Run(const std::function<void()>& step) {
+  std::promise<void> done;
+  boost::asio::post(io_, [&step, &done] {
+    step();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 void HttpLoop::Send(const std::string& address, const http::Request& request,
                     Done done) {
   boost::asio::post(io_, [this, address, request, done = std::move(done)] {
--- a/tests/system/http_loop.h
+++ b/tests/system/http_loop.h
@@ -57,6 +57,11 @@
   Reply Post(const std::string& address, const std::string& path,
              const std::string& body);
 
+  /// Runs `step` on the loop's thread and waits for it.
+  void Run(const std::function<void()>& step);
+  /// Ends the thread. No call is answered any more.
+  void Stop();
+
   boost::asio::io_context& io() { return io_; }
 
  private:
--- a/tests/system/matrix_report.cc
+++ b/tests/system/matrix_report.cc
@@ -11,6 +11,7 @@
 
 /// Rows, columns and cells in the order in which they came.
 struct Matrix {
+  std::string chosen;
   std::vector<std::string> faults;
   std::vector<std::string> steps;
   std::map<std::pair<std::string, std::string>, std::string> cells;
@@ -37,6 +38,12 @@
   matrix.cells[{fault, step}] = result;
 }
 
+void ChooseCells(const std::string& text) { TheMatrix().chosen = text; }
+
+bool IsChosen(const std::string& fault, const std::string& step) {
+  return (fault + " x " + step).find(TheMatrix().chosen) != std::string::npos;
+}
+
 bool WriteMatrix(const std::string& file) {
   const Matrix& matrix = TheMatrix();
   std::ofstream out(file);
--- a/tests/system/matrix_report.h
+++ b/tests/system/matrix_report.h
@@ -9,6 +9,10 @@
 void RecordCell(const std::string& fault, const std::string& step,
                 const std::string& result);
 
+/// Leaves out all cells but those whose "FAULT x STEP" contains `text`.
+void ChooseCells(const std::string& text);
+bool IsChosen(const std::string& fault, const std::string& step);
+
 /// Writes all cells as a table of Markdown. False if the file cannot be
 /// written.
 bool WriteMatrix(const std::string& file);
