--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -115,6 +115,8 @@
   finished.result_digest = 0x0123456789abcdef;
   finished.run_time = microseconds(60001);
   finished.load = SampleLoad();
+  finished.pull = 21;
+  finished.pull_service = core::ServiceId("fit");
   return finished;
 }
 
@@ -166,7 +168,7 @@
                         SampleLoad()},
       dispatch::Started{SampleRef(), SampleLoad()},
       SampleFinished(),
-      dispatch::FinishedAck{SampleRef()},
+      dispatch::FinishedAck{SampleRef(), 22},
       dispatch::Seal{SampleRef(), true},
       dispatch::Want{service, 12, wait},
       dispatch::Pull{13, service, SampleLoad()},
