Capacity: measure the slopes of each role

The decisions and the codec are driven in one process and charged in processor time; idle.sh reads the same from real processes. Wall time was ruled out: the machine is shared.

--- a/Makefile
+++ b/Makefile
@@ -35,5 +35,12 @@
 demo: build
 	bash demo/run.sh
 
+capacity:
+	cmake --preset release >/dev/null
+	cmake --build build --target tarragon-capacity tarragon-entry tarragon-agent platform_standin
+	build/bin/tarragon-capacity --markdown
+	BIN=build/bin bash capacity/idle.sh >build/idle.points
+	build/bin/tarragon-capacity --markdown --points build/idle.points
+
 clean:
 	rm -rf build build-asan build-tsan build-lint
