Dispatch: say unknown when a full entry cannot ask the home

Cause: an entry with too many open requests answered not_run also to queries, cancellations and submissions of a key that had run. Ruled out: the home; it was never asked. Change: outcome unknown, reason overload, with retry_after.

--- a/dispatch/entry_requests.cc
+++ b/dispatch/entry_requests.cc
@@ -137,8 +137,10 @@
   const bool full = board->requests.size() >= board->policy.max_entry_requests;
   board->requests.emplace(number, std::move(request));
   if (full) {
-    FinishWith(board, number, Outcome::kNotRun, Reason::kOverload,
-               "The entry has too many open requests.", kOverloadPause);
+    // The home was not asked: an earlier submission of the key may have run.
+    FinishWith(board, number, Outcome::kUnknown, Reason::kOverload,
+               "The entry has too many open requests; come back.",
+               kOverloadPause);
     return number;
   }
   StartRequest(board, now, number, key_text);
