Dispatch: let an agent try other entries when all of its own are silent

Cause: an agent kept to the entries of the last list that it heard. When all of them were replaced at once it never spoke to an entry again, and its permit lapsed for good. Ruled out: the restart at the same address, which the transport reports. Change: after four silent heartbeats it draws others from the settings and the list.

--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -277,6 +277,8 @@
   std::vector<core::Address> seeds;
   EntryList entries;
   std::vector<EntryLink> links;
+  /// When the links were chosen.
+  core::Time links_chosen;
   core::Time next_heartbeat;
   std::map<core::NodeId, Peer> peers;
 
--- a/dispatch/view.cc
+++ b/dispatch/view.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kOpenHeartbeats = 8;
 /// A link that is silent for this many heartbeats tells nothing any more.
 constexpr int kSilentHeartbeats = 8;
+/// Other entries are tried when all are silent for this many heartbeats.
+constexpr int kPatientHeartbeats = 4;
 
 EntryLink* FindLink(AgentBoard* board, const core::Address& address) {
   for (EntryLink& link : board->links) {
@@ -51,8 +53,9 @@
   return chosen;
 }
 
-void SetLinks(AgentBoard* board) {
-  const std::vector<core::Address> chosen = ChooseEntries(*board);
+void SetLinks(AgentBoard* board, core::Time now,
+              const std::vector<core::Address>& chosen) {
+  board->links_chosen = now;
   std::vector<EntryLink> links;
   for (const core::Address& address : chosen) {
     EntryLink* known = FindLink(board, address);
@@ -67,6 +70,27 @@
   board->links = std::move(links);
 }
 
+/// When all chosen entries are silent, they may all have been replaced: tries
+/// others, from the settings and the list alike.
+void TryOtherEntries(AgentBoard* board, core::Time now) {
+  const core::Duration patience =
+      kPatientHeartbeats * board->policy.heartbeat_interval;
+  if (now - board->links_chosen < patience) return;
+  for (const EntryLink& link : board->links) {
+    if (now - link.heard < patience) return;
+  }
+  std::vector<core::Address> all = board->seeds;
+  for (const EntryMember& member : board->entries.members) {
+    if (std::find(all.begin(), all.end(), member.node.address) == all.end()) {
+      all.push_back(member.node.address);
+    }
+  }
+  std::shuffle(all.begin(), all.end(), board->random);
+  const std::size_t fanout = board->policy.heartbeat_fanout;
+  if (all.size() > fanout) all.resize(fanout);
+  SetLinks(board, now, all);
+}
+
 /// When the heartbeat `sequence` was sent; nothing if it is not open.
 std::optional<core::Time> SentAt(const EntryLink& link,
                                  std::uint64_t sequence) {
@@ -150,13 +174,14 @@
     board->permit_until = std::max(board->permit_until, *sent + lifetime);
   }
   MergePeers(board, now);
-  if (entries_newer) SetLinks(board);
+  if (entries_newer) SetLinks(board, now, ChooseEntries(*board));
 }
 
 void TickView(AgentBoard* board, core::Time now) {
   if (now < board->next_heartbeat) return;
   board->next_heartbeat = now + board->policy.heartbeat_interval;
-  if (board->links.empty()) SetLinks(board);
+  if (board->links.empty()) SetLinks(board, now, ChooseEntries(*board));
+  TryOtherEntries(board, now);
   const core::Duration silent =
       kSilentHeartbeats * board->policy.heartbeat_interval;
   for (EntryLink& link : board->links) {
