Dispatch: let the list of entries change when its old members are dead

Cause: a change of the list waits for a write quorum of the members before it. When those had left or died (the only entry stopped; an entry restarted at its address), nobody could confirm, no entry could register again and every note stayed pending. The operators' removal did nothing for a node that was only among the former members. Ruled out: counting quorums over the living alone, by which a read quorum could miss a confirmed note. Change: a member that is proved dead (another life at its address, or the operators' word) counts in write quorums, since it is in no read quorum any more; an entry that leaves stays until the change is settled; the operators' word is passed on to the other entries by Leaving and starts an ordinary change.

--- a/dispatch/entry.cc
+++ b/dispatch/entry.cc
@@ -26,6 +26,7 @@
   void operator()(Explanation& m) {
     HandleExplanation(board_, from_, std::move(m));
   }
+  void operator()(Leaving& m) { MarkEntryGone(board_, m.node); }
   /// The rest is for agents only.
   template <typename Other>
   void operator()(Other&) {}
@@ -87,6 +88,7 @@
   (void)now;
   RequestsPeerGone(board, peer);
   RemoveMember(board, peer);
+  MarkEntryGone(board, peer);
 }
 
 void OnTableReply(EntryBoard* board, core::Time now, TableReply reply) {
@@ -137,7 +139,8 @@
   const core::Duration waited = now - board.stop_requested;
   if (waited >= board.policy.drain_limit) return true;
   if (!board.requests.empty() || !board.notes.empty()) return false;
-  return !IsRegistered(board) || waited >= kLeaveLimit;
+  // The change of the list needs this entry until it is confirmed.
+  return !IsListed(board.entries, board.self) || waited >= kLeaveLimit;
 }
 
 std::optional<std::string> NotReady(const EntryBoard& board, core::Time now) {
--- a/dispatch/entry_parts.h
+++ b/dispatch/entry_parts.h
@@ -32,7 +32,10 @@
 
 // Registration in the list of entries.
 void TickRegistration(EntryBoard* board, core::Time now);
-bool IsRegistered(const EntryBoard& board);
+/// The node is in the list or was before the present change.
+bool IsListed(const EntryList& list, const core::NodeId& node);
+/// Notes that another entry is proved dead: no quorum waits for it.
+void MarkEntryGone(EntryBoard* board, const core::NodeId& node);
 
 // Membership of agents.
 void HandleHeartbeat(EntryBoard* board, core::Time now,
--- a/dispatch/entry_registration.cc
+++ b/dispatch/entry_registration.cc
@@ -37,9 +37,11 @@
   for (const EntryMember& member : board.entries.members) {
     if (member.node.address == board.self.address) continue;
     const auto peer = board.peers.find(member.node);
-    const bool silent = peer != board.peers.end() &&
-                        now - peer->second.heard > board.policy.entry_timeout;
-    if (!silent) wanted.push_back(member);
+    const bool out =
+        peer != board.peers.end() &&
+        (peer->second.gone ||
+         now - peer->second.heard > board.policy.entry_timeout);
+    if (!out) wanted.push_back(member);
   }
   if (!board.stopping) {
     wanted.push_back(EntryMember{board.self, board.domain});
@@ -53,11 +55,12 @@
 
 }  // namespace
 
-bool IsRegistered(const EntryBoard& board) {
-  return std::any_of(board.entries.members.begin(), board.entries.members.end(),
-                     [&board](const EntryMember& member) {
-                       return member.node == board.self;
-                     });
+bool IsListed(const EntryList& list, const core::NodeId& node) {
+  const auto is_node = [&node](const EntryMember& member) {
+    return member.node == node;
+  };
+  return std::any_of(list.members.begin(), list.members.end(), is_node) ||
+         std::any_of(list.previous.begin(), list.previous.end(), is_node);
 }
 
 void TickRegistration(EntryBoard* board, core::Time now) {
@@ -81,16 +84,19 @@
   WriteEntries(board, now, std::move(next));
 }
 
+void MarkEntryGone(EntryBoard* board, const core::NodeId& node) {
+  if (node == board->self || !IsListed(board->entries, node)) return;
+  board->peers[node].gone = true;
+}
+
 bool OnOperatorRemoveEntry(EntryBoard* board, core::Time now,
                            const core::NodeId& dead) {
-  EntryList next = board->entries;
-  ++next.version;
-  const auto is_dead = [&dead](const EntryMember& member) {
-    return member.node == dead;
-  };
-  if (std::erase_if(next.members, is_dead) == 0) return false;
-  std::erase_if(next.previous, is_dead);
-  WriteEntries(board, now, std::move(next));
+  if (dead == board->self || !IsListed(board->entries, dead)) return false;
+  MarkEntryGone(board, dead);
+  for (const auto& [node, peer] : board->peers) {
+    if (!peer.gone) Post(board, node, Leaving{dead});
+  }
+  board->next_registration = now;
   return true;
 }
 
--- a/dispatch/include/tarragon/dispatch/entry.h
+++ b/dispatch/include/tarragon/dispatch/entry.h
@@ -43,8 +43,8 @@
 /// An operator hands in a release note. The answer comes as AnswerNote.
 std::uint64_t OnOperatorNote(EntryBoard* board, core::Time now,
                              ReleaseNote note);
-/// An operator knows that this entry is dead. False if it is not registered or
-/// the table's row is not known.
+/// An operator knows that this entry is dead; it is taken out of the list as
+/// soon as the table allows. False if it is not in the list known here.
 bool OnOperatorRemoveEntry(EntryBoard* board, core::Time now,
                            const core::NodeId& dead);
 
--- a/dispatch/include/tarragon/dispatch/entry_board.h
+++ b/dispatch/include/tarragon/dispatch/entry_board.h
@@ -96,6 +96,8 @@
   std::optional<core::Time> confirmed;
   core::NoteVersion note_version;
   std::uint64_t entries_version = 0;
+  /// Proved dead: it will never vouch for anything again.
+  bool gone = false;
 };
 
 /// An agent that sends heartbeats to this entry.
--- a/dispatch/quorum.cc
+++ b/dispatch/quorum.cc
@@ -36,12 +36,20 @@
 
 using HasIt = std::function<bool(const EntryPeer&)>;
 
+/// Enough of `members` have it. One that is gone counts, because it is in no
+/// read quorum any more.
 bool WrittenTo(const EntryBoard& board, const Members& members,
                const HasIt& has_it) {
-  std::size_t count = Contains(members, board.self) ? 1 : 0;
+  std::size_t count = 0;
   for (const EntryMember& member : members) {
+    if (member.node.address == board.self.address) {
+      // This process, or an earlier one whose address it has now.
+      ++count;
+      continue;
+    }
     const auto peer = board.peers.find(member.node);
-    if (peer != board.peers.end() && has_it(peer->second)) ++count;
+    if (peer == board.peers.end()) continue;
+    if (peer->second.gone || has_it(peer->second)) ++count;
   }
   return count >= WriteQuorum(members.size());
 }
