Prove: show the state of every process with a violation; use a balancer

The report of a violation gives the policy and each board. Clients come through a balancer that knows readiness; operators remove all dead entries; targets of the quiet phase neither fail nor overrun.

--- a/prove/client.cc
+++ b/prove/client.cc
@@ -111,7 +111,7 @@
 
 /// Takes a handle from an entry, then submits.
 void MintAndSubmit(Setup* setup, int job) {
-  const int entry = AnyEntry(setup);
+  const int entry = BalancedEntry(setup);
   if (entry < 0) return;
   Visit(setup, LifeOf(setup->processes[entry]), [setup, job, entry]() {
     const std::optional<std::string> handle = dispatch::MintHandle(
--- a/prove/client_call.cc
+++ b/prove/client_call.cc
@@ -92,7 +92,7 @@
 }
 
 void SendCall(Setup* setup, int job, RequestKind kind, int body) {
-  const int entry = AnyEntry(setup);
+  const int entry = BalancedEntry(setup);
   if (entry < 0) {
     Count(setup, "client.no_entry");
     return;
@@ -131,6 +131,11 @@
   call.answered = true;
   call.outcome = action.answer.outcome;
   WitnessAnswer(setup, id, action.answer);
+  if (setup->clients.jobs[call.job].measured) {
+    Count(setup, "quiet.answer." +
+                     std::string(dispatch::Name(action.answer.outcome)) + "." +
+                     std::string(dispatch::Name(action.answer.reason)));
+  }
   if (call.abandoned) return;
   setup->scheduler.After(
       setup->random.Between(kLeastHop, kMostHop),
--- a/prove/operators.cc
+++ b/prove/operators.cc
@@ -205,8 +205,7 @@
 
 void RemoveDeadEntries(Setup* setup) {
   const auto row = setup->table.cells.find("entries");
-  const int entry = AnyEntry(setup);
-  if (row == setup->table.cells.end() || entry < 0) return;
+  if (row == setup->table.cells.end() || AnyEntry(setup) < 0) return;
   std::vector<dispatch::EntryMember> listed = row->second.entries.members;
   listed.insert(listed.end(), row->second.entries.previous.begin(),
                 row->second.entries.previous.end());
@@ -217,6 +216,7 @@
           return process.alive && process.node == member.node;
         });
     if (lives) continue;
+    const int entry = AnyEntry(setup);
     Visit(setup, LifeOf(setup->processes[entry]),
           [setup, entry, dead = member.node]() {
             const bool removed = dispatch::OnOperatorRemoveEntry(
@@ -224,7 +224,6 @@
             Count(setup, removed ? "entries.removed_by_operator"
                                  : "entries.removal_not_possible");
           });
-    return;
   }
 }
 
--- a/prove/process.cc
+++ b/prove/process.cc
@@ -356,4 +356,18 @@
   return alive.empty() ? -1 : alive[setup->random.Index(alive.size())];
 }
 
+int BalancedEntry(Setup* setup) {
+  constexpr std::uint64_t kStalePermille = 50;
+  const bool stale = !setup->quiet && setup->random.Chance(kStalePermille);
+  if (stale) return AnyEntry(setup);
+  std::vector<int> ready;
+  for (const Process& process : setup->processes) {
+    if (process.is_agent || !process.alive || process.frozen) continue;
+    if (dispatch::NotReady(process.entry, Now(*setup)).has_value()) continue;
+    ready.push_back(process.index);
+  }
+  if (ready.empty()) return AnyEntry(setup);
+  return ready[setup->random.Index(ready.size())];
+}
+
 }  // namespace tarragon::prove
--- a/prove/process.h
+++ b/prove/process.h
@@ -87,6 +87,9 @@
 
 /// Any process that is alive and an entry, or -1.
 int AnyEntry(Setup* setup);
+/// The entry to which the platform's balancer sends a client, or -1: mostly one
+/// that says that it is ready.
+int BalancedEntry(Setup* setup);
 
 }  // namespace tarragon::prove
 
--- a/prove/run.cc
+++ b/prove/run.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "describe.h"
 #include "faults.h"
 #include "setup.h"
 
@@ -19,7 +20,7 @@
 constexpr core::Duration kLastTime = std::chrono::seconds(15);
 constexpr std::uint64_t kCompletePermille = 950;
 constexpr core::Duration kUsualPause = std::chrono::milliseconds(40);
-constexpr core::Duration kQuietPause = std::chrono::milliseconds(60);
+constexpr core::Duration kQuietPause = std::chrono::milliseconds(100);
 
 /// The run of this thread, for the report of a violation inside the program.
 thread_local Setup* running_setup = nullptr;
@@ -32,6 +33,7 @@
                      " at step=" + std::to_string(setup.scheduler.steps()) +
                      " t=" +
                      std::to_string(Now(setup).since_start.count()) + "us\n";
+  text += DescribeSetup(setup);
   if (job != kNoJob) {
     text += "History of job " + std::to_string(job) + ":\n" +
             Print(setup.history, job, kPrintedJobEvents, false);
@@ -145,6 +147,10 @@
 
 void RemovalLoop(Setup* setup) {
   RemoveDeadEntries(setup);
+  // A stop that began before the quiet phase may end in it.
+  for (const Process& process : setup->processes) {
+    StartProcess(setup, process.index, false);
+  }
   setup->scheduler.After(std::chrono::seconds(1),
                          [setup]() { RemovalLoop(setup); });
 }
@@ -159,10 +165,6 @@
   setup->scheduler.After(std::chrono::seconds(15),
                          [setup]() { SendLastNote(setup); });
   if (!RunUntil(setup, Now(*setup) + kSettleTime)) return;
-  for (const Process& process : setup->processes) {
-    // A stop that began before the quiet phase has ended meanwhile.
-    StartProcess(setup, process.index, false);
-  }
   Check(setup, "j_notes_are_accepted_again", setup->operators.last_accepted,
         kNoJob, "after the faults");
   setup->clients.plainly = true;
--- a/prove/target.cc
+++ b/prove/target.cc
@@ -79,12 +79,14 @@
   if (mode == TargetMode::kLose && setup->random.Chance(300)) {
     return TargetEnd::kUnknown;
   }
-  return setup->random.Chance(2) ? TargetEnd::kFailed : TargetEnd::kOk;
+  return !setup->quiet && setup->random.Chance(2) ? TargetEnd::kFailed
+                                                  : TargetEnd::kOk;
 }
 
 core::Duration RunTimeOf(Setup* setup, TargetMode mode) {
   core::Duration run = setup->random.Between(kLeastRun, kMostRun);
-  if (setup->random.Chance(5)) run = setup->random.Between(run, kLongRun);
+  const bool runs_long = !setup->quiet && setup->random.Chance(5);
+  if (runs_long) run = setup->random.Between(run, kLongRun);
   if (mode == TargetMode::kLinger) run *= kLingerFactor;
   const bool hangs = mode == TargetMode::kHang && setup->random.Chance(500);
   return hangs ? kOutliving : run;
--- a/prove/witness_notes.cc
+++ b/prove/witness_notes.cc
@@ -12,6 +12,9 @@
 /// Until then an accepted note is in force everywhere.
 constexpr core::Duration kSpreadLimit = std::chrono::seconds(11);
 
+/// An entry that an agent heard of within this time is one it speaks to.
+constexpr core::Duration kHeardLimit = std::chrono::seconds(3);
+
 /// The latest version that was accepted at least `age` ago.
 std::optional<std::uint64_t> AcceptedBefore(const Setup& setup,
                                             core::Duration age) {
@@ -69,6 +72,7 @@
   return std::any_of(
       agent.agent.links.begin(), agent.agent.links.end(),
       [&](const dispatch::EntryLink& link) {
+        if (Now(setup) - link.heard > kHeardLimit) return false;
         const auto found = setup.network.listeners.find(link.address);
         if (found == setup.network.listeners.end()) return false;
         return EntryMustKnow(setup, setup.processes[found->second], since,
