Capacity: measure jobs at an entry and tasks that wait

The tenant limit of the measured world refused large batches, which bent the lines of a job by its tasks; the measured world has no tenant limit now, and a test asserts that the largest jobs are taken in.

--- a/capacity/cluster.cc
+++ b/capacity/cluster.cc
@@ -48,7 +48,7 @@
   dispatch::Permit permit;
   permit.sequence = sequence;
   permit.lifetime = kPermitLifetime;
-  permit.world = MakeWorld(1, kMeasuredDomains, 1, 0);
+  permit.world = MakeWorld(1, kMeasuredDomains, 0, 0);
   permit.note_version = permit.world.version;
   permit.has_world = full;
   permit.members_version = 1;
@@ -226,7 +226,7 @@
 dispatch::EntryBoard MakeEntry(core::Time now, std::size_t members) {
   dispatch::EntryBoard entry;
   dispatch::InitEntry(&entry, now, EntryNode(), DomainName(0), 1);
-  entry.world = MakeWorld(1, kMeasuredDomains, 1, 0);
+  entry.world = MakeWorld(1, kMeasuredDomains, 0, 0);
   entry.confirmed = now;
   entry.entries.version = 1;
   entry.entries.members.push_back({EntryNode(), DomainName(0)});
@@ -260,7 +260,7 @@
   // Executors show free slots once they have a permit; the members come then.
   for (std::size_t i = 0; i < cluster.boards.size(); ++i) {
     Beat(&cluster, i, false);
-    cluster.boards[i].world = MakeWorld(1, kMeasuredDomains, 1, 0);
+    cluster.boards[i].world = MakeWorld(1, kMeasuredDomains, 0, 0);
   }
   for (int round = 0; round < kWarmUpRounds; ++round) {
     cluster.now = cluster.now + kStep;
--- a/capacity/entry_slopes.cc
+++ b/capacity/entry_slopes.cc
@@ -1,8 +1,13 @@
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "cluster.h"
 #include "cost.h"
 #include "tarragon/capacity/slopes.h"
+#include "tarragon/dispatch/digest.h"
 #include "tarragon/dispatch/entry.h"
 #include "tarragon/wire/codec.h"
 
@@ -11,6 +16,10 @@
 
 constexpr std::size_t kMembers[] = {100, 500, 2000, 5000, 10000, 19000};
 constexpr double kPlannedMembers = 19000;
+constexpr std::size_t kTasks[] = {1, 10, 30, 60, 110};
+constexpr double kPlannedTasks = 110;
+constexpr std::size_t kJobMembers = 100;
+constexpr int kJobs = 1000;
 constexpr std::size_t kHeartbeats = 20000;
 constexpr int kTicks = 20;
 constexpr std::size_t kMintCalls = 4;
@@ -50,6 +59,69 @@
   return (CpuMicros() - before) / static_cast<double>(kMintCalls);
 }
 
+dispatch::JobSpec MakeSpec(std::size_t tasks) {
+  dispatch::JobSpec spec;
+  spec.service = MeasuredService();
+  spec.tenant = core::TenantId("tenant-0");
+  spec.time_left = std::chrono::seconds(5);
+  spec.tasks.assign(tasks, dispatch::TaskSpec{"payload of a task"});
+  return spec;
+}
+
+/// The complete answer to the submission that `bytes` holds.
+std::string MakeAnswer(const std::string& bytes, std::size_t tasks) {
+  const std::optional<dispatch::Message> message = wire::Decode(bytes, nullptr);
+  const dispatch::Submit& submit = std::get<dispatch::Submit>(*message);
+  dispatch::Answer answer;
+  answer.request = submit.request;
+  answer.answer.key = submit.spec.key;
+  answer.answer.outcome = dispatch::Outcome::kComplete;
+  answer.answer.results.assign(tasks, "done");
+  answer.results_digest = dispatch::Digest(answer.answer.results);
+  return wire::Encode(answer);
+}
+
+/// Takes jobs to their home and passes the answers on; HTTP is not part of it.
+double JobMicros(std::size_t tasks) {
+  dispatch::EntryBoard entry = MakeEntry(kBegin, kJobMembers);
+  const std::optional<std::string> handle =
+      dispatch::MintHandle(&entry, MeasuredService());
+  double spent = 0;
+  for (int i = 0; i < kJobs; ++i) {
+    dispatch::JobSpec spec = MakeSpec(tasks);
+    const std::string key = *handle + "." + std::to_string(i);
+    double before = CpuMicros();
+    dispatch::OnClientSubmit(&entry, kBegin, std::move(spec), key,
+                             std::chrono::seconds(5));
+    const dispatch::SendMessage& send =
+        std::get<dispatch::SendMessage>(entry.actions.front());
+    const std::string bytes = wire::Encode(send.message);
+    spent += CpuMicros() - before;
+    const core::NodeId home = send.to;
+    const std::string answer = MakeAnswer(bytes, tasks);
+    entry.actions.clear();
+    before = CpuMicros();
+    dispatch::OnMessage(&entry, kBegin, home, *wire::Decode(answer, nullptr));
+    spent += CpuMicros() - before;
+    entry.actions.clear();
+  }
+  return spent / kJobs;
+}
+
+/// By tasks in the job.
+Slope JobSlope() {
+  Slope slope{"entry",
+              "take a job to its home and its answer back, no HTTP",
+              "tasks in the job",
+              "us per job",
+              {},
+              kPlannedTasks};
+  for (const std::size_t tasks : kTasks) {
+    slope.points.push_back({static_cast<double>(tasks), JobMicros(tasks)});
+  }
+  return slope;
+}
+
 }  // namespace
 
 std::vector<Slope> EntrySlopes() {
@@ -67,7 +139,7 @@
     tick.points.push_back({x, TickMicros(&entry)});
     mint.points.push_back({x, MintMicros(&entry)});
   }
-  return {beat, tick, mint};
+  return {beat, tick, mint, JobSlope()};
 }
 
 }  // namespace tarragon::capacity
--- a/capacity/task_slopes.cc
+++ b/capacity/task_slopes.cc
@@ -15,6 +15,46 @@
 constexpr std::uint32_t kSlots = 4000;
 constexpr std::size_t kTasksPerPoint = 22000;
 
+/// Slots of each executor for which a batch of 200 tasks is half of all slots,
+/// all of them, twice and four times as many.
+constexpr std::uint32_t kFewSlots[] = {50, 25, 12, 6};
+constexpr double kPlannedTasksPerSlot = 1;
+constexpr double kBatchTasks = 200;
+constexpr std::size_t kWaitingJobs = 1000;
+constexpr double kTasksPerJob = 10;
+
+/// Messages of a task when tasks wait for slots and freed slots ask for them.
+std::vector<Slope> WaitingSlopes() {
+  Slope home{"home",
+             "messages sent for a task, jobs of 10",
+             "tasks at once per slot",
+             "messages",
+             {},
+             kPlannedTasksPerSlot};
+  Slope executor{"executor",
+                 "messages sent for a task, jobs of 10",
+                 "tasks at once per slot",
+                 "messages",
+                 {},
+                 kPlannedTasksPerSlot};
+  Slope cpu{"home",
+            "processor time of a task, jobs of 10",
+            "tasks at once per slot",
+            "us per task",
+            {},
+            kPlannedTasksPerSlot};
+  for (const std::uint32_t slots : kFewSlots) {
+    Cluster cluster = MakeCluster(kExecutors, slots);
+    RunJobs(&cluster, kWaitingJobs, 10, false);
+    const double x = kBatchTasks / (slots * double{kExecutors});
+    const double tasks = kTasksPerJob * double{kWaitingJobs};
+    home.points.push_back({x, cluster.home.messages_out / tasks});
+    executor.points.push_back({x, cluster.executors.messages_out / tasks});
+    cpu.points.push_back({x, cluster.home.cpu_micros / tasks});
+  }
+  return {home, executor, cpu};
+}
+
 }  // namespace
 
 std::vector<Slope> TaskSlopes() {
@@ -80,8 +120,11 @@
     peers.points.push_back({static_cast<double>(executors),
                             cluster.home.cpu_micros / (10.0 * jobs)});
   }
-  return {home_cpu,          home_messages,  home_bytes, executor_cpu,
-          executor_messages, executor_bytes, peers};
+  std::vector<Slope> slopes{home_cpu,     home_messages,     home_bytes,
+                            executor_cpu, executor_messages, executor_bytes,
+                            peers};
+  for (const Slope& slope : WaitingSlopes()) slopes.push_back(slope);
+  return slopes;
 }
 
 }  // namespace tarragon::capacity
--- a/capacity/tests/cluster_test.cc
+++ b/capacity/tests/cluster_test.cc
@@ -8,6 +8,8 @@
 class ClusterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ClusterTest);
   CPPUNIT_TEST(EveryJobIsComplete);
+  CPPUNIT_TEST(TakesInTheLargestJobs);
+  CPPUNIT_TEST(TasksWaitForSlots);
   CPPUNIT_TEST(RunningJobsStayActive);
   CPPUNIT_TEST(KeysOutliveAnswers);
   CPPUNIT_TEST_SUITE_END();
@@ -28,6 +30,24 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{350}, starts);
   }
 
+  void TakesInTheLargestJobs() {
+    Cluster cluster = MakeCluster(8, 4000);
+    RunJobs(&cluster, 40, 110, false);
+    const dispatch::AgentBoard& home = cluster.boards[0];
+    CPPUNIT_ASSERT(home.counters.refusals.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{40},
+                         home.counters.outcomes.at("complete"));
+  }
+
+  void TasksWaitForSlots() {
+    Cluster cluster = MakeCluster(8, 6);
+    RunJobs(&cluster, 40, 10, false);
+    const dispatch::AgentBoard& home = cluster.boards[0];
+    CPPUNIT_ASSERT(home.counters.refusals.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{40},
+                         home.counters.outcomes.at("complete"));
+  }
+
   void RunningJobsStayActive() {
     Cluster cluster = MakeCluster(4, 400);
     RunJobs(&cluster, 50, 1, true);
