--- a/Makefile
+++ b/Makefile
@@ -37,11 +37,14 @@
 
 CAPACITY_BUILD ?= build
 capacity: deps
-	cmake -S . -B $(CAPACITY_BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
-	cmake --build $(CAPACITY_BUILD) --target tarragon-capacity tarragon-entry tarragon-agent platform_standin
+	cmake -S . -B $(CAPACITY_BUILD) -G Ninja -UTARRAGON_MODULES -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+	cmake --build $(CAPACITY_BUILD) --target tarragon-capacity \
+	  tarragon-entry tarragon-agent tarragonctl tarragon-bench platform_standin target_standin
 	$(CAPACITY_BUILD)/bin/tarragon-capacity --markdown
 	BIN=$(CAPACITY_BUILD)/bin bash capacity/idle.sh >$(CAPACITY_BUILD)/idle.points
 	$(CAPACITY_BUILD)/bin/tarragon-capacity --markdown --points $(CAPACITY_BUILD)/idle.points
+	BIN=$(CAPACITY_BUILD)/bin bash capacity/load.sh >$(CAPACITY_BUILD)/load.points
+	$(CAPACITY_BUILD)/bin/tarragon-capacity --markdown --points $(CAPACITY_BUILD)/load.points
 
 clean:
 	rm -rf build build-asan build-tsan build-lint
