Dispatch: sample the queue time and run time of tasks

Cause: the metrics page could not show how long tasks wait and run, nor how far a job's response is above that of its longest task. Change: HomeTask keeps when it was placed, HomeJob the longest run time; RecordEnd leaves a TaskSample on the board, bounded like the job samples. The simulation and the prover clear both.

--- a/dispatch/home_end.cc
+++ b/dispatch/home_end.cc
@@ -13,8 +13,6 @@
 
 constexpr std::size_t kMaxHistory = 500;
 constexpr core::Duration kRetryPause = std::chrono::milliseconds(200);
-/// Samples that wait for the runtime; it takes them every few milliseconds.
-constexpr std::size_t kMaxSamples = 10000;
 
 void ForgetBytes(AgentBoard* board, std::uint64_t bytes) {
   board->bytes_held -= std::min(board->bytes_held, bytes);
@@ -58,8 +56,8 @@
   ++board->counters.outcomes[std::string(Name(job->answer.outcome))];
   if (board->samples.size() < kMaxSamples) {
     board->samples.push_back(JobSample{job->spec.tenant, job->spec.service,
-                                       now - job->arrived,
-                                       job->answer.outcome});
+                                       now - job->arrived, job->answer.outcome,
+                                       job->longest_run});
   }
   for (const Waiter& waiter : job->waiters) SendAnswer(board, *job, waiter);
   job->waiters.clear();
--- a/dispatch/home_settle.cc
+++ b/dispatch/home_settle.cc
@@ -49,6 +49,15 @@
       static_cast<std::int64_t>(old_mean + kMeanWeight * (run - old_mean)));
 }
 
+void SampleTask(AgentBoard* board, const HomeTask& task, HomeJob* job,
+                core::Duration run_time) {
+  job->longest_run = std::max(job->longest_run, run_time);
+  if (board->task_samples.size() >= kMaxSamples) return;
+  board->task_samples.push_back(TaskSample{job->spec.tenant, job->spec.service,
+                                           task.placed - job->arrived,
+                                           run_time});
+}
+
 core::Duration JitteredPause(AgentBoard* board) {
   std::uniform_int_distribution<std::int64_t> pause(
       0, 2 * board->policy.retry_pause.count());
@@ -118,6 +127,7 @@
     return;
   }
   LearnRun(board, service, finished.run_time);
+  SampleTask(board, *task, &job, finished.run_time);
   task->state = TaskState::kEnded;
   task->result = std::move(finished.result);
   board->bytes_held += task->result.size();
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_DISPATCH_AGENT_BOARD_H_
 #define TARRAGON_DISPATCH_AGENT_BOARD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <list>
@@ -40,6 +41,8 @@
   std::uint32_t placements = 0;
   /// Where it was sent last; set unless queued.
   core::NodeId executor;
+  /// When it was sent last.
+  core::Time placed;
   /// The executor said that it has started.
   bool started = false;
   /// A queued task is not placed before this moment.
@@ -69,6 +72,8 @@
   JobAnswer answer;
   std::vector<HomeTask> tasks;
   std::uint32_t ended = 0;
+  /// Longest run time of its tasks that have ended.
+  core::Duration longest_run{0};
   std::vector<Waiter> waiters;
   /// Number in the order of arrival; the order of the queue.
   std::uint64_t number = 0;
@@ -255,8 +260,22 @@
   core::ServiceId service;
   core::Duration response{0};
   Outcome outcome = Outcome::kRunning;
+  core::Duration longest_run{0};
 };
 
+/// One task that ended well, for the histograms of the metrics page.
+struct TaskSample {
+  core::TenantId tenant;
+  core::ServiceId service;
+  /// From the arrival of its job to its last placement.
+  core::Duration queued{0};
+  core::Duration run{0};
+};
+
+/// Samples of each kind that wait for the runtime, which takes them with every
+/// event; further ones are dropped.
+inline constexpr std::size_t kMaxSamples = 10000;
+
 /// All that an agent knows; the controllers read and write it. No I/O, no
 /// threads; the time is passed in.
 struct AgentBoard {
@@ -319,6 +338,7 @@
   AgentCounters counters;
   InvariantCounts invariants;
   std::vector<JobSample> samples;
+  std::vector<TaskSample> task_samples;
 };
 
 }  // namespace tarragon::dispatch
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -199,6 +199,7 @@
   task.attempt = core::Attempt(board->next_attempt++);
   ++task.placements;
   task.executor = executor;
+  task.placed = now;
   task.started = false;
   task.heard = now;
   task.unanswered_since.reset();
--- a/prove/process.cc
+++ b/prove/process.cc
@@ -68,6 +68,7 @@
     }
   }
   process->agent.samples.clear();
+  process->agent.task_samples.clear();
 }
 
 void CarryOutEntry(Setup* setup, Process* process) {
--- a/simulate/simulation.cc
+++ b/simulate/simulation.cc
@@ -234,6 +234,7 @@
   std::vector<dispatch::AgentAction> actions;
   actions.swap(worker.board.actions);
   worker.board.samples.clear();
+  worker.board.task_samples.clear();
   for (const dispatch::AgentAction& action : actions) {
     if (const auto* send = std::get_if<dispatch::SendMessage>(&action)) {
       if (now_ >= begin_) ++worker.sent[dispatch::Name(send->message)];
