Tests: give child processes no sockets of the relay

A relay's socket that a later child had inherited stayed open when the relay cut it, so the cut connections looked alive to their ends. The logs of a failed cell come with its message.

--- a/tests/system/child_process.cc
+++ b/tests/system/child_process.cc
@@ -60,6 +60,8 @@
     if (getppid() != parent) _exit(kExitNoProgram);
     dup2(pipes[1], STDOUT_FILENO);
     dup2(log_, STDERR_FILENO);
+    // A relay's socket that lived on here would not close when it is cut.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(path.c_str(), argv.data());
     _exit(kExitNoProgram);
   }
--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -234,6 +234,17 @@
   return Operators(entry, "/v1/note").at("version").to_number<std::uint64_t>();
 }
 
+std::string Cluster::Logs() const {
+  std::string text;
+  for (const EntryProcess& entry : entries_) {
+    text += "\n--- entry " + entry.node + "\n" + entry.process->LogTail();
+  }
+  for (const AgentProcess& agent : agents_) {
+    text += "\n--- agent " + agent.node + "\n" + agent.process->LogTail();
+  }
+  return text;
+}
+
 void Cluster::Hold(std::size_t target) {
   loop_.Post(targets_.at(target).address, "/hold", R"({"on":true})");
 }
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -147,6 +147,8 @@
   static void AwaitTrue(const std::string& what,
                         const std::function<bool()>& holds);
 
+  /// The ends of the logs of all entries and agents, for a failed test.
+  std::string Logs() const;
   /// Compares what all targets have started with what all clients were told.
   void CheckAnswers();
   /// Tells CheckAnswers what a key's results must be.
--- a/tests/system/matrix_test.cc
+++ b/tests/system/matrix_test.cc
@@ -138,6 +138,16 @@
     options.settings.push_back(std::string("policy.gone_after=") +
                                (fault.loses_process ? "1s" : "1min"));
     Cluster cluster(options);
+    try {
+      return StrikeCluster(&cluster, fault, step);
+    } catch (const CppUnit::Exception& failed) {
+      FailTest(failed.what() + cluster.Logs());
+    }
+  }
+
+  static std::string StrikeCluster(Cluster* held, const Fault& fault,
+                                   const Step& step) {
+    Cluster& cluster = *held;
     HeldJob job;
     job.tasks = EightTasks();
     job.key = cluster.NewKey(cluster.Handle(0));
