--- a/daemons/target_runner.cc
+++ b/daemons/target_runner.cc
@@ -14,7 +14,6 @@
 constexpr int kStatusUnavailable = 503;
 /// Idle connections to the target; it allows about 60.
 constexpr std::size_t kIdleConnections = 32;
-constexpr std::size_t kMaxResultBytes = 1024 * 1024;
 constexpr core::Duration kStopTimeout = std::chrono::seconds(2);
 constexpr char kKeyHeader[] = "tarragon-key";
 constexpr char kTaskHeader[] = "tarragon-task";
@@ -28,7 +27,7 @@
 http::ClientLimits Limits() {
   http::ClientLimits limits;
   limits.max_idle_per_host = kIdleConnections;
-  limits.max_response_bytes = kMaxResultBytes;
+  limits.max_response_bytes = dispatch::kMaxResultBytes;
   return limits;
 }
 
@@ -49,7 +48,10 @@
     const bool not_sent = error.kind == http::HttpErrorKind::kNotSent ||
                           error.kind == http::HttpErrorKind::kBadAddress ||
                           error.kind == http::HttpErrorKind::kBadRequest;
-    return not_sent ? TargetEnd::kNotStarted : TargetEnd::kUnknown;
+    if (not_sent) return TargetEnd::kNotStarted;
+    // It has run, but its result can never be delivered.
+    const bool too_large = error.kind == http::HttpErrorKind::kTooLarge;
+    return too_large ? TargetEnd::kFailed : TargetEnd::kUnknown;
   }
   const bool refused = response->status == kStatusUnavailable &&
                        Header(*response, kNotStartedHeader) == "1";
--- a/dispatch/admission.cc
+++ b/dispatch/admission.cc
@@ -39,10 +39,7 @@
     capacity.slots += status.load.slots;
     capacity.free += BelievedFree(board, now, node, peer);
   }
-  // As many as the entries choose; see ChooseHomes.
-  capacity.homes = std::max(board.policy.min_homes,
-                            capacity.usable / board.policy.agents_per_home);
-  capacity.homes = std::min(capacity.homes, std::max(1U, capacity.usable));
+  capacity.homes = HomeCount(board);
   return capacity;
 }
 
@@ -145,6 +142,11 @@
     return Refusal{Reason::kUnknownService, "No release note has the service.",
                    core::Duration(0)};
   }
+  if (now >= board.permit_until) {
+    return Refusal{Reason::kStaleView,
+                   "No entry vouches for the release note in force.",
+                   kNoTargetPause};
+  }
   const Capacity capacity = CapacityFor(board, now, spec.service);
   if (capacity.offering == 0) {
     return Refusal{Reason::kNoTarget, "No target announces the service.",
--- a/dispatch/agent.cc
+++ b/dispatch/agent.cc
@@ -6,6 +6,7 @@
 #include "ejection.h"
 #include "executor.h"
 #include "home.h"
+#include "outbox.h"
 #include "placement.h"
 #include "view.h"
 
@@ -106,7 +107,14 @@
                        board->target.leaving != target.leaving ||
                        board->target.services != target.services;
   if (!board->target.present) board->health = TargetHealth{};
+  // An announcement crosses with the ends of tasks; only what two in a row
+  // count is foreign.
+  const std::uint32_t before = board->target.present
+                                   ? board->target.announced_foreign
+                                   : target.foreign_running;
   board->target = target;
+  board->target.announced_foreign = target.foreign_running;
+  board->target.foreign_running = std::min(before, target.foreign_running);
   board->target.present = true;
   board->target.announced = now;
   if (changed) HurryHeartbeat(board, now);
@@ -143,6 +151,9 @@
   if (board->stopping) return;
   board->stopping = true;
   board->stop_requested = now;
+  for (const auto& [node, peer] : board->peers) {
+    if (node != board->self) Post(board, node, Leaving{board->self});
+  }
   HurryHeartbeat(board, now);
   OnTick(board, now);
 }
--- a/dispatch/entry_registration.cc
+++ b/dispatch/entry_registration.cc
@@ -37,10 +37,9 @@
   for (const EntryMember& member : board.entries.members) {
     if (member.node.address == board.self.address) continue;
     const auto peer = board.peers.find(member.node);
-    const bool out =
-        peer != board.peers.end() &&
-        (peer->second.gone ||
-         now - peer->second.heard > board.policy.entry_timeout);
+    const bool out = peer != board.peers.end() &&
+                     (peer->second.gone ||
+                      now - peer->second.heard > board.policy.entry_timeout);
     if (!out) wanted.push_back(member);
   }
   if (!board.stopping) {
--- a/dispatch/home_requests.cc
+++ b/dispatch/home_requests.cc
@@ -268,8 +268,11 @@
 void HandlePull(AgentBoard* board, core::Time now, const core::NodeId& executor,
                 const Pull& pull) {
   LearnLoad(board, now, executor, pull.load);
-  if (AnswerPull(board, now, executor, pull.number, pull.service)) return;
-  Post(board, executor, PullEmpty{pull.number, pull.service});
+  if (!AnswerPull(board, now, executor, pull.number, pull.service)) {
+    Post(board, executor, PullEmpty{pull.number, pull.service});
+  }
+  // The load may show more free slots than the one that is kept.
+  PlaceAll(board, now);
 }
 
 }  // namespace tarragon::dispatch
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -176,6 +176,8 @@
   bool leaving = false;
   /// Tasks that the target runs and that this process did not start.
   std::uint32_t foreign_running = 0;
+  /// The same by the last announcement alone.
+  std::uint32_t announced_foreign = 0;
   core::Time announced;
 };
 
--- a/dispatch/include/tarragon/dispatch/job.h
+++ b/dispatch/include/tarragon/dispatch/job.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_DISPATCH_JOB_H_
 #define TARRAGON_DISPATCH_JOB_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,6 +16,11 @@
 /// Most tasks in one job.
 inline constexpr std::uint32_t kMaxTasksPerJob = 110;
 
+/// Longest payload and longest result of one task, in bytes. A whole answer of
+/// the largest job then fits one message between two processes.
+inline constexpr std::size_t kMaxPayloadBytes = std::size_t{64} * 1024;
+inline constexpr std::size_t kMaxResultBytes = std::size_t{64} * 1024;
+
 /// One task as the client declared it.
 struct TaskSpec {
   /// Handed to the target as it is.
@@ -70,7 +76,6 @@
   kNoSlot,         // All slots of the target are taken.
   kTargetGone,     // The target withdrew or does not answer.
   kTaskFailed,     // The target reported a failure.
-  kSiblingFailed,  // Another task of the same job failed first.
   kHomeGone,       // The process that answers for the key is gone.
   kExecutorGone,   // The process beside the target is gone.
   kHandleExpired,  // The key's handle is too old for a first submission.
--- a/dispatch/names.cc
+++ b/dispatch/names.cc
@@ -38,8 +38,6 @@
       return "target_gone";
     case Reason::kTaskFailed:
       return "task_failed";
-    case Reason::kSiblingFailed:
-      return "sibling_failed";
     case Reason::kHomeGone:
       return "home_gone";
     case Reason::kExecutorGone:
--- a/dispatch/queue.cc
+++ b/dispatch/queue.cc
@@ -7,11 +7,7 @@
 
 /// This home's share of a limit that holds for the whole system, rounded up.
 std::uint32_t ShareOf(const AgentBoard& board, std::uint32_t limit) {
-  std::uint32_t homes = 0;
-  for (const auto& [node, peer] : board.peers) {
-    if (!peer.status.leaving) ++homes;
-  }
-  homes = std::max(1U, homes);
+  const std::uint32_t homes = HomeCount(board);
   return (limit + homes - 1) / homes;
 }
 
@@ -75,6 +71,16 @@
 
 }  // namespace
 
+std::uint32_t HomeCount(const AgentBoard& board) {
+  std::uint32_t staying = 0;
+  for (const auto& [node, peer] : board.peers) {
+    if (!peer.status.leaving) ++staying;
+  }
+  const std::uint32_t wanted =
+      std::max(board.policy.min_homes, staying / board.policy.agents_per_home);
+  return std::clamp(wanted, 1U, std::max(1U, staying));
+}
+
 void Enqueue(AgentBoard* board, const HomeJob& job, core::TaskIndex task) {
   ServiceQueue& queue = board->queues[job.spec.service];
   queue.tenants[job.spec.tenant][{job.number, task}] = job.spec.key;
--- a/dispatch/queue.h
+++ b/dispatch/queue.h
@@ -24,6 +24,10 @@
   std::uint64_t job_number = 0;
 };
 
+/// Agents that take new jobs as homes, by the rule by which entries choose
+/// them. At least 1.
+std::uint32_t HomeCount(const AgentBoard& board);
+
 /// Puts a task into the queue. It is counted as queued from now on.
 void Enqueue(AgentBoard* board, const HomeJob& job, core::TaskIndex task);
 
--- a/wire/hello.cc
+++ b/wire/hello.cc
@@ -35,7 +35,11 @@
   Channel operator()(const dispatch::Finished&) { return Channel::kWork; }
   Channel operator()(const dispatch::FinishedAck&) { return Channel::kControl; }
   Channel operator()(const dispatch::Seal&) { return Channel::kControl; }
-  Channel operator()(const dispatch::Want&) { return Channel::kControl; }
+  Channel operator()(const dispatch::Want&) {
+    // Must not overtake the assignments that were sent before it: an executor
+    // that still believes its slots free would ask for one more task.
+    return Channel::kWork;
+  }
   Channel operator()(const dispatch::Pull&) { return Channel::kControl; }
   Channel operator()(const dispatch::PullEmpty&) { return Channel::kControl; }
   Channel operator()(const dispatch::PullTask&) { return Channel::kWork; }
