--- a/daemons/agent_daemon.cc
+++ b/daemons/agent_daemon.cc
@@ -55,7 +55,7 @@
 std::vector<core::SettingSpec> AgentSpecs() {
   using core::SettingType;
   std::vector<core::SettingSpec> specs = {
-      Spec("agent", "listen", SettingType::kAddress, "0.0.0.0:7100", false,
+      Spec("agent", "listen", SettingType::kAddress, "127.0.0.1:7100", false,
            "Where the other processes of the system reach this one."),
       Spec("agent", "advertise", SettingType::kAddress, "", false,
            "The address told to the others; default: the one listened on."),
--- a/daemons/agent_main.cc
+++ b/daemons/agent_main.cc
@@ -8,6 +8,7 @@
 #include "tarragon/core/command_line.h"
 #include "tarragon/core/exit_code.h"
 #include "tarragon/core/log.h"
+#include "tarragon/daemons/checked_settings.h"
 
 int main(int argc, char* argv[]) {
   namespace core = tarragon::core;
@@ -19,14 +20,15 @@
   const std::optional<core::CommandLine> command =
       core::ParseCommandLine(argc, argv, program, &exit_code);
   if (!command.has_value()) return exit_code;
-  const std::optional<core::Settings> settings =
-      core::LoadSettings(*command, daemons::AgentSpecs(), &exit_code);
+  const std::optional<core::Settings> settings = daemons::LoadChecked(
+      *command, daemons::AgentSpecs(), "agent", &exit_code);
   if (!settings.has_value()) return exit_code;
 
   boost::asio::io_context io;
   const auto reload = [&command]() {
     int ignored = core::kExitOk;
-    return core::LoadSettings(*command, daemons::AgentSpecs(), &ignored);
+    return daemons::LoadChecked(*command, daemons::AgentSpecs(), "agent",
+                                &ignored);
   };
   daemons::AgentDaemon daemon(io, *settings, reload);
   std::string reason;
--- a/daemons/entry_daemon.cc
+++ b/daemons/entry_daemon.cc
@@ -55,13 +55,13 @@
            "Token that operators' calls carry; env:NAME reads a variable.");
   token.secret = true;
   std::vector<core::SettingSpec> specs = {
-      Spec("entry", "listen", SettingType::kAddress, "0.0.0.0:7000", false,
+      Spec("entry", "listen", SettingType::kAddress, "127.0.0.1:7000", false,
            "Where the other processes of the system reach this one."),
       Spec("entry", "advertise", SettingType::kAddress, "", false,
            "The address told to the others; default: the one listened on."),
       Spec("entry", "domain", SettingType::kText, "", true,
            "Failure domain of this process."),
-      Spec("clients", "listen", SettingType::kAddress, "0.0.0.0:8080", false,
+      Spec("clients", "listen", SettingType::kAddress, "127.0.0.1:8080", false,
            "Where clients reach this process."),
       Ranged(Spec("clients", "max_connections", SettingType::kInteger, "4000",
                   false, "Open connections of clients."),
--- /dev/null
+++ b/daemons/tests/checked_settings_test.cc
@@ -0,0 +1,131 @@
+#include "tarragon/daemons/checked_settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tarragon/daemons/agent_daemon.h"
+#include "tarragon/daemons/entry_daemon.h"
+
+namespace tarragon::daemons {
+namespace {
+
+constexpr char kEntryFile[] =
+    "[entry]\ndomain = szeged\n[operators]\ntoken = t\n"
+    "[platform]\ntable = 127.0.0.1:9000\n";
+constexpr char kAgentFile[] =
+    "[agent]\ndomain = szeged\nentries = 127.0.0.1:7000\n";
+
+core::Settings Read(const std::vector<core::SettingSpec>& specs,
+                    const std::string& text,
+                    const std::vector<std::string>& overrides) {
+  std::vector<core::SettingError> errors;
+  const std::optional<core::Settings> settings =
+      core::Settings::Parse(specs, text, "test.ini", overrides, &errors);
+  CPPUNIT_ASSERT(settings.has_value());
+  return *settings;
+}
+
+std::vector<core::SettingError> EntryErrors(
+    const std::vector<std::string>& overrides) {
+  return CheckTogether(Read(EntrySpecs(), kEntryFile, overrides), "entry");
+}
+
+std::vector<core::SettingError> AgentErrors(
+    const std::vector<std::string>& overrides) {
+  return CheckTogether(Read(AgentSpecs(), kAgentFile, overrides), "agent");
+}
+
+class CheckedSettingsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CheckedSettingsTest);
+  CPPUNIT_TEST(DefaultsStartAndOpenNoDoor);
+  CPPUNIT_TEST(AnOpenAddressNeedsOneToTell);
+  CPPUNIT_TEST(DurationsMustFitTogether);
+  CPPUNIT_TEST(DomainsAreNames);
+  CPPUNIT_TEST(LoadingEndsWithTheExitCode);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void DefaultsStartAndOpenNoDoor() {
+    CPPUNIT_ASSERT(EntryErrors({}).empty());
+    CPPUNIT_ASSERT(AgentErrors({}).empty());
+    const core::Settings entry = Read(EntrySpecs(), kEntryFile, {});
+    const core::Settings agent = Read(AgentSpecs(), kAgentFile, {});
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:7000"),
+                         entry.Address("entry", "listen").value());
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:8080"),
+                         entry.Address("clients", "listen").value());
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:7100"),
+                         agent.Address("agent", "listen").value());
+  }
+
+  void AnOpenAddressNeedsOneToTell() {
+    for (const char* listen : {"0.0.0.0:0", "[::]:0"}) {
+      const std::string entry = std::string("entry.listen=") + listen;
+      const std::string agent = std::string("agent.listen=") + listen;
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, EntryErrors({entry}).size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentErrors({agent}).size());
+      CPPUNIT_ASSERT_EQUAL(std::string("advertise"),
+                           EntryErrors({entry})[0].key);
+      CPPUNIT_ASSERT(
+          EntryErrors({entry, "entry.advertise=10.0.0.1:7000"}).empty());
+      CPPUNIT_ASSERT(
+          AgentErrors({agent, "agent.advertise=10.0.0.1:7000"}).empty());
+      CPPUNIT_ASSERT_EQUAL(
+          std::size_t{1},
+          EntryErrors({entry, "entry.advertise=0.0.0.0:7000"}).size());
+    }
+    CPPUNIT_ASSERT(EntryErrors({"clients.listen=0.0.0.0:8080"}).empty());
+  }
+
+  void DurationsMustFitTogether() {
+    const std::vector<std::vector<std::string>> wrong = {
+        {"policy.seal_after=8s", "policy.gone_after=8s"},
+        {"policy.member_timeout=1s", "policy.heartbeat_interval=1s"},
+        {"policy.freshness=1s", "policy.poll_interval=500ms"},
+    };
+    const std::vector<std::vector<std::string>> right = {
+        {"policy.seal_after=7999ms", "policy.gone_after=8s"},
+        {"policy.member_timeout=1001ms", "policy.heartbeat_interval=1s"},
+        {"policy.freshness=1001ms", "policy.poll_interval=500ms"},
+    };
+    for (const std::vector<std::string>& overrides : wrong) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, EntryErrors(overrides).size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, AgentErrors(overrides).size());
+    }
+    for (const std::vector<std::string>& overrides : right) {
+      CPPUNIT_ASSERT(EntryErrors(overrides).empty());
+      CPPUNIT_ASSERT(AgentErrors(overrides).empty());
+    }
+  }
+
+  void DomainsAreNames() {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         EntryErrors({"entry.domain=sze ged"}).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         AgentErrors({"agent.domain=a/b"}).size());
+  }
+
+  void LoadingEndsWithTheExitCode() {
+    core::CommandLine command;
+    command.check = true;
+    command.overrides = {"agent.domain=szeged", "agent.entries=127.0.0.1:7000"};
+    int exit_code = -1;
+    CPPUNIT_ASSERT(!LoadChecked(command, AgentSpecs(), "agent", &exit_code));
+    CPPUNIT_ASSERT_EQUAL(core::kExitOk, exit_code);
+    command.overrides.emplace_back("agent.listen=0.0.0.0:7100");
+    CPPUNIT_ASSERT(!LoadChecked(command, AgentSpecs(), "agent", &exit_code));
+    CPPUNIT_ASSERT_EQUAL(core::kExitSettings, exit_code);
+    command.check = false;
+    CPPUNIT_ASSERT(!LoadChecked(command, AgentSpecs(), "agent", &exit_code));
+    command.overrides.pop_back();
+    CPPUNIT_ASSERT(LoadChecked(command, AgentSpecs(), "agent", &exit_code));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CheckedSettingsTest);
+
+}  // namespace
+}  // namespace tarragon::daemons
