Daemons: return 1 when a stop cuts work

Cause: a second SIGTERM and drain_limit with work left ended with 0, and the limit of the log hid most of what was cut. An entry with an open client connection did not end at drain_limit at all. Change: exit_code() of the daemons, one log line with the whole list.

--- a/daemons/agent_daemon.cc
+++ b/daemons/agent_daemon.cc
@@ -6,8 +6,10 @@
 #include "agent_metrics.h"
 #include "announcement.h"
 #include "job_json.h"
+#include "open_work.h"
 #include "process_runner.h"
 #include "target_runner.h"
+#include "tarragon/core/exit_code.h"
 #include "tarragon/core/log.h"
 #include "tarragon/daemons/policy_settings.h"
 #include "tarragon/dispatch/agent.h"
@@ -86,6 +88,8 @@
         pages_server_(io, PageLimits(), PagesHandler()),
         runner_(io, TargetEnded()) {}
 
+  int exit_code() const { return exit_code_; }
+
   bool Start(std::string* reason) {
     wire::WireError wire_error;
     std::optional<core::Address> advertise;
@@ -222,10 +226,14 @@
   void Tick() {
     dispatch::OnTick(&board_, clock_.Now());
     Flush();
-    if (!ending_ && dispatch::StopFinished(board_, clock_.Now())) {
-      AgentLog().Info("Stopped.");
-      End();
+    if (ending_ || !dispatch::StopFinished(board_, clock_.Now())) return;
+    // Work is left only when the limit of the stop has been reached.
+    if (!OpenWork(board_).empty()) {
+      Abort();
+      return;
     }
+    AgentLog().Info("Stopped.");
+    End();
   }
 
   void Stop() {
@@ -235,10 +243,12 @@
     Flush();
   }
 
+  /// Ends although work may be left, and says which.
   void Abort() {
-    for (const core::JobKey& key : board_.active) {
-      AgentLog().Error("Cut a job.", {{"key", key}});
-    }
+    const std::vector<std::string> work = OpenWork(board_);
+    AgentLog().Error("Ended with work cut.",
+                     {{"count", work.size()}, {"work", Listed(work)}});
+    exit_code_ = core::kExitFailure;
     End();
   }
 
@@ -296,6 +306,7 @@
   core::Address target_address_;
   core::Address pages_address_;
   bool ending_ = false;
+  int exit_code_ = core::kExitOk;
 };
 
 AgentDaemon::AgentDaemon(boost::asio::io_context& io, core::Settings settings,
@@ -307,6 +318,8 @@
 
 bool AgentDaemon::Start(std::string* reason) { return impl_->Start(reason); }
 
+int AgentDaemon::exit_code() const { return impl_->exit_code(); }
+
 std::string AgentDaemon::ReadyLine() const { return impl_->ReadyLine(); }
 
 }  // namespace tarragon::daemons
--- a/daemons/agent_main.cc
+++ b/daemons/agent_main.cc
@@ -39,5 +39,5 @@
   std::cout << daemon.ReadyLine() << std::endl;
   io.run();
   core::FlushLog();
-  return core::kExitOk;
+  return daemon.exit_code();
 }
--- a/daemons/entry_daemon.cc
+++ b/daemons/entry_daemon.cc
@@ -5,9 +5,11 @@
 
 #include "client_api.h"
 #include "counter_mirror.h"
+#include "open_work.h"
 #include "operator_api.h"
 #include "process_runner.h"
 #include "table_gateway.h"
+#include "tarragon/core/exit_code.h"
 #include "tarragon/core/log.h"
 #include "tarragon/daemons/policy_settings.h"
 #include "tarragon/dispatch/entry.h"
@@ -115,6 +117,8 @@
                            operators_.Handle(request, respond);
                          }) {}
 
+  int exit_code() const { return exit_code_; }
+
   bool Start(std::string* reason) {
     wire::WireError wire_error;
     std::optional<core::Address> advertise;
@@ -207,12 +211,18 @@
   void Tick() {
     dispatch::OnTick(&board_, clock_.Now());
     Flush();
-    const bool finished = dispatch::StopFinished(board_, clock_.Now()) &&
-                          client_server_.open_requests() == 0;
-    if (!ending_ && finished) {
-      EntryLog().Info("Stopped.");
-      End();
+    if (ending_ || !dispatch::StopFinished(board_, clock_.Now())) return;
+    const bool limit_reached =
+        clock_.Now() - board_.stop_requested >= board_.policy.drain_limit;
+    const bool work_left =
+        !OpenWork(board_).empty() || client_server_.open_requests() > 0;
+    if (work_left && !limit_reached) return;
+    if (work_left) {
+      Abort();
+      return;
     }
+    EntryLog().Info("Stopped.");
+    End();
   }
 
   void Stop() {
@@ -222,10 +232,14 @@
     Flush();
   }
 
+  /// Ends although work may be left, and says which.
   void Abort() {
-    for (const auto& [number, request] : board_.requests) {
-      EntryLog().Error("Cut a request.", {{"key", request.spec.key}});
-    }
+    const std::vector<std::string> work = OpenWork(board_);
+    EntryLog().Error("Ended with work cut.",
+                     {{"count", work.size()},
+                      {"work", Listed(work)},
+                      {"connections", client_server_.open_requests()}});
+    exit_code_ = core::kExitFailure;
     End();
   }
 
@@ -309,6 +323,7 @@
   core::Address clients_address_;
   core::Address operators_address_;
   bool ending_ = false;
+  int exit_code_ = core::kExitOk;
 };
 
 EntryDaemon::EntryDaemon(boost::asio::io_context& io, core::Settings settings,
@@ -320,6 +335,8 @@
 
 bool EntryDaemon::Start(std::string* reason) { return impl_->Start(reason); }
 
+int EntryDaemon::exit_code() const { return impl_->exit_code(); }
+
 std::string EntryDaemon::ReadyLine() const { return impl_->ReadyLine(); }
 
 }  // namespace tarragon::daemons
--- a/daemons/include/tarragon/daemons/agent_daemon.h
+++ b/daemons/include/tarragon/daemons/agent_daemon.h
@@ -31,6 +31,11 @@
   /// One line that names the bound addresses, for whoever started it.
   std::string ReadyLine() const;
 
+  /// What the process is to return once the io_context has stopped:
+  /// core::kExitOk, or core::kExitFailure when work was cut by a second SIGTERM
+  /// or by the limit of the stop.
+  int exit_code() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
