Daemons: refuse malformed announcements of targets

Cause: any text was taken as address or service, a leaving that is no bool counted as false, and unknown members were ignored. Change: ObjectReader moves to json_reader and reads announcements too.

--- a/daemons/announcement.cc
+++ b/daemons/announcement.cc
@@ -1,6 +1,11 @@
 #include "announcement.h"
 
+#include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
+#include <charconv>
+
+#include "json_reader.h"
+#include "tarragon/dispatch/note.h"
 
 namespace tarragon::daemons {
 namespace {
@@ -11,27 +16,47 @@
 constexpr std::int64_t kMaxCores = 4096;
 constexpr std::int64_t kMaxMemoryMb = 64 * 1024 * 1024;
 constexpr std::size_t kMaxServices = 256;
+constexpr std::size_t kMaxAddress = 64;
 
-bool ReadCount(const json::object& object, const char* key, std::int64_t most,
-               std::uint32_t* count) {
-  const json::value* value = object.if_contains(key);
-  if (value == nullptr) return true;
-  if (!value->is_int64()) return false;
-  if (value->get_int64() < 0 || value->get_int64() > most) return false;
-  *count = static_cast<std::uint32_t>(value->get_int64());
-  return true;
+/// True for "IP:port" and "[IPv6]:port" with a port that is not zero.
+bool IsAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) return false;
+  std::string host = text.substr(0, colon);
+  const bool bracketed =
+      host.size() > 2 && host.front() == '[' && host.back() == ']';
+  if (bracketed) host = host.substr(1, host.size() - 2);
+  boost::system::error_code error;
+  const boost::asio::ip::address address =
+      boost::asio::ip::make_address(host, error);
+  if (error || address.is_v6() != bracketed) return false;
+  std::uint16_t port = 0;
+  const char* last = text.data() + text.size();
+  const std::from_chars_result read =
+      std::from_chars(text.data() + colon + 1, last, port);
+  return read.ec == std::errc() && read.ptr == last && port != 0;
 }
 
-bool ReadServices(const json::object& object, dispatch::Target* target) {
-  const json::value* value = object.if_contains("services");
-  if (value == nullptr || !value->is_array()) return false;
-  const json::array& services = value->get_array();
-  if (services.empty() || services.size() > kMaxServices) return false;
+void ReadServices(const json::array& services, ObjectReader* reader,
+                  dispatch::Target* target) {
+  if (services.empty() || services.size() > kMaxServices) {
+    reader->Fail("services",
+                 "must have 1 to " + std::to_string(kMaxServices) + " names");
+    return;
+  }
   for (const json::value& service : services) {
-    if (!service.is_string()) return false;
+    if (!service.is_string() || !dispatch::IsName(service.get_string())) {
+      reader->Fail("services",
+                   "must be names of 1 to 64 characters of A-Z a-z 0-9 _ . -");
+      return;
+    }
     target->services.emplace_back(std::string(service.get_string()));
   }
-  return true;
+}
+
+std::uint32_t ReadCount(const char* key, std::int64_t least, std::int64_t most,
+                        ObjectReader* reader) {
+  return static_cast<std::uint32_t>(reader->Integer(key, least, most, 0));
 }
 
 }  // namespace
@@ -44,31 +69,23 @@
     reason->detail = "The body is not a JSON object.";
     return std::nullopt;
   }
-  const json::object& object = value.get_object();
+  ObjectReader reader(value.get_object(), "");
   dispatch::Target target;
-  const json::value* address = object.if_contains("address");
-  if (address == nullptr || !address->is_string()) {
-    reason->detail = "address must be a text.";
-    return std::nullopt;
-  }
-  target.address = core::Address(std::string(address->get_string()));
-  if (!ReadServices(object, &target)) {
-    reason->detail = "services must be a list of names.";
-    return std::nullopt;
-  }
-  const bool counts =
-      ReadCount(object, "slots", kMaxSlots, &target.slots) &&
-      ReadCount(object, "cores", kMaxCores, &target.cores) &&
-      ReadCount(object, "memory_mb", kMaxMemoryMb, &target.memory_mb) &&
-      ReadCount(object, "running", kMaxSlots, &target.foreign_running);
-  if (!counts || target.slots == 0) {
-    reason->detail = "slots, cores, memory_mb and running must be counts.";
-    return std::nullopt;
-  }
-  const json::value* leaving = object.if_contains("leaving");
-  target.leaving =
-      leaving != nullptr && leaving->is_bool() && leaving->get_bool();
-  return target;
+  const std::string address = reader.Text("address", kMaxAddress, false);
+  if (!IsAddress(address)) reader.Fail("address", "must be IP:port");
+  target.address = core::Address(address);
+  const json::array* services = reader.Array("services");
+  if (services != nullptr) ReadServices(*services, &reader, &target);
+  target.slots = ReadCount("slots", 1, kMaxSlots, &reader);
+  if (target.slots == 0) reader.Fail("slots", "is missing");
+  target.cores = ReadCount("cores", 0, kMaxCores, &reader);
+  target.memory_mb = ReadCount("memory_mb", 0, kMaxMemoryMb, &reader);
+  target.foreign_running = ReadCount("running", 0, kMaxSlots, &reader);
+  target.leaving = reader.Bool("leaving", false);
+  reader.RefuseOthers();
+  if (reader.error().empty()) return target;
+  reason->detail = reader.error();
+  return std::nullopt;
 }
 
 }  // namespace tarragon::daemons
--- a/daemons/job_json.cc
+++ b/daemons/job_json.cc
@@ -4,6 +4,8 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "json_reader.h"
+
 namespace tarragon::daemons {
 namespace {
 
@@ -20,73 +22,6 @@
 constexpr std::int64_t kMaxMemoryMb = 64 * 1024 * 1024;
 constexpr std::int64_t kMsPerSecond = 1000;
 
-/// Reads the members of one object and remembers the first fault.
-class ObjectReader {
- public:
-  ObjectReader(const json::object& object, std::string where)
-      : object_(object), where_(std::move(where)) {}
-
-  /// A text; refused when missing, empty or longer than `most`.
-  std::string Text(const char* key, std::size_t most, bool may_be_empty) {
-    const json::value* value = Find(key);
-    if (value == nullptr || !value->is_string()) {
-      Fail(key, "must be a text");
-      return {};
-    }
-    const json::string& text = value->get_string();
-    if (text.size() > most) Fail(key, "is too long");
-    if (text.empty() && !may_be_empty) Fail(key, "must not be empty");
-    return std::string(text.data(), text.size());
-  }
-
-  /// A whole number from `least` to `most`; `fallback` when it is missing.
-  std::int64_t Integer(const char* key, std::int64_t least, std::int64_t most,
-                       std::int64_t fallback) {
-    const json::value* value = Find(key);
-    if (value == nullptr) return fallback;
-    if (!value->is_int64() || value->get_int64() < least ||
-        value->get_int64() > most) {
-      Fail(key, "must be a whole number from " + std::to_string(least) +
-                    " to " + std::to_string(most));
-      return fallback;
-    }
-    return value->get_int64();
-  }
-
-  const json::array* Array(const char* key) {
-    const json::value* value = Find(key);
-    if (value == nullptr || !value->is_array()) {
-      Fail(key, "must be a list");
-      return nullptr;
-    }
-    return &value->get_array();
-  }
-
-  /// Refuses members that were not asked for.
-  void RefuseOthers() {
-    if (object_.size() <= known_) return;
-    if (error_.empty()) error_ = where_ + "has members that are not known.";
-  }
-
-  const std::string& error() const { return error_; }
-
- private:
-  const json::value* Find(const char* key) {
-    const json::value* value = object_.if_contains(key);
-    if (value != nullptr) ++known_;
-    return value;
-  }
-
-  void Fail(const char* key, const std::string& what) {
-    if (error_.empty()) error_ = where_ + std::string(key) + " " + what + ".";
-  }
-
-  const json::object& object_;
-  std::string where_;
-  std::string error_;
-  std::size_t known_ = 0;
-};
-
 bool ReadTask(const json::value& value, std::size_t index,
               dispatch::TaskSpec* task, RequestError* reason) {
   const std::string where = "tasks[" + std::to_string(index) + "] ";
