Daemons: log outages of the table, permits and the domain

Cause: nothing told of a table that is out, of permits that lapse or of a failure domain that no note lists; a dead peer was logged each heartbeat. Change: EntryWatch and AgentWatch tell each change once, /readyz of an agent gives its reason, a lost peer is told once until it is reached again, and the answer to a note is logged with its state.

--- a/daemons/agent_daemon.cc
+++ b/daemons/agent_daemon.cc
@@ -5,6 +5,7 @@
 
 #include "agent_metrics.h"
 #include "announcement.h"
+#include "condition_watch.h"
 #include "job_json.h"
 #include "open_work.h"
 #include "process_runner.h"
@@ -146,15 +147,19 @@
     wire::TransportEvents events;
     events.message = [this](const core::NodeId& from,
                             dispatch::Message message) {
+      lost_peers_.Reached(from);
       dispatch::OnMessage(&board_, clock_.Now(), from, std::move(message));
       Flush();
     };
     events.peer_lost = [this](const core::NodeId& peer) {
-      AgentLog().Info("Lost a connection.", {{"peer", core::ToString(peer)}});
+      if (lost_peers_.Lost(peer)) {
+        AgentLog().Info("Lost a connection.", {{"peer", core::ToString(peer)}});
+      }
       dispatch::OnPeerLost(&board_, clock_.Now(), peer);
       Flush();
     };
     events.peer_gone = [this](const core::NodeId& peer) {
+      lost_peers_.Reached(peer);
       AgentLog().Warn("A process is gone.", {{"peer", core::ToString(peer)}});
       dispatch::OnPeerGone(&board_, clock_.Now(), peer);
       Flush();
@@ -204,11 +209,11 @@
       } else if (request.path == "/healthz") {
         respond(TextResponse(kStatusOk, "ok\n"));
       } else if (request.path == "/readyz") {
-        const bool ready = clock_.Now() < board_.permit_until &&
-                           board_.target.present && !board_.stopping;
-        respond(ready ? TextResponse(kStatusOk, "ok\n")
-                      : TextResponse(kStatusUnavailable,
-                                     "No permit or no target.\n"));
+        const std::optional<std::string> reason =
+            NotReady(board_, clock_.Now());
+        respond(reason.has_value()
+                    ? TextResponse(kStatusUnavailable, *reason + "\n")
+                    : TextResponse(kStatusOk, "ok\n"));
       } else {
         respond(ErrorResponse(kStatusNotFound, "not_found", "No such path."));
       }
@@ -226,6 +231,7 @@
   void Tick() {
     dispatch::OnTick(&board_, clock_.Now());
     Flush();
+    for (const Notice& notice : watch_.Look(board_, clock_.Now())) Tell(notice);
     if (ending_ || !dispatch::StopFinished(board_, clock_.Now())) return;
     // Work is left only when the limit of the stop has been reached.
     if (!OpenWork(board_).empty()) {
@@ -236,6 +242,15 @@
     End();
   }
 
+  void Tell(const Notice& notice) {
+    const core::Field domain{"domain", board_.domain};
+    if (notice.warn) {
+      AgentLog().Warn(notice.sentence, {domain});
+    } else {
+      AgentLog().Info(notice.sentence, {domain});
+    }
+  }
+
   void Stop() {
     AgentLog().Info("Stopping.", {{"jobs", board_.active.size()},
                                   {"running", board_.running}});
@@ -305,6 +320,8 @@
   std::unique_ptr<ProcessRunner> process_;
   core::Address target_address_;
   core::Address pages_address_;
+  AgentWatch watch_;
+  LostPeers lost_peers_;
   bool ending_ = false;
   int exit_code_ = core::kExitOk;
 };
--- a/daemons/entry_daemon.cc
+++ b/daemons/entry_daemon.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "client_api.h"
+#include "condition_watch.h"
 #include "counter_mirror.h"
 #include "open_work.h"
 #include "operator_api.h"
@@ -192,15 +193,19 @@
     wire::TransportEvents events;
     events.message = [this](const core::NodeId& from,
                             dispatch::Message message) {
+      lost_peers_.Reached(from);
       dispatch::OnMessage(&board_, clock_.Now(), from, std::move(message));
       Flush();
     };
     events.peer_lost = [this](const core::NodeId& peer) {
-      EntryLog().Info("Lost a connection.", {{"peer", core::ToString(peer)}});
+      if (lost_peers_.Lost(peer)) {
+        EntryLog().Info("Lost a connection.", {{"peer", core::ToString(peer)}});
+      }
       dispatch::OnPeerLost(&board_, clock_.Now(), peer);
       Flush();
     };
     events.peer_gone = [this](const core::NodeId& peer) {
+      lost_peers_.Reached(peer);
       EntryLog().Warn("A process is gone.", {{"peer", core::ToString(peer)}});
       dispatch::OnPeerGone(&board_, clock_.Now(), peer);
       Flush();
@@ -211,6 +216,7 @@
   void Tick() {
     dispatch::OnTick(&board_, clock_.Now());
     Flush();
+    for (const Notice& notice : watch_.Look(board_, clock_.Now())) Tell(notice);
     if (ending_ || !dispatch::StopFinished(board_, clock_.Now())) return;
     const bool limit_reached =
         clock_.Now() - board_.stop_requested >= board_.policy.drain_limit;
@@ -225,6 +231,15 @@
     End();
   }
 
+  void Tell(const Notice& notice) {
+    const core::Field domain{"domain", board_.domain};
+    if (notice.warn) {
+      EntryLog().Warn(notice.sentence, {domain});
+    } else {
+      EntryLog().Info(notice.sentence, {domain});
+    }
+  }
+
   void Stop() {
     EntryLog().Info("Stopping.", {{"requests", board_.requests.size()}});
     client_server_.StopAccepting();
@@ -301,6 +316,8 @@
 
   void Call(dispatch::TableCall call) {
     CallTable(&table_, std::move(call), [this](dispatch::TableReply reply) {
+      const std::optional<Notice> notice = watch_.TableReplied(reply.status);
+      if (notice.has_value()) Tell(*notice);
       dispatch::OnTableReply(&board_, clock_.Now(), std::move(reply));
       Flush();
     });
@@ -322,6 +339,8 @@
   std::unique_ptr<ProcessRunner> process_;
   core::Address clients_address_;
   core::Address operators_address_;
+  EntryWatch watch_;
+  LostPeers lost_peers_;
   bool ending_ = false;
   int exit_code_ = core::kExitOk;
 };
--- a/daemons/operator_api.cc
+++ b/daemons/operator_api.cc
@@ -178,7 +178,9 @@
   waiting_.erase(found);
   OperatorLog().Info(
       "Answered a release note.",
-      {{"note", waiting.subject}, {"version", answer.answer.version.value()}});
+      {{"note", waiting.subject},
+       {"state", StateName(answer.answer.state)},
+       {"version", answer.answer.version.value()}});
   waiting.respond(NoteResponse(answer.answer, waiting.subject));
 }
 
--- a/daemons/state_json.cc
+++ b/daemons/state_json.cc
@@ -78,7 +78,15 @@
   return 500;
 }
 
-const char* Name(NoteState state) {
+json::array Lines(const std::vector<std::string>& lines) {
+  json::array array;
+  for (const std::string& line : lines) array.emplace_back(line);
+  return array;
+}
+
+}  // namespace
+
+const char* StateName(NoteState state) {
   switch (state) {
     case NoteState::kAccepted:
       return "accepted";
@@ -94,14 +102,6 @@
   return "invalid";
 }
 
-json::array Lines(const std::vector<std::string>& lines) {
-  json::array array;
-  for (const std::string& line : lines) array.emplace_back(line);
-  return array;
-}
-
-}  // namespace
-
 std::string WorldJson(const dispatch::World& world) {
   json::object services;
   for (const auto& [id, service] : world.services) {
@@ -149,7 +149,7 @@
     detail += text;
   }
   const json::object body{{"version", answer.version.value()},
-                          {"state", Name(answer.state)},
+                          {"state", StateName(answer.state)},
                           {"note", note_id},
                           {"detail", detail},
                           {"errors", Lines(answer.texts)}};
--- a/daemons/state_json.h
+++ b/daemons/state_json.h
@@ -21,6 +21,9 @@
 http::Response NoteResponse(const dispatch::NoteAnswer& answer,
                             const std::string& note_id);
 
+/// What the answer calls `state`.
+const char* StateName(dispatch::NoteState state);
+
 /// The history of a job.
 http::Response ExplainResponse(const std::string& key,
                                const std::vector<std::string>& lines);
