Daemons: describe every metric; show how long tasks wait and run

Cause: most metrics had no help text, and no histogram told queue time, run time or what the dispatch adds to a job. Change: EntryMetrics beside AgentMetrics; task_queue_seconds, task_run_seconds and job_over_ideal_seconds per tenant and service.

--- a/daemons/agent_metrics.cc
+++ b/daemons/agent_metrics.cc
@@ -1,39 +1,82 @@
 #include "agent_metrics.h"
 
+#include <algorithm>
+
 #include "tarragon/dispatch/agent.h"
 
 namespace tarragon::daemons {
+namespace {
 
 using metrics::Labels;
 using metrics::MetricKind;
 
+constexpr MetricHelp kHelp[] = {
+    {"job_response_seconds", MetricKind::kHistogram,
+     "Time from taking in a job to its answer."},
+    {"job_over_ideal_seconds", MetricKind::kHistogram,
+     "Response time of a complete job less its longest task's run time."},
+    {"task_queue_seconds", MetricKind::kHistogram,
+     "Time from taking in a job to the last placement of a task."},
+    {"task_run_seconds", MetricKind::kHistogram,
+     "Run time of a task at its target."},
+    {"jobs_total", MetricKind::kCounter, "Jobs that ended here, by outcome."},
+    {"refusals_total", MetricKind::kCounter,
+     "Jobs and placements refused here, by reason."},
+    {"starts_total", MetricKind::kCounter, "Tasks handed to the target."},
+    {"placements_total", MetricKind::kCounter, "Tasks sent to executors."},
+    {"retries_total", MetricKind::kCounter,
+     "Tasks sent to executors, not for the first time."},
+    {"seals_total", MetricKind::kCounter,
+     "Silent executors asked for a proof."},
+    {"pulls_total", MetricKind::kCounter,
+     "Requests of free slots for waiting tasks."},
+    {"load_hints_total", MetricKind::kCounter,
+     "Loads told without being asked."},
+    {"wasted_messages_total", MetricKind::kCounter,
+     "Messages that brought no work on, by kind."},
+    {"slots", MetricKind::kGauge, "Slots of the target."},
+    {"running", MetricKind::kGauge, "Tasks that run at the target."},
+    {"free_slots", MetricKind::kGauge,
+     "Slots in which a task could start now."},
+    {"active_jobs", MetricKind::kGauge, "Jobs open at this home."},
+    {"kept_jobs", MetricKind::kGauge, "Jobs remembered at this home."},
+    {"held_bytes", MetricKind::kGauge, "Payloads and answers held."},
+    {"peers", MetricKind::kGauge, "Agents known here."},
+    {"note_version", MetricKind::kGauge, "Version of the note in force here."},
+    {"ejected", MetricKind::kGauge,
+     "1 while the target fails most tasks and gets single trials."},
+    {"invariant_checks_total", MetricKind::kCounter,
+     "Invariants checked, by name."},
+};
+
+Labels LabelsOf(const core::ServiceId& service, const core::TenantId& tenant) {
+  return Labels{{"service", service.value()}, {"tenant", tenant.value()}};
+}
+
+}  // namespace
+
 AgentMetrics::AgentMetrics() : mirror_(&registry_) {
-  registry_.Describe("job_response_seconds", MetricKind::kHistogram,
-                     "Time from taking in a job to its answer.");
-  registry_.Describe("jobs_total", MetricKind::kCounter,
-                     "Jobs that ended here, by outcome.");
-  registry_.Describe("refusals_total", MetricKind::kCounter,
-                     "Jobs and placements refused here, by reason.");
-  registry_.Describe("starts_total", MetricKind::kCounter,
-                     "Tasks handed to the target.");
-  registry_.Describe("wasted_messages_total", MetricKind::kCounter,
-                     "Messages that brought no work on, by kind.");
-  registry_.Describe("messages_out_total", MetricKind::kCounter,
-                     "Messages sent to other processes, by name.");
-  registry_.Describe("free_slots", MetricKind::kGauge,
-                     "Slots in which a task could start now.");
-  registry_.Describe("invariant_checks_total", MetricKind::kCounter,
-                     "Invariants checked, by name.");
+  for (const MetricHelp& item : kHelp) {
+    registry_.Describe(item.name, item.kind, item.help);
+  }
 }
 
 void AgentMetrics::Take(dispatch::AgentBoard* board) {
   for (const dispatch::JobSample& sample : board->samples) {
-    registry_.Observe("job_response_seconds",
-                      Labels{{"service", sample.service.value()},
-                             {"tenant", sample.tenant.value()}},
-                      sample.response);
+    const Labels labels = LabelsOf(sample.service, sample.tenant);
+    registry_.Observe("job_response_seconds", labels, sample.response);
+    if (sample.outcome != dispatch::Outcome::kComplete) continue;
+    registry_.Observe(
+        "job_over_ideal_seconds", labels,
+        std::max(core::Duration(0), sample.response - sample.longest_run));
   }
   board->samples.clear();
+  for (const dispatch::TaskSample& sample : board->task_samples) {
+    const Labels labels = LabelsOf(sample.service, sample.tenant);
+    registry_.Observe("task_queue_seconds", labels, sample.queued);
+    registry_.Observe("task_run_seconds", labels, sample.run);
+  }
+  board->task_samples.clear();
 }
 
 void AgentMetrics::MirrorBoard(const dispatch::AgentBoard& board,
--- a/daemons/counter_mirror.cc
+++ b/daemons/counter_mirror.cc
@@ -6,6 +6,44 @@
 #include <fstream>
 
 namespace tarragon::daemons {
+namespace {
+
+using metrics::MetricKind;
+
+constexpr MetricHelp kHelp[] = {
+    {"messages_out_total", MetricKind::kCounter,
+     "Messages sent to other processes, by name."},
+    {"message_bytes_out_total", MetricKind::kCounter,
+     "Bytes of the messages sent, by name."},
+    {"messages_in_total", MetricKind::kCounter,
+     "Messages from other processes, by name."},
+    {"message_bytes_in_total", MetricKind::kCounter,
+     "Bytes of the messages received, by name."},
+    {"socket_bytes_out_total", MetricKind::kCounter,
+     "Bytes written to the sockets between processes."},
+    {"socket_bytes_in_total", MetricKind::kCounter,
+     "Bytes read from the sockets between processes."},
+    {"refused_frames_total", MetricKind::kCounter,
+     "Frames that were too large or no message."},
+    {"protocol_violations_total", MetricKind::kCounter,
+     "Connections closed because the peer broke the protocol."},
+    {"dropped_messages_total", MetricKind::kCounter,
+     "Messages that found no connection or no room."},
+    {"connections", MetricKind::kGauge, "Open connections between processes."},
+    {"process_cpu_seconds", MetricKind::kGauge,
+     "Processor time of this process."},
+    {"process_resident_bytes", MetricKind::kGauge,
+     "Resident memory of this process."},
+};
+
+}  // namespace
+
+CounterMirror::CounterMirror(metrics::Registry* registry)
+    : registry_(registry) {
+  for (const MetricHelp& item : kHelp) {
+    registry_->Describe(item.name, item.kind, item.help);
+  }
+}
 
 void CounterMirror::Mirror(const std::string& name,
                            const metrics::Labels& labels, std::uint64_t total) {
--- a/daemons/counter_mirror.h
+++ b/daemons/counter_mirror.h
@@ -11,10 +11,18 @@
 
 namespace tarragon::daemons {
 
+/// What a metrics page says of one name.
+struct MetricHelp {
+  const char* name;
+  metrics::MetricKind kind;
+  const char* help;
+};
+
 /// Brings totals that are counted elsewhere into a registry, which only adds.
 class CounterMirror {
  public:
-  explicit CounterMirror(metrics::Registry* registry) : registry_(registry) {}
+  /// Describes what MirrorTransport and MirrorProcess show.
+  explicit CounterMirror(metrics::Registry* registry);
 
   /// Makes the counter `name` show `total`, which never falls.
   void Mirror(const std::string& name, const metrics::Labels& labels,
--- a/daemons/entry_daemon.cc
+++ b/daemons/entry_daemon.cc
@@ -5,7 +5,7 @@
 
 #include "client_api.h"
 #include "condition_watch.h"
-#include "counter_mirror.h"
+#include "entry_metrics.h"
 #include "open_work.h"
 #include "operator_api.h"
 #include "process_runner.h"
@@ -99,14 +99,14 @@
       : io_(io),
         settings_(std::move(settings)),
         reload_(std::move(reload)),
-        mirror_(&registry_),
         transport_(io, core::RandomIncarnation(), wire::TransportLimits{},
                    Events()),
         table_(io, TableSettings()),
         clients_(&board_, &clock_, [this]() { Flush(); }),
         operators_(
             &board_, &clock_, settings_.Text("operators", "token"),
-            [this]() { Flush(); }, [this]() { return MetricsPage(); }),
+            [this]() { Flush(); },
+            [this]() { return metrics_.Page(board_, transport_.counters()); }),
         client_server_(io, ClientLimits(),
                        [this](const http::Request& request,
                               const http::Responder& respond) {
@@ -276,25 +276,6 @@
     EntryLog().Info("Read the settings again.");
   }
 
-  std::string MetricsPage() {
-    mirror_.MirrorAll("answers_total", "outcome", board_.counters.answers);
-    mirror_.MirrorAll("invariant_checks_total", "name", board_.invariants);
-    mirror_.Mirror("heartbeats_total", {}, board_.counters.heartbeats);
-    mirror_.Mirror("table_reads_total", {}, board_.counters.table_reads);
-    mirror_.Mirror("table_writes_total", {}, board_.counters.table_writes);
-    mirror_.Mirror("resubmissions_total", {}, board_.counters.resubmissions);
-    mirror_.Mirror("permits_refused_total", {},
-                   board_.counters.permits_refused);
-    registry_.Set("members", {}, static_cast<double>(board_.members.size()));
-    registry_.Set("open_requests", {},
-                  static_cast<double>(board_.requests.size()));
-    registry_.Set("note_version", {},
-                  static_cast<double>(board_.world.version.value()));
-    mirror_.MirrorTransport(transport_.counters());
-    mirror_.MirrorProcess();
-    return registry_.Exposition();
-  }
-
   /// Carries out what the decisions ask for.
   void Flush() {
     std::vector<dispatch::EntryAction> actions;
@@ -328,8 +309,7 @@
   std::function<std::optional<core::Settings>()> reload_;
   core::SystemClock clock_;
   dispatch::EntryBoard board_;
-  metrics::Registry registry_;
-  CounterMirror mirror_;
+  EntryMetrics metrics_;
   wire::Transport transport_;
   platform::HttpTable table_;
   ClientApi clients_;
--- /dev/null
+++ b/daemons/entry_metrics.h
@@ -0,0 +1,29 @@
+#ifndef TARRAGON_DAEMONS_ENTRY_METRICS_H_
+#define TARRAGON_DAEMONS_ENTRY_METRICS_H_
+
+#include <string>
+
+#include "counter_mirror.h"
+#include "tarragon/dispatch/entry_board.h"
+#include "tarragon/metrics/registry.h"
+#include "tarragon/wire/transport.h"
+
+namespace tarragon::daemons {
+
+/// The metrics page of an entry.
+class EntryMetrics {
+ public:
+  EntryMetrics();
+
+  /// The page in the text exposition format.
+  std::string Page(const dispatch::EntryBoard& board,
+                   const wire::TransportCounters& transport);
+
+ private:
+  metrics::Registry registry_;
+  CounterMirror mirror_;
+};
+
+}  // namespace tarragon::daemons
+
+#endif  // TARRAGON_DAEMONS_ENTRY_METRICS_H_
