Daemons: answer 404 to unknown keys, 405 to wrong methods

Cause: explain of an unknown key was 200; POST /v1/home and wrong methods on operators' paths were 404. Change: 404 unknown_key, 405 with Allow.

--- a/daemons/client_api.cc
+++ b/daemons/client_api.cc
@@ -16,8 +16,8 @@
 
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
-constexpr int kStatusMethod = 405;
 constexpr int kStatusUnavailable = 503;
+constexpr char kHome[] = "/v1/home";
 constexpr char kJobs[] = "/v1/jobs";
 constexpr char kJobPrefix[] = "/v1/jobs/";
 constexpr std::int64_t kMaxWaitMs = 600'000;
@@ -56,15 +56,19 @@
 
 void ClientApi::Handle(const http::Request& request,
                        const http::Responder& respond) {
-  if (request.path == "/v1/home" && request.method == "GET") {
-    MintHandle(request, respond);
+  if (request.path == kHome) {
+    if (request.method == "GET") {
+      MintHandle(request, respond);
+    } else {
+      respond(MethodResponse("GET"));
+    }
     return;
   }
   if (request.path == kJobs) {
     if (request.method == "POST") {
       Submit(request, respond);
     } else {
-      respond(ErrorResponse(kStatusMethod, "method", "Use POST."));
+      respond(MethodResponse("POST"));
     }
     return;
   }
@@ -85,7 +89,7 @@
   } else if (request.method == "DELETE") {
     Ask(dispatch::RequestKind::kCancel, key, kCancelWait, respond);
   } else {
-    respond(ErrorResponse(kStatusMethod, "method", "Use GET or DELETE."));
+    respond(MethodResponse("GET, DELETE"));
   }
 }
 
--- a/daemons/job_json.cc
+++ b/daemons/job_json.cc
@@ -13,6 +13,7 @@
 using dispatch::Outcome;
 using dispatch::Reason;
 
+constexpr int kStatusMethod = 405;
 constexpr std::size_t kMaxDepth = 8;
 constexpr std::size_t kMaxPayload = 64 * 1024;
 constexpr std::size_t kMaxName = 64;
@@ -185,4 +186,11 @@
   return response;
 }
 
+http::Response MethodResponse(const std::string& allowed) {
+  http::Response response =
+      ErrorResponse(kStatusMethod, "method", "Use " + allowed + ".");
+  response.headers["allow"] = allowed;
+  return response;
+}
+
 }  // namespace tarragon::daemons
--- a/daemons/job_json.h
+++ b/daemons/job_json.h
@@ -38,6 +38,9 @@
 http::Response ErrorResponse(int status, const std::string& reason,
                              const std::string& detail);
 
+/// 405: the path is called by `allowed`, "GET" or "GET, DELETE", only.
+http::Response MethodResponse(const std::string& allowed);
+
 }  // namespace tarragon::daemons
 
 #endif  // TARRAGON_DAEMONS_JOB_JSON_H_
--- a/daemons/operator_api.cc
+++ b/daemons/operator_api.cc
@@ -17,6 +17,9 @@
 constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
+constexpr char kNotes[] = "/v1/notes";
+constexpr char kNote[] = "/v1/note";
+constexpr char kState[] = "/v1/state";
 constexpr char kExplainPrefix[] = "/v1/explain/";
 constexpr char kEntryPrefix[] = "/v1/entries/";
 constexpr core::Duration kExplainWait = std::chrono::seconds(5);
@@ -33,6 +36,14 @@
   return path.substr(prefix.size());
 }
 
+/// The method of a call that needs the token; empty when there is no such path.
+std::string AllowedMethod(const std::string& path) {
+  if (path == kNotes) return "POST";
+  if (path == kNote || path == kState) return "GET";
+  if (After(path, kExplainPrefix).has_value()) return "GET";
+  return After(path, kEntryPrefix).has_value() ? "DELETE" : "";
+}
+
 /// Compares in a time that does not depend on where the texts differ.
 bool SameSecret(const std::string& a, const std::string& b) {
   if (a.size() != b.size()) return false;
@@ -71,6 +82,13 @@
 
 bool OperatorApi::HandleOpen(const http::Request& request,
                              const http::Responder& respond) {
+  const bool open = request.path == "/metrics" || request.path == "/healthz" ||
+                    request.path == "/readyz";
+  if (!open) return false;
+  if (request.method != "GET" && request.method != "HEAD") {
+    respond(MethodResponse("GET, HEAD"));
+    return true;
+  }
   if (request.path == "/metrics") {
     respond(TextResponse(kStatusOk, metrics_()));
     return true;
@@ -79,7 +97,6 @@
     respond(TextResponse(kStatusOk, "ok\n"));
     return true;
   }
-  if (request.path != "/readyz") return false;
   const std::optional<std::string> reason =
       dispatch::NotReady(*board_, clock_->Now());
   respond(reason.has_value() ? TextResponse(kStatusUnavailable, *reason + "\n")
@@ -103,21 +120,30 @@
                           "A valid bearer token is needed."));
     return;
   }
-  const std::string call = request.method + " " + request.path;
+  const std::string allowed = AllowedMethod(request.path);
+  if (allowed.empty()) {
+    respond(ErrorResponse(kStatusNotFound, "not_found", "No such call."));
+  } else if (request.method != allowed) {
+    respond(MethodResponse(allowed));
+  } else {
+    Dispatch(request, respond);
+  }
+}
+
+void OperatorApi::Dispatch(const http::Request& request,
+                           const http::Responder& respond) {
   const std::optional<std::string> key = After(request.path, kExplainPrefix);
   const std::optional<std::string> entry = After(request.path, kEntryPrefix);
-  if (call == "POST /v1/notes") {
-    ApplyNote(request, respond);
-  } else if (call == "GET /v1/note") {
-    respond(JsonResponse(WorldJson(board_->world)));
-  } else if (call == "GET /v1/state") {
-    respond(JsonResponse(StateJson(*board_, clock_->Now())));
-  } else if (request.method == "GET" && key.has_value()) {
+  if (key.has_value()) {
     Explain(*key, respond);
-  } else if (request.method == "DELETE" && entry.has_value()) {
+  } else if (entry.has_value()) {
     RemoveEntry(*entry, respond);
+  } else if (request.path == kNotes) {
+    ApplyNote(request, respond);
+  } else if (request.path == kNote) {
+    respond(JsonResponse(WorldJson(board_->world)));
   } else {
-    respond(ErrorResponse(kStatusNotFound, "not_found", "No such call."));
+    respond(JsonResponse(StateJson(*board_, clock_->Now())));
   }
 }
 
@@ -176,11 +202,10 @@
   if (found == waiting_.end()) return;
   const Waiting waiting = std::move(found->second);
   waiting_.erase(found);
-  OperatorLog().Info(
-      "Answered a release note.",
-      {{"note", waiting.subject},
-       {"state", StateName(answer.answer.state)},
-       {"version", answer.answer.version.value()}});
+  OperatorLog().Info("Answered a release note.",
+                     {{"note", waiting.subject},
+                      {"state", StateName(answer.answer.state)},
+                      {"version", answer.answer.version.value()}});
   waiting.respond(NoteResponse(answer.answer, waiting.subject));
 }
 
--- a/daemons/operator_api.h
+++ b/daemons/operator_api.h
@@ -35,6 +35,8 @@
   /// Answers the pages that need no token. False when it is none of them.
   bool HandleOpen(const http::Request& request, const http::Responder& respond);
   bool Authorized(const http::Request& request) const;
+  /// Carries out a call with the token, whose path and method are right.
+  void Dispatch(const http::Request& request, const http::Responder& respond);
   void ApplyNote(const http::Request& request, const http::Responder& respond);
   void Explain(const std::string& key, const http::Responder& respond);
   void RemoveEntry(const std::string& node, const http::Responder& respond);
--- a/daemons/state_json.cc
+++ b/daemons/state_json.cc
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include "job_json.h"
 #include "tarragon/dispatch/entry.h"
 
 namespace tarragon::daemons {
@@ -10,6 +11,10 @@
 namespace json = boost::json;
 using dispatch::NoteState;
 
+constexpr int kStatusNotFound = 404;
+/// What the decisions say of a key that they do not know.
+constexpr char kNoSuchJob[] = "No job is known under this key.";
+
 json::array Names(const std::vector<core::ServiceId>& services) {
   json::array names;
   for (const core::ServiceId& service : services) {
@@ -161,6 +166,9 @@
 
 http::Response ExplainResponse(const std::string& key,
                                const std::vector<std::string>& lines) {
+  if (lines.size() == 1 && lines.front() == kNoSuchJob) {
+    return ErrorResponse(kStatusNotFound, "unknown_key", lines.front());
+  }
   http::Response response;
   response.body =
       json::serialize(json::object{{"key", key}, {"lines", Lines(lines)}});
--- a/daemons/state_json.h
+++ b/daemons/state_json.h
@@ -24,7 +24,7 @@
 /// What the answer calls `state`.
 const char* StateName(dispatch::NoteState state);
 
-/// The history of a job.
+/// The history of a job; 404 when the key is not known.
 http::Response ExplainResponse(const std::string& key,
                                const std::vector<std::string>& lines);
 
