--- a/daemons/policy_settings.cc
+++ b/daemons/policy_settings.cc
@@ -107,8 +107,25 @@
      "Targets that fail most tasks get only single trials."},
 };
 
+/// A unit in which a duration may be written.
+struct DurationUnit {
+  std::int64_t microseconds;
+  const char* name;
+};
+
+/// The largest first.
+constexpr DurationUnit kUnits[] = {
+    {3'600'000'000, "h"}, {60'000'000, "min"}, {1'000'000, "s"}, {1'000, "ms"}};
+
+/// The duration as a whole number of the largest unit.
 std::string DurationText(core::Duration duration) {
-  return std::to_string(duration.count()) + "us";
+  const std::int64_t count = duration.count();
+  for (const DurationUnit& unit : kUnits) {
+    if (count != 0 && count % unit.microseconds == 0) {
+      return std::to_string(count / unit.microseconds) + unit.name;
+    }
+  }
+  return std::to_string(count) + "us";
 }
 
 core::SettingSpec MakeSpec(const char* key, core::SettingType type,
