--- a/ctl/operator_commands.cc
+++ b/ctl/operator_commands.cc
@@ -14,6 +14,7 @@
 
 /// Pause before a note whose answer was lost goes out again.
 constexpr std::chrono::milliseconds kRetryPause{500};
+constexpr int kStatusNotFound = 404;
 constexpr char kStandardInput[] = "-";
 
 http::Request OperatorRequest(const Options& options, std::string method,
@@ -164,6 +165,11 @@
       OperatorRequest(options, "GET", "/v1/explain/" + options.argument),
       options.timeout, &error);
   if (!response) return ReportNoAnswer(error, output);
+  if (response->status == kStatusNotFound) {
+    if (options.json) output.out << WithLineEnd(response->body);
+    output.err << TextOf(ParseObject(response->body), "detail") << "\n";
+    return kExitJobNotRun;
+  }
   if (response->status != 200) return ReportRefusal(*response, output);
   if (options.json) {
     output.out << WithLineEnd(response->body);
--- a/ctl/tests/operator_commands_test.cc
+++ b/ctl/tests/operator_commands_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(SaysThatTheTokenIsWrong);
   CPPUNIT_TEST(ReportsNoAnswer);
   CPPUNIT_TEST(Explains);
+  CPPUNIT_TEST(ExplainsNoUnknownKey);
   CPPUNIT_TEST(RemovesAnEntry);
   CPPUNIT_TEST_SUITE_END();
 
@@ -190,6 +191,17 @@
                          peer.calls()[0].request.path);
   }
 
+  void ExplainsNoUnknownKey() {
+    FakePeer peer;
+    options_.command = Command::kExplain;
+    options_.argument = "H.1";
+    peer.AddAnswer(404, R"({"detail":"No job is known under this key."})");
+    CPPUNIT_ASSERT_EQUAL(kExitJobNotRun, peer.Run(options_));
+    CPPUNIT_ASSERT_EQUAL(std::string(), peer.out());
+    CPPUNIT_ASSERT_EQUAL(std::string("No job is known under this key.\n"),
+                         peer.err());
+  }
+
   void RemovesAnEntry() {
     FakePeer peer;
     options_.command = Command::kEntriesRemove;
