--- a/simulate/include/tarragon/simulate/simulation.h
+++ b/simulate/include/tarragon/simulate/simulation.h
@@ -36,11 +36,19 @@
   core::Duration fault_to{std::chrono::seconds(20)};
 };
 
+/// What one simulated run showed.
+struct Result {
+  bench::Report report;
+  /// Share of the time of the remaining slots, those of targets that the fault
+  /// leaves useful, that was used between the start and the end of the fault.
+  double fault_window_use = 0;
+};
+
 /// Runs the decisions of one entry and all agents in virtual time, with
 /// targets that run each task as long as planned. Equal scenarios give equal
 /// reports, whatever else the machine does. The cost of processors, codecs and
 /// sockets is not part of the times.
-bench::Report Simulate(const Scenario& scenario);
+Result Simulate(const Scenario& scenario);
 
 }  // namespace tarragon::simulate
 
--- a/simulate/main.cc
+++ b/simulate/main.cc
@@ -164,7 +164,8 @@
 }
 
 /// One line: response over ideal, outcomes and messages.
-void PrintBrief(const std::string& load, const bench::Report& report) {
+void PrintBrief(const std::string& load, const simulate::Result& result) {
+  const bench::Report& report = result.report;
   std::uint64_t complete = 0;
   std::uint64_t not_run = 0;
   std::uint64_t others = 0;
@@ -183,7 +184,7 @@
       "load %-5s complete %6llu not_run %5llu others %4llu work %.3f | over "
       "ideal ms: mean %6.1f p50 %6.1f p99 %7.1f p99.9 %7.1f | response less "
       "ideal: mean %6.1f p50 %6.1f p99 %7.1f p99.9 %7.1f | per task: messages "
-      "%.2f wasted %.4f\n",
+      "%.2f wasted %.4f | slots used in the fault window %.3f\n",
       load.c_str(), static_cast<unsigned long long>(complete),
       static_cast<unsigned long long>(not_run),
       static_cast<unsigned long long>(others), bench::Completed(report),
@@ -193,7 +194,8 @@
       Ms(all.response.p99 - all.ideal.p99),
       Ms(all.response.p999 - all.ideal.p999),
       static_cast<double>(Sum(*bench::MessagesSent(report))) / tasks,
-      static_cast<double>(Sum(*bench::MessagesWasted(report))) / tasks);
+      static_cast<double>(Sum(*bench::MessagesWasted(report))) / tasks,
+      result.fault_window_use);
 }
 
 }  // namespace
@@ -230,11 +232,11 @@
         static_cast<std::uint32_t>(
             std::strtod(load.c_str(), nullptr) * kPermille + 0.5),
         std::chrono::seconds(options.seconds), options.seed);
-    const bench::Report report = simulate::Simulate(scenario);
+    const simulate::Result result = simulate::Simulate(scenario);
     if (options.brief) {
-      PrintBrief(load, report);
+      PrintBrief(load, result);
     } else {
-      std::cout << bench::FormatReport(report);
+      std::cout << bench::FormatReport(result.report);
     }
   }
   return core::kExitOk;
--- a/simulate/simulation.cc
+++ b/simulate/simulation.cc
@@ -59,12 +59,19 @@
   std::map<std::string, std::uint64_t> sent;
 };
 
+/// A task as it ran at a target.
+struct RunInterval {
+  std::size_t worker = 0;
+  Time from;
+  Time to;
+};
+
 class Simulation {
  public:
   explicit Simulation(const Scenario& scenario)
       : scenario_(scenario), table_(MakeWorld()) {}
 
-  bench::Report Run();
+  Result Run();
 
  private:
   dispatch::World MakeWorld() const;
@@ -88,6 +95,8 @@
   void Kill(std::size_t index);
   bool FaultActive(Fault fault, std::size_t index) const;
   std::vector<bench::ProcessReport> Processes() const;
+  bool Remains(std::size_t index) const;
+  double FaultWindowUse() const;
 
   const Scenario& scenario_;
   FakeTable table_;
@@ -100,6 +109,7 @@
   std::map<core::NodeId, std::size_t> by_node_;
   std::map<std::uint64_t, std::size_t> open_;
   std::set<std::pair<core::JobKey, core::TaskIndex>> stopped_;
+  std::vector<RunInterval> intervals_;
   bench::RunResult result_;
 };
 
@@ -291,6 +301,7 @@
     end = dispatch::TargetEnd::kFailed;
   }
   if (FaultActive(Fault::kTargetLingers, index)) run *= kLingerFactor;
+  intervals_.push_back(RunInterval{index, now_, now_ + run});
   At(now_ + run, [this, index, ref = task.ref, end]() {
     if (workers_[index]->dead) return;
     EndTask(index, ref, end, "done");
@@ -367,7 +378,38 @@
   return reports;
 }
 
-bench::Report Simulation::Run() {
+/// The fault leaves this worker useful.
+bool Simulation::Remains(std::size_t index) const {
+  switch (scenario_.fault) {
+    case Fault::kNone:
+      return true;
+    case Fault::kDomainOut:
+      return index % scenario_.domains != 0;
+    default:
+      return index != 0;
+  }
+}
+
+double Simulation::FaultWindowUse() const {
+  const Time from = begin_ + scenario_.fault_from;
+  const Time to = begin_ + scenario_.fault_to;
+  double used = 0;
+  for (const RunInterval& interval : intervals_) {
+    if (!Remains(interval.worker)) continue;
+    const Duration overlap =
+        std::min(interval.to, to) - std::max(interval.from, from);
+    if (overlap.count() > 0) used += static_cast<double>(overlap.count());
+  }
+  std::size_t remaining = 0;
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    if (Remains(i)) ++remaining;
+  }
+  const double slots =
+      static_cast<double>(remaining * scenario_.plan.preset.slots_per_target);
+  return used / (slots * static_cast<double>((to - from).count()));
+}
+
+Result Simulation::Run() {
   StartEntry();
   for (std::size_t i = 0; i < scenario_.plan.preset.targets; ++i) {
     StartWorker(i);
@@ -382,13 +424,12 @@
     now_ = event.at;
     event.run();
   }
-  return bench::BuildReport(scenario_.plan, result_, Processes());
+  return Result{bench::BuildReport(scenario_.plan, result_, Processes()),
+                FaultWindowUse()};
 }
 
 }  // namespace
 
-bench::Report Simulate(const Scenario& scenario) {
-  return Simulation(scenario).Run();
-}
+Result Simulate(const Scenario& scenario) { return Simulation(scenario).Run(); }
 
 }  // namespace tarragon::simulate
--- a/simulate/tests/simulation_test.cc
+++ b/simulate/tests/simulation_test.cc
@@ -55,12 +55,13 @@
   CPPUNIT_TEST(WastesFewMessages);
   CPPUNIT_TEST(RefusesAtOnceUnderOverload);
   CPPUNIT_TEST(EjectsATargetThatFailsEverything);
+  CPPUNIT_TEST(UsesWhatADomainLeaves);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void CompletesEveryJobAtHalfLoad() {
     const Scenario scenario = SmallScenario();
-    const bench::Report report = Simulate(scenario);
+    const bench::Report report = Simulate(scenario).report;
     CPPUNIT_ASSERT(!scenario.plan.jobs.empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, report.outcomes.size());
     CPPUNIT_ASSERT(report.outcomes[0].end == bench::JobEnd::kComplete);
@@ -70,7 +71,7 @@
 
   void EqualScenariosGiveEqualReports() {
     const Scenario scenario = SmallScenario();
-    CPPUNIT_ASSERT(Simulate(scenario) == Simulate(scenario));
+    CPPUNIT_ASSERT(Simulate(scenario).report == Simulate(scenario).report);
   }
 
   /// The stated targets: 5 ms at 70 %, 10 ms at 85 %, 40 ms at 95 %.
@@ -84,8 +85,9 @@
                               {950, std::chrono::milliseconds(40)}};
     for (const Target& target : targets) {
       for (const std::uint64_t seed : kSeeds) {
-        const bench::Report report = Simulate(MakeScenario(
-            "agence", target.load_permille, seed, std::chrono::seconds(60)));
+        const Scenario scenario = MakeScenario("agence", target.load_permille,
+                                               seed, std::chrono::seconds(60));
+        const bench::Report report = Simulate(scenario).report;
         const bench::GroupReport& all = report.groups.front();
         CPPUNIT_ASSERT_MESSAGE(
             "load " + std::to_string(target.load_permille) + " seed " +
@@ -100,8 +102,9 @@
   /// The stated target: under 1 % at 85 %.
   void WastesFewMessages() {
     for (const std::uint64_t seed : kSeeds) {
-      const bench::Report report = Simulate(
-          MakeScenario("kaptafa", 850, seed, std::chrono::seconds(60)));
+      const bench::Report report =
+          Simulate(MakeScenario("kaptafa", 850, seed, std::chrono::seconds(60)))
+              .report;
       CPPUNIT_ASSERT(WastedPerTask(report) < 0.01);
     }
   }
@@ -110,9 +113,11 @@
   /// refusals within 5 ms, and no less work done than at 95 %.
   void RefusesAtOnceUnderOverload() {
     const bench::Report over =
-        Simulate(MakeScenario("agence", 1200, 1, std::chrono::seconds(60)));
+        Simulate(MakeScenario("agence", 1200, 1, std::chrono::seconds(60)))
+            .report;
     const bench::Report below =
-        Simulate(MakeScenario("agence", 950, 1, std::chrono::seconds(60)));
+        Simulate(MakeScenario("agence", 950, 1, std::chrono::seconds(60)))
+            .report;
     CPPUNIT_ASSERT(over.refusals > 0);
     CPPUNIT_ASSERT(over.refusal_time.p99 <= std::chrono::milliseconds(5));
     const bench::GroupReport& all = over.groups.front();
@@ -122,16 +127,33 @@
                          JobsThatEnded(over, bench::JobEnd::kFailed));
   }
 
+  /// The stated target: 97 % of the remaining capacity while a domain is out.
+  /// The load is 120 % of all slots, so that enough work is there at any
+  /// moment.
+  void UsesWhatADomainLeaves() {
+    for (const std::uint64_t seed : kSeeds) {
+      Scenario scenario =
+          MakeScenario("kaptafa", 1200, seed, std::chrono::seconds(40));
+      scenario.fault = Fault::kDomainOut;
+      const Result result = Simulate(scenario);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(result.fault_window_use),
+                             result.fault_window_use >= 0.97);
+      CPPUNIT_ASSERT_EQUAL(
+          std::uint64_t{0},
+          JobsThatEnded(result.report, bench::JobEnd::kFailed));
+    }
+  }
+
   /// Few jobs meet the target that fails; without ejection many do.
   void EjectsATargetThatFailsEverything() {
     Scenario scenario =
         MakeScenario("kaptafa", 700, 1, std::chrono::seconds(40));
     scenario.fault = Fault::kTargetFails;
     const std::uint64_t with =
-        JobsThatEnded(Simulate(scenario), bench::JobEnd::kFailed);
+        JobsThatEnded(Simulate(scenario).report, bench::JobEnd::kFailed);
     scenario.policy.ejection = false;
     const std::uint64_t without =
-        JobsThatEnded(Simulate(scenario), bench::JobEnd::kFailed);
+        JobsThatEnded(Simulate(scenario).report, bench::JobEnd::kFailed);
     CPPUNIT_ASSERT(with > 0);
     CPPUNIT_ASSERT(with * 5 < without);
   }
