--- a/daemons/announcement.cc
+++ b/daemons/announcement.cc
@@ -14,7 +14,7 @@
 
 constexpr std::int64_t kMaxSlots = 4096;
 constexpr std::int64_t kMaxCores = 4096;
-constexpr std::int64_t kMaxMemoryMb = 64 * 1024 * 1024;
+constexpr std::int64_t kMaxMemoryMb = std::int64_t{64} * 1024 * 1024;
 constexpr std::size_t kMaxServices = 256;
 constexpr std::size_t kMaxAddress = 64;
 
--- a/daemons/job_json.cc
+++ b/daemons/job_json.cc
@@ -15,12 +15,12 @@
 
 constexpr int kStatusMethod = 405;
 constexpr std::size_t kMaxDepth = 8;
-constexpr std::size_t kMaxPayload = 64 * 1024;
+constexpr std::size_t kMaxPayload = std::size_t{64} * 1024;
 constexpr std::size_t kMaxName = 64;
 constexpr std::size_t kMaxKey = 200;
 constexpr std::int64_t kMaxDeadlineMs = 600'000;
 constexpr std::int64_t kMaxCores = 4096;
-constexpr std::int64_t kMaxMemoryMb = 64 * 1024 * 1024;
+constexpr std::int64_t kMaxMemoryMb = std::int64_t{64} * 1024 * 1024;
 constexpr std::int64_t kMsPerSecond = 1000;
 
 bool ReadTask(const json::value& value, std::size_t index,
