Dispatch: let no copy of a refused request run

Cause: an entry sends a request again 200 ms after its connection broke, and the copy that it believed lost may still be on its way or in the input of a frozen home. One copy was refused (or its job ended unrun in the queue), the client was told not_run, and the other copy was taken in and started. Ruled out: a second submission by the client; there was one call only. A submission that the entry repeats on purpose, at a home that is behind its note, carries a new round in its number, and a refusal of an earlier round is ignored.

--- a/dispatch/entry_requests.cc
+++ b/dispatch/entry_requests.cc
@@ -9,6 +9,8 @@
 namespace tarragon::dispatch {
 namespace {
 
+/// Bits of a request's number below its round.
+constexpr unsigned kRoundShift = 48;
 constexpr core::Duration kNoHomePause = std::chrono::seconds(1);
 constexpr core::Duration kPlatformPause = std::chrono::seconds(2);
 constexpr core::Duration kOverloadPause = std::chrono::milliseconds(500);
@@ -65,25 +67,35 @@
              kPlatformPause);
 }
 
+/// The round is part of the number that the home sees.
+std::uint64_t WireNumber(std::uint64_t number, std::uint64_t round) {
+  return number + (round << kRoundShift);
+}
+
+std::uint64_t NumberOf(std::uint64_t wire_number) {
+  return wire_number & ((1ULL << kRoundShift) - 1);
+}
+
 void SendToHome(EntryBoard* board, core::Time now, std::uint64_t number) {
   EntryRequest& request = board->requests.at(number);
   request.resend_at = core::kNever;
   request.sent = true;
+  const std::uint64_t wire = WireNumber(number, request.round);
   switch (request.kind) {
     case RequestKind::kSubmit: {
-      Submit submit{number, request.spec, request.body_digest};
+      Submit submit{wire, request.spec, request.body_digest};
       submit.spec.time_left = request.deadline - now;
       Post(board, request.home, std::move(submit));
       return;
     }
     case RequestKind::kQuery:
-      Post(board, request.home, Query{number, request.spec.key});
+      Post(board, request.home, Query{wire, request.spec.key});
       return;
     case RequestKind::kCancel:
-      Post(board, request.home, Cancel{number, request.spec.key});
+      Post(board, request.home, Cancel{wire, request.spec.key});
       return;
     case RequestKind::kExplain:
-      Post(board, request.home, Explain{number, request.spec.key});
+      Post(board, request.home, Explain{wire, request.spec.key});
       return;
   }
 }
@@ -190,16 +202,22 @@
 
 void HandleAnswer(EntryBoard* board, core::Time now, const core::NodeId& from,
                   Answer answer) {
-  const auto found = board->requests.find(answer.request);
+  const std::uint64_t number = NumberOf(answer.request);
+  const auto found = board->requests.find(number);
   if (found == board->requests.end()) return;
   EntryRequest& request = found->second;
   // Answers are matched on the home and the key, not on the number alone.
   if (request.home != from || request.spec.key != answer.answer.key) return;
+  // A refusal of an earlier round says nothing of the present one.
+  if (answer.answer.outcome == Outcome::kNotRun &&
+      answer.request != WireNumber(number, request.round)) {
+    return;
+  }
   const bool whole = answer.answer.outcome != Outcome::kComplete ||
                      request.kind != RequestKind::kSubmit ||
                      answer.answer.results.size() == request.spec.tasks.size();
   if (!whole || !ResultsMatch(answer)) {
-    FinishWith(board, answer.request, Outcome::kUnknown, Reason::kTruncated,
+    FinishWith(board, number, Outcome::kUnknown, Reason::kTruncated,
                "The answer was not whole; ask again by key.",
                core::Duration(0));
     return;
@@ -207,17 +225,19 @@
   if (HomeIsBehind(*board, request, answer.answer) &&
       now + board->policy.resubmit_interval < request.deadline) {
     request.resend_at = now + board->policy.resubmit_interval;
+    ++request.round;
     return;
   }
-  Finish(board, answer.request, std::move(answer.answer));
+  Finish(board, number, std::move(answer.answer));
 }
 
 void HandleExplanation(EntryBoard* board, const core::NodeId& from,
                        Explanation explanation) {
-  const auto found = board->requests.find(explanation.request);
+  const std::uint64_t number = NumberOf(explanation.request);
+  const auto found = board->requests.find(number);
   if (found == board->requests.end() || found->second.home != from) return;
   board->actions.emplace_back(
-      AnswerExplain{explanation.request, std::move(explanation.lines)});
+      AnswerExplain{number, std::move(explanation.lines)});
   board->requests.erase(found);
 }
 
--- a/dispatch/home_end.cc
+++ b/dispatch/home_end.cc
@@ -4,6 +4,7 @@
 #include "home.h"
 #include "outbox.h"
 #include "queue.h"
+#include "refusals.h"
 #include "tarragon/dispatch/agent.h"
 #include "tarragon/dispatch/digest.h"
 #include "tarragon/dispatch/handle.h"
@@ -59,7 +60,13 @@
                                        now - job->arrived, job->answer.outcome,
                                        job->longest_run});
   }
-  for (const Waiter& waiter : job->waiters) SendAnswer(board, *job, waiter);
+  const bool not_run = job->answer.outcome == Outcome::kNotRun;
+  for (const Waiter& waiter : job->waiters) {
+    SendAnswer(board, *job, waiter);
+    if (!not_run) continue;
+    RememberRefusal(board, waiter, RefusedRequest{job->answer.reason,
+                                                  job->answer.retry_after});
+  }
   job->waiters.clear();
 }
 
--- a/dispatch/home_requests.cc
+++ b/dispatch/home_requests.cc
@@ -6,6 +6,7 @@
 #include "outbox.h"
 #include "placement.h"
 #include "queue.h"
+#include "refusals.h"
 #include "tarragon/dispatch/agent.h"
 #include "tarragon/dispatch/handle.h"
 
@@ -32,6 +33,7 @@
                     const core::JobKey& key, Reason reason,
                     const std::string& detail, core::Duration retry_after) {
   ++board->counters.refusals[std::string(Name(reason))];
+  RememberRefusal(board, waiter, RefusedRequest{reason, retry_after});
   AnswerDirectly(board, waiter, key, Outcome::kNotRun, reason, detail,
                  retry_after);
 }
@@ -74,6 +76,16 @@
   return true;
 }
 
+/// Answers a late copy of a request that was refused. True when it was one.
+bool AnswerRefusedAgain(AgentBoard* board, const Waiter& waiter,
+                        const core::JobKey& key) {
+  const std::optional<RefusedRequest> refusal = FindRefusal(*board, waiter);
+  if (!refusal.has_value()) return false;
+  AnswerDirectly(board, waiter, key, Outcome::kNotRun, refusal->reason,
+                 "This request was refused before.", refusal->retry_after);
+  return true;
+}
+
 /// Refuses a first submission whose handle is not of an accepted epoch. True
 /// when it was answered.
 bool AnswerWrongEpoch(AgentBoard* board, core::Time now, const Waiter& waiter,
@@ -162,6 +174,7 @@
     return;
   }
   if (AnswerKnownKey(board, waiter, submit)) return;
+  if (AnswerRefusedAgain(board, waiter, key)) return;
   if (AnswerWrongEpoch(board, now, waiter, key, handle->epoch)) return;
   if (board->stopping) {
     RefuseDirectly(board, waiter, key, Reason::kLeaving,
--- a/dispatch/home_settle.cc
+++ b/dispatch/home_settle.cc
@@ -6,6 +6,7 @@
 #include "outbox.h"
 #include "placement.h"
 #include "queue.h"
+#include "refusals.h"
 #include "tarragon/dispatch/digest.h"
 
 namespace tarragon::dispatch {
@@ -244,6 +245,7 @@
            "An executor is gone; a task may have run.");
   }
   board->peers.erase(peer);
+  ForgetRefusals(board, peer);
 }
 
 }  // namespace tarragon::dispatch
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -86,6 +86,18 @@
   Outcome outcome = Outcome::kUnknown;
 };
 
+/// Why a request was answered "not run".
+struct RefusedRequest {
+  Reason reason = Reason::kNone;
+  core::Duration retry_after{0};
+};
+
+/// The latest requests of one entry that were answered "not run".
+struct EntryRefusals {
+  std::map<std::uint64_t, RefusedRequest> requests;
+  std::deque<std::uint64_t> order;
+};
+
 /// A task in the home's queue, ordered by arrival.
 struct QueueKey {
   std::uint64_t job_number = 0;
@@ -308,6 +320,7 @@
   std::set<core::JobKey> active;
   std::deque<std::pair<core::Time, core::JobKey>> kept;
   std::map<core::JobKey, Tombstone> tombstones;
+  std::map<core::NodeId, EntryRefusals> refusals;
   std::map<core::ServiceId, ServiceQueue> queues;
   std::map<core::TenantId, std::uint32_t> tenant_queued;
   std::map<core::TenantId, std::uint32_t> tenant_running;
--- a/dispatch/include/tarragon/dispatch/entry_board.h
+++ b/dispatch/include/tarragon/dispatch/entry_board.h
@@ -128,6 +128,9 @@
   core::Time resend_at = core::kNever;
   std::optional<core::Time> lost_since;
   bool sent = false;
+  /// Rises when a refused request is submitted anew; the home tells such a one
+  /// from a late copy by it.
+  std::uint64_t round = 0;
   bool wrote_row = false;
   /// The key's row was read as absent, and nothing that was written since may
   /// have changed that: no submission of the key had run anything by then.
