--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,16 @@
 demo: build
 	bash demo/run.sh
 
+# Long randomised runs on seeds that CI does not use.
+SEEDS ?= 200
+SEED_BASE ?= 100000
+prove: build
+	build/bin/tarragon-prove --seeds $(SEEDS) --seed-base $(SEED_BASE)
+
+# The policy against the baseline: in virtual time, then with real processes.
+bench: build
+	bash bench/table.sh
+
 CAPACITY_BUILD ?= build
 capacity: deps
 	cmake -S . -B $(CAPACITY_BUILD) -G Ninja -UTARRAGON_MODULES -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
