--- a/dispatch/home_end.cc
+++ b/dispatch/home_end.cc
@@ -64,8 +64,9 @@
   for (const Waiter& waiter : job->waiters) {
     SendAnswer(board, *job, waiter);
     if (!not_run) continue;
-    RememberRefusal(board, waiter, RefusedRequest{job->answer.reason,
-                                                  job->answer.retry_after});
+    RememberRefusal(
+        board, waiter,
+        RefusedRequest{job->answer.reason, job->answer.retry_after});
   }
   job->waiters.clear();
 }
--- a/dispatch/refusals.cc
+++ b/dispatch/refusals.cc
@@ -11,8 +11,7 @@
 void RememberRefusal(AgentBoard* board, const Waiter& waiter,
                      const RefusedRequest& refusal) {
   EntryRefusals& refusals = board->refusals[waiter.entry];
-  const bool added =
-      refusals.requests.emplace(waiter.request, refusal).second;
+  const bool added = refusals.requests.emplace(waiter.request, refusal).second;
   if (!added) return;
   refusals.order.push_back(waiter.request);
   if (refusals.order.size() <= kMaxRefusals) return;
--- a/prove/client.cc
+++ b/prove/client.cc
@@ -33,8 +33,7 @@
 }
 
 void Later(Setup* setup, core::Duration most, std::function<void()> act) {
-  setup->scheduler.After(setup->random.Between(kNoPause, most),
-                         std::move(act));
+  setup->scheduler.After(setup->random.Between(kNoPause, most), std::move(act));
 }
 
 void SubmitAgain(Setup* setup, int job, const char* why) {
@@ -55,9 +54,8 @@
     SendCall(setup, job, RequestKind::kSubmit, 0);
   }
   if (random.Chance(50)) {
-    Later(setup, while_later, [setup, job]() {
-      SubmitAgain(setup, job, "client.double_later");
-    });
+    Later(setup, while_later,
+          [setup, job]() { SubmitAgain(setup, job, "client.double_later"); });
   }
   if (random.Chance(40)) {
     Later(setup, moment, [setup, job]() {
@@ -73,9 +71,8 @@
     });
   }
   if (random.Chance(30)) {
-    Later(setup, while_later, [setup, job]() {
-      SendCall(setup, job, RequestKind::kExplain, 0);
-    });
+    Later(setup, while_later,
+          [setup, job]() { SendCall(setup, job, RequestKind::kExplain, 0); });
   }
 }
 
@@ -198,9 +195,8 @@
       if (known.queries_left == 0) return;
       --known.queries_left;
       Count(setup, "client.query_after_running");
-      Later(setup, std::chrono::milliseconds(200), [setup, job]() {
-        SendCall(setup, job, RequestKind::kQuery, 0);
-      });
+      Later(setup, std::chrono::milliseconds(200),
+            [setup, job]() { SendCall(setup, job, RequestKind::kQuery, 0); });
       return;
     case Outcome::kComplete:
       if (known.measured && !known.complete) {
--- a/prove/client_call.cc
+++ b/prove/client_call.cc
@@ -75,8 +75,7 @@
 
 core::Duration WaitOf(Setup* setup, RequestKind kind,
                       core::Duration time_left) {
-  const bool whole =
-      kind == RequestKind::kSubmit && setup->random.Chance(800);
+  const bool whole = kind == RequestKind::kSubmit && setup->random.Chance(800);
   if (whole) return time_left;
   return setup->random.Between(kShortWait, kLongWait);
 }
@@ -137,13 +136,12 @@
                      std::string(dispatch::Name(action.answer.reason)));
   }
   if (call.abandoned) return;
-  setup->scheduler.After(
-      setup->random.Between(kLeastHop, kMostHop),
-      [setup, id, answer = action.answer]() {
-        if (!setup->clients.calls[id].abandoned) {
-          ReactToAnswer(setup, id, answer);
-        }
-      });
+  setup->scheduler.After(setup->random.Between(kLeastHop, kMostHop),
+                         [setup, id, answer = action.answer]() {
+                           if (!setup->clients.calls[id].abandoned) {
+                             ReactToAnswer(setup, id, answer);
+                           }
+                         });
 }
 
 void OnExplainAnswer(Setup* setup, const ProcessLife& entry,
--- a/prove/describe.cc
+++ b/prove/describe.cc
@@ -23,13 +23,13 @@
                    std::ostringstream* text) {
   const dispatch::AgentBoard& board = process.agent;
   const FakeTarget& target = setup.targets.all[process.index];
-  *text << " slots=" << board.target.slots << " present="
-        << board.target.present << " running=" << board.running
+  *text << " slots=" << board.target.slots
+        << " present=" << board.target.present << " running=" << board.running
         << " at_target=" << target.runs.size()
         << " foreign=" << board.target.foreign_running
         << " pulls=" << board.pulls.size() << " wants=" << board.wants.size()
-        << " ejected=" << board.health.ejected << " failures="
-        << static_cast<int>(board.health.failures) << "/"
+        << " ejected=" << board.health.ejected
+        << " failures=" << static_cast<int>(board.health.failures) << "/"
         << static_cast<int>(board.health.ends)
         << " permit_ms=" << core::Millis(board.permit_until - Now(setup))
         << " active=" << board.active.size()
@@ -50,8 +50,9 @@
   *text << " requests=" << board.requests.size()
         << " calls=" << board.calls.size()
         << " members=" << board.members.size()
-        << " entries_version=" << board.entries.version << " listed="
-        << board.entries.members.size() << "+" << board.entries.previous.size();
+        << " entries_version=" << board.entries.version
+        << " listed=" << board.entries.members.size() << "+"
+        << board.entries.previous.size();
   if (board.confirmed.has_value()) {
     *text << " confirmed_ms_ago="
           << core::Millis(Now(setup) - *board.confirmed);
--- a/prove/faults.cc
+++ b/prove/faults.cc
@@ -37,8 +37,8 @@
 
 void RestartLater(Setup* setup, int index) {
   const bool move = setup->random.Chance(250);
-  const core::Duration most = setup->random.Chance(150) ? 40 * kSecond
-                                                        : 5 * kSecond;
+  const core::Duration most =
+      setup->random.Chance(150) ? 40 * kSecond : 5 * kSecond;
   EndAfter(setup, kZero, most, [setup, index, move]() {
     if (setup->processes[index].alive) return;
     Count(setup, move ? "fault.moved" : "fault.restarted");
@@ -79,9 +79,8 @@
     RestartLater(setup, index);
     return;
   }
-  setup->scheduler.After(kSecond, [setup, index]() {
-    AwaitStopped(setup, index);
-  });
+  setup->scheduler.After(kSecond,
+                         [setup, index]() { AwaitStopped(setup, index); });
 }
 
 void StopOne(Setup* setup) {
@@ -199,8 +198,7 @@
 
 void SlowNetwork(Setup* setup) {
   constexpr std::int64_t kFactors[] = {10, 50, 200};
-  setup->network.slowness =
-      kFactors[setup->random.Index(std::size(kFactors))];
+  setup->network.slowness = kFactors[setup->random.Index(std::size(kFactors))];
   Count(setup, "fault.network_slow");
   EndAfter(setup, kSecond, 10 * kSecond,
            [setup]() { setup->network.slowness = 1; });
@@ -211,9 +209,8 @@
   if (usual < std::chrono::milliseconds(10)) return;
   Count(setup, "fault.burst");
   setup->clients.pause = std::chrono::milliseconds(2);
-  EndAfter(setup, kSecond / 2, 2 * kSecond, [setup, usual]() {
-    setup->clients.pause = usual;
-  });
+  EndAfter(setup, kSecond / 2, 2 * kSecond,
+           [setup, usual]() { setup->clients.pause = usual; });
 }
 
 /// Operators sometimes remove an entry that died.
@@ -221,10 +218,10 @@
 
 using Fault = void (*)(Setup*);
 constexpr Fault kFaults[] = {
-    KillOne,      KillOne,       FreezeOne,    FreezeOne, FreezeOne,
-    StopOne,      BreakOne,      BreakOne,     BreakMany, Isolate,
-    IsolateDomain, CutTwo,       TroubleTable, TroubleTable,
-    TroubleTarget, TroubleTarget, EndTarget,   SlowNetwork, Burst, Remove};
+    KillOne,       KillOne,   FreezeOne,    FreezeOne,    FreezeOne,
+    StopOne,       BreakOne,  BreakOne,     BreakMany,    Isolate,
+    IsolateDomain, CutTwo,    TroubleTable, TroubleTable, TroubleTarget,
+    TroubleTarget, EndTarget, SlowNetwork,  Burst,        Remove};
 
 void CutAnyTable(Setup* setup) { CutTable(setup, AnyEntryIndex(setup)); }
 
--- a/prove/network.cc
+++ b/prove/network.cc
@@ -127,8 +127,8 @@
   const bool from_first = connection->first == from;
   const std::uint64_t stream = std::visit(StreamOf(), message);
   core::Time& last = connection->last[from_first ? 1 : 0][stream];
-  last = std::max(last + core::Duration(1),
-                  Now(*setup) + DelayOf(setup, stream));
+  last =
+      std::max(last + core::Duration(1), Now(*setup) + DelayOf(setup, stream));
   if (setup->options.harsh && setup->random.Chance(kDoublePermille)) {
     Count(setup, "network.doubled");
     const ProcessLife to = from_first ? connection->second : connection->first;
@@ -148,9 +148,8 @@
 
 void LoseLater(Setup* setup, const ProcessLife& life, const core::NodeId& peer,
                core::Duration delay) {
-  setup->scheduler.After(delay, [setup, life, peer]() {
-    DeliverPeerLost(setup, life, peer);
-  });
+  setup->scheduler.After(
+      delay, [setup, life, peer]() { DeliverPeerLost(setup, life, peer); });
 }
 
 }  // namespace
@@ -176,9 +175,8 @@
     LoseLater(setup, life, to, kConnectTimeout);
     return;
   }
-  setup->scheduler.After(kMostDelay, [setup, life, to]() {
-    DeliverPeerGone(setup, life, to);
-  });
+  setup->scheduler.After(
+      kMostDelay, [setup, life, to]() { DeliverPeerGone(setup, life, to); });
 }
 
 void BreakConnection(Setup* setup, std::uint64_t id) {
--- a/prove/operators.cc
+++ b/prove/operators.cc
@@ -74,8 +74,8 @@
   const auto in_service = [](const auto& item) {
     return item.second.in_service;
   };
-  const auto count = std::count_if(world.domains.begin(), world.domains.end(),
-                                   in_service);
+  const auto count =
+      std::count_if(world.domains.begin(), world.domains.end(), in_service);
   if (known->second.in_service && count < 2) return;
   note->changed_domains[domain].in_service = !known->second.in_service;
   Count(setup, known->second.in_service ? "note.domain_out" : "note.domain_in");
@@ -133,9 +133,9 @@
   for (int i = 0; i < (race ? 2 : 1); ++i) {
     constexpr int kSends = 6;
     const int number = AddNote(setup, RandomNote(setup, world), kSends);
-    SendNoteLater(setup, number,
-                  setup->random.Between(core::Duration(0),
-                                        std::chrono::milliseconds(5)));
+    SendNoteLater(
+        setup, number,
+        setup->random.Between(core::Duration(0), std::chrono::milliseconds(5)));
   }
 }
 
@@ -210,11 +210,11 @@
   listed.insert(listed.end(), row->second.entries.previous.begin(),
                 row->second.entries.previous.end());
   for (const dispatch::EntryMember& member : listed) {
-    const bool lives = std::any_of(
-        setup->processes.begin(), setup->processes.end(),
-        [&member](const Process& process) {
-          return process.alive && process.node == member.node;
-        });
+    const bool lives =
+        std::any_of(setup->processes.begin(), setup->processes.end(),
+                    [&member](const Process& process) {
+                      return process.alive && process.node == member.node;
+                    });
     if (lives) continue;
     const int entry = AnyEntry(setup);
     Visit(setup, LifeOf(setup->processes[entry]),
@@ -229,8 +229,7 @@
 
 void OnNoteAnswer(Setup* setup, const ProcessLife& entry,
                   const dispatch::AnswerNote& action) {
-  const auto found =
-      setup->operators.by_number.find({entry, action.request});
+  const auto found = setup->operators.by_number.find({entry, action.request});
   if (found == setup->operators.by_number.end()) return;
   const int number = found->second;
   OperatorNote& open = setup->operators.notes[number];
--- a/prove/process.cc
+++ b/prove/process.cc
@@ -120,8 +120,7 @@
 void CheckNothingCut(Setup* setup, const Process& process) {
   if (!process.is_agent) return;
   bool cut = !process.agent.active.empty();
-  for (const auto& [number, run] :
-       setup->targets.all[process.index].runs) {
+  for (const auto& [number, run] : setup->targets.all[process.index].runs) {
     cut = cut || (run.agent == LifeOf(process) && !run.reported);
   }
   Check(setup, "h_stop_cuts_no_task", !cut, kNoJob,
@@ -145,8 +144,8 @@
                             : dispatch::StopFinished(process->entry, now);
   if (!finished) return false;
   CheckNothingCut(setup, *process);
-  Count(setup, process->is_agent ? "fault.agent_stopped"
-                                 : "fault.entry_stopped");
+  Count(setup,
+        process->is_agent ? "fault.agent_stopped" : "fault.entry_stopped");
   Note(setup, kNoJob, "stopped", process->index);
   const ProcessLife life = LifeOf(*process);
   EndLife(setup, process);
@@ -219,9 +218,8 @@
   process->thawed = now;
   process->last_version = core::NoteVersion(0);
   process->permitted = false;
-  process->node =
-      core::NodeId{AddressOf(*process),
-                   core::Incarnation(setup->next_incarnation++)};
+  process->node = core::NodeId{AddressOf(*process),
+                               core::Incarnation(setup->next_incarnation++)};
   setup->network.listeners[process->node.address] = index;
   const std::uint64_t seed = setup->random.Next();
   if (process->is_agent) {
@@ -273,8 +271,8 @@
        static_cast<std::int64_t>(process->inbox.size()));
   std::deque<Input> inbox;
   inbox.swap(process->inbox);
-  inbox.push_back(Input{OwnGroup(setup),
-                        [setup, process]() { TickOnce(setup, process); }});
+  inbox.push_back(
+      Input{OwnGroup(setup), [setup, process]() { TickOnce(setup, process); }});
   for (const Input& input : Interleave(setup, std::move(inbox))) {
     Handle(setup, process, input.handle);
   }
--- a/prove/run.cc
+++ b/prove/run.cc
@@ -26,13 +26,12 @@
 thread_local Setup* running_setup = nullptr;
 
 std::string Describe(const Setup& setup, const std::string& what, int job) {
-  std::string text = "Violated: " + what +
-                     "\nseed=" + std::to_string(setup.options.seed) +
-                     " mode=" + (setup.options.harsh ? "harsh" : "normal") +
-                     " steps=" + std::to_string(setup.options.steps) +
-                     " at step=" + std::to_string(setup.scheduler.steps()) +
-                     " t=" +
-                     std::to_string(Now(setup).since_start.count()) + "us\n";
+  std::string text =
+      "Violated: " + what + "\nseed=" + std::to_string(setup.options.seed) +
+      " mode=" + (setup.options.harsh ? "harsh" : "normal") +
+      " steps=" + std::to_string(setup.options.steps) +
+      " at step=" + std::to_string(setup.scheduler.steps()) +
+      " t=" + std::to_string(Now(setup).since_start.count()) + "us\n";
   text += DescribeSetup(setup);
   if (job != kNoJob) {
     text += "History of job " + std::to_string(job) + ":\n" +
@@ -205,8 +204,7 @@
            const std::string& detail) {
   ++setup->counts[name];
   if (holds || !setup->failure.empty()) return;
-  setup->failure =
-      Describe(*setup, std::string(name) + ": " + detail, job);
+  setup->failure = Describe(*setup, std::string(name) + ": " + detail, job);
 }
 
 RunResult RunSeed(const RunOptions& options) {
--- a/prove/table.cc
+++ b/prove/table.cc
@@ -120,8 +120,7 @@
 }
 
 void ApplyLater(Setup* setup, const TableCall& call, core::Duration delay) {
-  setup->scheduler.After(delay,
-                         [setup, call]() { Apply(setup, call); });
+  setup->scheduler.After(delay, [setup, call]() { Apply(setup, call); });
 }
 
 void CallWhileOut(Setup* setup, const ProcessLife& caller,
@@ -164,9 +163,9 @@
     return;
   }
   const bool slow = setup->table.mode == TableMode::kSlow;
-  const core::Duration there = slow
-                                   ? setup->random.Between(kSlowLeast, kSlowMost)
-                                   : setup->random.Between(kLeast, kMost);
+  const core::Duration there =
+      slow ? setup->random.Between(kSlowLeast, kSlowMost)
+           : setup->random.Between(kLeast, kMost);
   const core::Duration back = slow
                                   ? setup->random.Between(kSlowLeast, kSlowMost)
                                   : setup->random.Between(kLeast, kMost);
@@ -175,9 +174,10 @@
     TimeOut(setup, caller, call);
     return;
   }
-  setup->scheduler.After(there, [setup, caller, call = std::move(call), back]() {
-    ReplyLater(setup, caller, back, Apply(setup, call));
-  });
+  setup->scheduler.After(there,
+                         [setup, caller, call = std::move(call), back]() {
+                           ReplyLater(setup, caller, back, Apply(setup, call));
+                         });
 }
 
 void SetTableMode(Setup* setup, TableMode mode) {
--- a/prove/target.cc
+++ b/prove/target.cc
@@ -163,19 +163,19 @@
 void RunAtTarget(Setup* setup, const ProcessLife& agent,
                  const dispatch::RunTask& task) {
   const core::Duration max_run = MaxRun(*setup, agent.process, task.service);
-  setup->scheduler.After(
-      setup->random.Between(kLeastHop, kMostHop),
-      [setup, agent, task, max_run]() {
-        const FakeTarget& fake = setup->targets.all[agent.process];
-        const bool full = fake.runs.size() >= fake.slots;
-        const bool busy =
-            fake.mode == TargetMode::kBusy && setup->random.Chance(500);
-        if (!fake.present || full || busy) {
-          RefuseRun(setup, agent, task);
-          return;
-        }
-        StartRun(setup, agent, task, max_run);
-      });
+  setup->scheduler.After(setup->random.Between(kLeastHop, kMostHop),
+                         [setup, agent, task, max_run]() {
+                           const FakeTarget& fake =
+                               setup->targets.all[agent.process];
+                           const bool full = fake.runs.size() >= fake.slots;
+                           const bool busy = fake.mode == TargetMode::kBusy &&
+                                             setup->random.Chance(500);
+                           if (!fake.present || full || busy) {
+                             RefuseRun(setup, agent, task);
+                             return;
+                           }
+                           StartRun(setup, agent, task, max_run);
+                         });
 }
 
 void StopAtTarget(Setup* setup, const ProcessLife& agent,
@@ -184,13 +184,12 @@
   Count(setup, "target.stop_asked");
   for (const auto& [number, run] : setup->targets.all[target].runs) {
     if (run.agent != agent || run.ref != task.ref) continue;
-    const TargetEnd end = setup->random.Chance(500) ? TargetEnd::kFailed
-                                                    : TargetEnd::kUnknown;
-    setup->scheduler.After(
-        setup->random.Between(core::Duration(0), kStopDelay),
-        [setup, target, number = number, end]() {
-          FinishRun(setup, target, number, end);
-        });
+    const TargetEnd end =
+        setup->random.Chance(500) ? TargetEnd::kFailed : TargetEnd::kUnknown;
+    setup->scheduler.After(setup->random.Between(core::Duration(0), kStopDelay),
+                           [setup, target, number = number, end]() {
+                             FinishRun(setup, target, number, end);
+                           });
   }
 }
 
--- a/prove/witness.cc
+++ b/prove/witness.cc
@@ -26,8 +26,7 @@
   return std::any_of(
       known.calls.begin(), known.calls.end(), [&setup, &start](int id) {
         const Call& call = setup.clients.calls[id];
-        const bool refused =
-            call.answered && call.outcome == Outcome::kNotRun;
+        const bool refused = call.answered && call.outcome == Outcome::kNotRun;
         return call.kind == RequestKind::kSubmit && call.body == start.body &&
                call.sent <= start.at && !refused;
       });
@@ -124,8 +123,7 @@
   const Call& call = setup->clients.calls[id];
   if (call.abandoned || !IsAlive(*setup, call.entry)) return;
   const Process& entry = setup->processes[call.entry.process];
-  const bool excused =
-      entry.frozen || Now(*setup) - entry.thawed < kLate;
+  const bool excused = entry.frozen || Now(*setup) - entry.thawed < kLate;
   if (!call.answered && excused) {
     setup->scheduler.After(kLate, [setup, id]() { CheckInTime(setup, id); });
     return;
@@ -144,8 +142,8 @@
       [&name](const StartFact& start) { return start.task == name.task; });
   Check(setup, "a_no_second_start", fresh, name.job,
         "task " + std::to_string(name.task));
-  Check(setup, "a_start_of_named_task", ref.task.value() == name.task,
-        name.job, ref.key.value());
+  Check(setup, "a_start_of_named_task", ref.task.value() == name.task, name.job,
+        ref.key.value());
   const StartFact start{Now(*setup), name.body, name.task, agent};
   facts.starts.push_back(start);
   Check(setup, "d_start_is_justified", Justified(*setup, name.job, start),
--- a/prove/witness_messages.cc
+++ b/prove/witness_messages.cc
@@ -75,9 +75,8 @@
     return;
   }
   const std::optional<core::Time>& answered = from.entry.table_answered;
-  const bool by_quorum =
-      !answered.has_value() ||
-      Now(*setup) - *answered > from.entry.policy.freshness;
+  const bool by_quorum = !answered.has_value() ||
+                         Now(*setup) - *answered > from.entry.policy.freshness;
   Count(setup, by_quorum ? "permit.by_quorum" : "permit.by_table");
 }
 
--- a/prove/witness_notes.cc
+++ b/prove/witness_notes.cc
@@ -106,8 +106,8 @@
   if (!known) return;
   const auto [winner, first] =
       setup->witness.winners.try_emplace(note.base.value(), note.id.value());
-  Check(setup, "g_one_note_per_base", winner->second == note.id.value(),
-        kNoJob, winner->second + " and " + note.id.value());
+  Check(setup, "g_one_note_per_base", winner->second == note.id.value(), kNoJob,
+        winner->second + " and " + note.id.value());
   if (!first) Count(setup, "note.accepted_again");
   if (setup->witness.accepted.count(version) > 0) return;
   const core::Time now = Now(*setup);
