Dispatch: do not refuse for ever what was slow once

Cause: a home refused a job as hopeless when half the mean run time of its service did not fit the deadline. After a target had lingered the mean was seconds, everything with a shorter deadline was refused, and what is refused is not measured. Ruled out: a full queue and lapsed permits (queues 0, permits 2 s).

--- a/dispatch/admission.cc
+++ b/dispatch/admission.cc
@@ -84,6 +84,16 @@
                  kTenantPause};
 }
 
+/// Run time below which no task of `service` ended lately; zero when none did.
+core::Duration LeastRun(const AgentBoard& board, core::Time now,
+                        const core::ServiceId& service) {
+  const auto queue = board.queues.find(service);
+  if (queue == board.queues.end()) return core::Duration(0);
+  const bool measured =
+      now - queue->second.measured_at <= board.policy.run_memory;
+  return measured ? queue->second.least_run : core::Duration(0);
+}
+
 /// Time until the last of `ahead` tasks that wait here would start.
 core::Duration EstimateWait(const AgentBoard& board, core::Time now,
                             const JobSpec& spec, const Capacity& capacity) {
@@ -93,7 +103,7 @@
   const double share =
       std::max(1.0, static_cast<double>(capacity.slots) / homes);
   const double run =
-      static_cast<double>(ExpectedRun(board, spec.service).count());
+      static_cast<double>(ExpectedRun(board, now, spec.service).count());
   const core::Duration by_queue(static_cast<std::int64_t>(ahead * run / share));
   return std::max(by_queue, OldestWait(board, now, spec.service));
 }
@@ -110,8 +120,7 @@
     return Refusal{Reason::kOverload, "The wait for a slot is too long.",
                    std::max(kLeastPause, wait - board.policy.max_queue_delay)};
   }
-  const core::Duration run = ExpectedRun(board, spec.service);
-  if (wait + run / 2 > spec.time_left) {
+  if (wait + LeastRun(board, now, spec.service) > spec.time_left) {
     return Refusal{Reason::kOverload, "The deadline cannot be met.",
                    std::max(kLeastPause, wait)};
   }
@@ -126,13 +135,14 @@
 
 }  // namespace
 
-core::Duration ExpectedRun(const AgentBoard& board,
+core::Duration ExpectedRun(const AgentBoard& board, core::Time now,
                            const core::ServiceId& service) {
   const auto queue = board.queues.find(service);
-  if (queue == board.queues.end() || queue->second.mean_run.count() == 0) {
-    return board.policy.assumed_run;
-  }
-  return queue->second.mean_run;
+  if (queue == board.queues.end()) return board.policy.assumed_run;
+  const ServiceQueue& known = queue->second;
+  const bool measured = known.mean_run.count() > 0 &&
+                        now - known.measured_at <= board.policy.run_memory;
+  return measured ? known.mean_run : board.policy.assumed_run;
 }
 
 std::optional<Refusal> Admit(const AgentBoard& board, core::Time now,
--- a/dispatch/admission.h
+++ b/dispatch/admission.h
@@ -24,7 +24,7 @@
                              const JobSpec& spec);
 
 /// Run time to expect of one task of `service`.
-core::Duration ExpectedRun(const AgentBoard& board,
+core::Duration ExpectedRun(const AgentBoard& board, core::Time now,
                            const core::ServiceId& service);
 
 }  // namespace tarragon::dispatch
--- a/dispatch/home_settle.cc
+++ b/dispatch/home_settle.cc
@@ -12,7 +12,9 @@
 namespace tarragon::dispatch {
 namespace {
 
-constexpr double kMeanWeight = 0.05;
+constexpr double kMeanWeight = 0.1;
+/// At each end the shortest run time rises by one part in this many.
+constexpr int kLeastRise = 20;
 /// Nothing goes to an executor that is leaving, out of service or cut off, nor
 /// to one whose connection broke, for this long.
 constexpr core::Duration kAvoidPause = std::chrono::milliseconds(500);
@@ -37,9 +39,15 @@
   task->unanswered_since.reset();
 }
 
-void LearnRun(AgentBoard* board, const core::ServiceId& service,
+void LearnRun(AgentBoard* board, core::Time now, const core::ServiceId& service,
               core::Duration run_time) {
-  core::Duration& mean = board->queues[service].mean_run;
+  ServiceQueue& queue = board->queues[service];
+  queue.measured_at = now;
+  queue.least_run =
+      queue.least_run.count() == 0
+          ? run_time
+          : std::min(run_time, queue.least_run + queue.least_run / kLeastRise);
+  core::Duration& mean = queue.mean_run;
   if (mean.count() == 0) {
     mean = run_time;
     return;
@@ -127,7 +135,7 @@
                (known ? " failed." : " gave no whole answer."));
     return;
   }
-  LearnRun(board, service, finished.run_time);
+  LearnRun(board, now, service, finished.run_time);
   SampleTask(board, *task, &job, finished.run_time);
   task->state = TaskState::kEnded;
   task->result = std::move(finished.result);
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -115,8 +115,11 @@
   std::uint32_t size = 0;
   /// Executors that were told that tasks wait here.
   std::set<core::NodeId> told;
-  /// Measured run time of the service.
+  /// Measured run time of the service, and when a task last ended well.
   core::Duration mean_run{0};
+  core::Time measured_at;
+  /// Shortest recent run time; rises slowly until a shorter one comes.
+  core::Duration least_run{0};
 };
 
 // What the executor knows of a task.
--- a/dispatch/include/tarragon/dispatch/policy.h
+++ b/dispatch/include/tarragon/dispatch/policy.h
@@ -60,6 +60,10 @@
   std::uint64_t max_home_bytes = 24ULL << 20;
   /// Run time assumed for a service of which nothing was measured yet.
   core::Duration assumed_run{std::chrono::milliseconds(200)};
+  /// A measured run time counts for this long after the last end. Otherwise a
+  /// service that was slow once would be refused for ever: what is refused is
+  /// not measured.
+  core::Duration run_memory{std::chrono::seconds(5)};
 
   // Settling.
   /// Silence of an executor after which a home seals what it placed there.
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -203,9 +203,9 @@
   task.started = false;
   task.heard = now;
   task.unanswered_since.reset();
-  task.seal_at =
-      now + std::max(board->policy.seal_after,
-                     kRunsUntilSeal * ExpectedRun(*board, job.spec.service));
+  task.seal_at = now + std::max(board->policy.seal_after,
+                                kRunsUntilSeal *
+                                    ExpectedRun(*board, now, job.spec.service));
   ++board->tenant_running[job.spec.tenant];
   ++board->counters.placements;
   if (task.placements == 1) {
