Dispatch: try a small target again that was full when it fell silent

Cause: without late binding an executor of two or three slots that was heard full and then fell silent was assumed to have a quarter of its slots free, which is none, so its home never placed anything there again.

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -15,7 +15,8 @@
 namespace {
 
 /// Share of its slots that an executor is assumed to have free when nothing
-/// was heard of it for a while.
+/// was heard of it for a while; one at least, or a small target that was full
+/// once would never be tried again.
 constexpr std::uint32_t kUnheardShare = 4;
 /// Preference for the own target and the own domain, in shares of free slots.
 constexpr double kOwnTargetBonus = 0.02;
@@ -166,7 +167,7 @@
   }
   const Load& load = peer.status.load;
   if (now - peer.load_at > board.policy.hint_memory) {
-    return std::max(load.free_slots, load.slots / kUnheardShare);
+    return std::max({load.free_slots, 1U, load.slots / kUnheardShare});
   }
   const std::uint64_t unseen = peer.assigns_sent > load.assigns_seen
                                    ? peer.assigns_sent - load.assigns_seen
