Dispatch: confirm notes and lists of entries across changes of the list

Cause: an entry that had not read the list of entries yet, or held an old one, took a note for confirmed by itself, while a registered entry that was cut off from the table vouched for the older world and its agents started tasks under it for longer than three seconds. In the same way a finished change of the list could leave entries that had never heard of a confirmed note to vouch among themselves. Ruled out: permits (each was within 2.8 s of what its entry had confirmed). Change: a note is accepted only under a list that was read after the note was written; a change of the list is finished only when enough entries of both lists have the world that the table showed after the change; an entry vouches by quorum only after a look at the world's row since it was registered. Acceptance takes one more read of the table.

--- a/dispatch/entry.cc
+++ b/dispatch/entry.cc
@@ -105,7 +105,7 @@
       HandleWorldRead(board, call.sent, std::move(reply));
       return;
     case TablePurpose::kPollEntries:
-      HandleEntriesRead(board, std::move(reply));
+      HandleEntriesRead(board, now, call.sent, std::move(reply));
       return;
     case TablePurpose::kWriteEntries:
       HandleEntriesWritten(board, now);
--- a/dispatch/entry_freshness.cc
+++ b/dispatch/entry_freshness.cc
@@ -68,6 +68,25 @@
   }
 }
 
+/// A look at the table found no world newer than the one in force.
+void ConfirmByTable(EntryBoard* board, core::Time sent) {
+  Confirm(board, sent);
+  if (!board->world_read.has_value() || *board->world_read < sent) {
+    board->world_read = sent;
+  }
+  if (board->settle_version.has_value()) return;
+  if (sent >= board->entries_since) {
+    board->settle_version = board->world.version;
+  }
+}
+
+bool IsMember(const EntryBoard& board) {
+  return std::any_of(board.entries.members.begin(), board.entries.members.end(),
+                     [&board](const EntryMember& member) {
+                       return member.node == board.self;
+                     });
+}
+
 }  // namespace
 
 void AdoptWorld(EntryBoard* board, World world) {
@@ -78,9 +97,16 @@
                  board->world.version > before, {});
 }
 
-void AdoptEntries(EntryBoard* board, EntryList entries) {
+void AdoptEntries(EntryBoard* board, core::Time now, EntryList entries) {
   if (entries.version <= board->entries.version) return;
   board->entries = std::move(entries);
+  board->entries_since = now;
+  board->settle_version.reset();
+  if (!IsMember(*board)) {
+    board->registered_since.reset();
+  } else if (!board->registered_since.has_value()) {
+    board->registered_since = now;
+  }
 }
 
 void TickFreshness(EntryBoard* board, core::Time now) {
@@ -119,7 +145,7 @@
   EntryPeer& peer = found->second;
   peer.heard = now;
   if (pong.has_world) AdoptWorld(board, std::move(pong.world));
-  if (pong.has_entries) AdoptEntries(board, std::move(pong.entries));
+  if (pong.has_entries) AdoptEntries(board, now, std::move(pong.entries));
   peer.note_version = std::max(peer.note_version, pong.note_version);
   peer.entries_version = std::max(peer.entries_version, pong.entries_version);
   // A peer that knows more than it sent cannot vouch for what is known here.
@@ -138,25 +164,28 @@
     board->world_row = std::max(board->world_row, reply.version);
     const core::NoteVersion read = reply.world.version;
     AdoptWorld(board, std::move(reply.world));
-    if (read == board->world.version) Confirm(board, sent);
+    if (read == board->world.version) ConfirmByTable(board, sent);
     return;
   }
-  if (reply.status == TableStatus::kUnchanged) Confirm(board, sent);
+  if (reply.status == TableStatus::kUnchanged) ConfirmByTable(board, sent);
   const bool empty = board->world.version == core::NoteVersion(0);
-  if (reply.status == TableStatus::kMissing && empty) Confirm(board, sent);
+  if (reply.status == TableStatus::kMissing && empty) ConfirmByTable(board, sent);
 }
 
-void HandleEntriesRead(EntryBoard* board, TableReply reply) {
-  if (reply.status == TableStatus::kOk) {
-    board->entries_known = true;
-    board->entries_row = std::max(board->entries_row, reply.version);
-    AdoptEntries(board, std::move(reply.entries));
+void HandleEntriesRead(EntryBoard* board, core::Time now, core::Time sent,
+                       TableReply reply) {
+  if (reply.status != TableStatus::kOk &&
+      reply.status != TableStatus::kUnchanged &&
+      reply.status != TableStatus::kMissing) {
     return;
   }
-  if (reply.status == TableStatus::kUnchanged ||
-      reply.status == TableStatus::kMissing) {
-    board->entries_known = true;
+  board->entries_known = true;
+  if (!board->entries_read.has_value() || *board->entries_read < sent) {
+    board->entries_read = sent;
   }
+  if (reply.status != TableStatus::kOk) return;
+  board->entries_row = std::max(board->entries_row, reply.version);
+  AdoptEntries(board, now, std::move(reply.entries));
 }
 
 core::Duration PermitLifetime(const EntryBoard& board, core::Time now) {
--- a/dispatch/entry_notes.cc
+++ b/dispatch/entry_notes.cc
@@ -34,9 +34,25 @@
   CallTable(board, now, TablePurpose::kNote, number, std::move(call));
 }
 
+/// The entries whose confirmation counts are those that were registered after
+/// the note was written; the list known before may be an old one.
+bool IsConfirmed(const EntryBoard& board, const OpenNote& open) {
+  if (!board.entries_read.has_value()) return false;
+  if (*board.entries_read < open.written) return false;
+  return NoteConfirmed(board, open.version);
+}
+
+/// The table holds the note: it is to be confirmed under the present list.
+void StartConfirming(EntryBoard* board, core::Time now, std::uint64_t number) {
+  OpenNote& open = board->notes.at(number);
+  open.step = NoteStep::kConfirming;
+  open.version = board->world.version;
+  open.written = now;
+  board->next_poll = now;
+}
+
 void Confirm(EntryBoard* board, std::uint64_t number) {
-  const OpenNote& open = board->notes.at(number);
-  if (!NoteConfirmed(*board, open.version)) return;
+  if (!IsConfirmed(*board, board->notes.at(number))) return;
   Finish(board, number, NoteState::kAccepted, {});
 }
 
@@ -75,9 +91,7 @@
     AdoptWorld(board, reply.world);
   }
   if (ContainsNote(board->world, open.note.id)) {
-    open.step = NoteStep::kConfirming;
-    open.version = board->world.version;
-    Confirm(board, number);
+    StartConfirming(board, now, number);
     return;
   }
   WriteNote(board, now, number);
@@ -98,9 +112,7 @@
   // The write took effect on exactly the world that is known here.
   std::optional<World> next = ApplyNote(board->world, open.note, &error);
   if (next.has_value()) AdoptWorld(board, std::move(*next));
-  open.step = NoteStep::kConfirming;
-  open.version = board->world.version;
-  Confirm(board, number);
+  StartConfirming(board, now, number);
 }
 
 }  // namespace
@@ -134,7 +146,7 @@
     OpenNote& open = board->notes.at(number);
     if (open.step == NoteStep::kConfirming) {
       if (now - open.started >= kConfirmLimit &&
-          !NoteConfirmed(*board, open.version)) {
+          !IsConfirmed(*board, open)) {
         Finish(board, number, NoteState::kPending,
                {"Too few entries have confirmed the note so far."});
         continue;
--- a/dispatch/entry_parts.h
+++ b/dispatch/entry_parts.h
@@ -25,10 +25,11 @@
 void HandlePong(EntryBoard* board, core::Time now, const core::NodeId& from,
                 EntryPong pong);
 void HandleWorldRead(EntryBoard* board, core::Time sent, TableReply reply);
-void HandleEntriesRead(EntryBoard* board, TableReply reply);
+void HandleEntriesRead(EntryBoard* board, core::Time now, core::Time sent,
+                       TableReply reply);
 /// Takes in a world if it is newer than the one in force.
 void AdoptWorld(EntryBoard* board, World world);
-void AdoptEntries(EntryBoard* board, EntryList entries);
+void AdoptEntries(EntryBoard* board, core::Time now, EntryList entries);
 
 // Registration in the list of entries.
 void TickRegistration(EntryBoard* board, core::Time now);
--- a/dispatch/entry_registration.cc
+++ b/dispatch/entry_registration.cc
@@ -71,8 +71,11 @@
   EntryList next = board->entries;
   ++next.version;
   if (!board->entries.previous.empty()) {
-    // Whoever sees the change confirmed finishes it.
+    // Whoever sees the change confirmed finishes it. All that was confirmed
+    // under the former list must first be known to enough of the new one.
     if (!EntriesConfirmed(*board)) return;
+    if (!board->settle_version.has_value()) return;
+    if (!NoteConfirmed(*board, *board->settle_version)) return;
     next.previous.clear();
     WriteEntries(board, now, std::move(next));
     return;
--- a/dispatch/include/tarragon/dispatch/entry_board.h
+++ b/dispatch/include/tarragon/dispatch/entry_board.h
@@ -162,6 +162,8 @@
   core::Time retry_at = core::kNever;
   /// Version of the world with this note; once written.
   core::NoteVersion version;
+  /// When the table was known to hold the note.
+  core::Time written;
 };
 
 // What the entry asks its runtime to do.
@@ -211,6 +213,16 @@
   bool entries_known = false;
   /// A moment at which nothing newer than `world` was in force anywhere.
   std::optional<core::Time> confirmed;
+  /// When the latest looks at the table that were answered had been sent: one
+  /// that found no world newer than the one in force, and one at the list.
+  std::optional<core::Time> world_read;
+  std::optional<core::Time> entries_read;
+  /// When the present list was adopted, and since when this entry is in it.
+  core::Time entries_since;
+  std::optional<core::Time> registered_since;
+  /// The world that the first look after `entries_since` found. All that was
+  /// confirmed under the former list is in it.
+  std::optional<core::NoteVersion> settle_version;
 
   // Other entries and the table.
   std::map<core::NodeId, EntryPeer> peers;
--- a/dispatch/quorum.cc
+++ b/dispatch/quorum.cc
@@ -70,6 +70,11 @@
 
 std::optional<core::Time> QuorumConfirmed(const EntryBoard& board,
                                           core::Time now) {
+  // Notes that were confirmed before this entry was registered did not wait
+  // for it: it must have looked at the table since.
+  if (!board.registered_since.has_value()) return std::nullopt;
+  if (!board.world_read.has_value()) return std::nullopt;
+  if (*board.world_read < *board.registered_since) return std::nullopt;
   const std::optional<core::Time> present =
       ConfirmedBy(board, now, board.entries.members);
   if (!present.has_value() || board.entries.previous.empty()) return present;
