--- a/prove/describe.cc
+++ b/prove/describe.cc
@@ -64,6 +64,7 @@
 std::string DescribeSetup(const Setup& setup) {
   std::ostringstream text;
   DescribePolicy(setup.policy, &text);
+  if (setup.entry_churn) text << "faults strike entries most of all\n";
   for (const Process& process : setup.processes) {
     text << "p" << process.index << (process.is_agent ? " agent " : " entry ")
          << process.domain.value() << " " << core::ToString(process.node)
--- a/prove/faults.cc
+++ b/prove/faults.cc
@@ -23,10 +23,6 @@
                          });
 }
 
-int AnyProcess(Setup* setup) {
-  return static_cast<int>(setup->random.Index(setup->processes.size()));
-}
-
 int AnyAgentIndex(Setup* setup) {
   return static_cast<int>(setup->random.Index(setup->agents));
 }
@@ -35,6 +31,13 @@
   return setup->agents + static_cast<int>(setup->random.Index(setup->entries));
 }
 
+int AnyProcess(Setup* setup) {
+  if (setup->entry_churn && setup->random.Chance(800)) {
+    return AnyEntryIndex(setup);
+  }
+  return static_cast<int>(setup->random.Index(setup->processes.size()));
+}
+
 void RestartLater(Setup* setup, int index) {
   const bool move = setup->random.Chance(250);
   const core::Duration most =
@@ -138,7 +141,8 @@
     if (process.index != index) others.push_back(process.index);
   }
   CutFor(setup, {index}, others);
-  if (index >= setup->agents && setup->random.Chance(500)) {
+  const bool from_table = setup->entry_churn || setup->random.Chance(500);
+  if (index >= setup->agents && from_table) {
     CutTable(setup, index);
   }
 }
@@ -225,10 +229,15 @@
 
 void CutAnyTable(Setup* setup) { CutTable(setup, AnyEntryIndex(setup)); }
 
-}  // namespace
+constexpr Fault kEntryFaults[] = {
+    KillOne, KillOne,     FreezeOne,   StopOne,     StopOne, BreakMany,
+    Isolate, CutAnyTable, CutAnyTable, CutAnyTable, CutTwo,  TroubleTable};
 
-void FaultLoop(Setup* setup) {
-  if (setup->quiet) return;
+void StartEntryFault(Setup* setup) {
+  kEntryFaults[setup->random.Index(std::size(kEntryFaults))](setup);
+}
+
+void StartAnyFault(Setup* setup) {
   const std::uint64_t pick = setup->random.Below(std::size(kFaults) + 2);
   if (pick == std::size(kFaults)) {
     CutAnyTable(setup);
@@ -237,7 +246,19 @@
   } else {
     kFaults[pick](setup);
   }
-  const core::Duration most = setup->options.harsh ? 2 * kSecond : 5 * kSecond;
+}
+
+}  // namespace
+
+void FaultLoop(Setup* setup) {
+  if (setup->quiet) return;
+  if (setup->entry_churn && setup->random.Chance(850)) {
+    StartEntryFault(setup);
+  } else {
+    StartAnyFault(setup);
+  }
+  const bool often = setup->options.harsh || setup->entry_churn;
+  const core::Duration most = often ? 2 * kSecond : 5 * kSecond;
   setup->scheduler.After(setup->random.Between(kSecond / 10, most),
                          [setup]() { FaultLoop(setup); });
 }
--- a/prove/operators.cc
+++ b/prove/operators.cc
@@ -15,6 +15,7 @@
 
 constexpr core::Duration kPatience = std::chrono::seconds(12);
 constexpr core::Duration kPause = std::chrono::seconds(2);
+constexpr core::Duration kShortPause = std::chrono::milliseconds(200);
 constexpr core::Duration kLeastPause = std::chrono::seconds(1);
 constexpr core::Duration kMostPause = std::chrono::seconds(6);
 constexpr core::Duration kMaxRun = std::chrono::seconds(3);
@@ -184,7 +185,9 @@
     Visit(setup, LifeOf(setup->processes[entry]),
           [setup, entry]() { WriteNotes(setup, entry); });
   }
-  setup->scheduler.After(setup->random.Between(kLeastPause, kMostPause),
+  const core::Duration most = setup->entry_churn ? kPause : kMostPause;
+  const core::Duration least = setup->entry_churn ? kShortPause : kLeastPause;
+  setup->scheduler.After(setup->random.Between(least, most),
                          [setup]() { OperatorLoop(setup); });
 }
 
--- a/prove/process.cc
+++ b/prove/process.cc
@@ -209,7 +209,7 @@
   Process* process = &setup->processes[index];
   if (process->alive) return;
   const core::Time now = Now(*setup);
-  if (move) ++process->moves;
+  if (move) process->moves = (process->moves + 1) % kMostAddresses;
   ++process->life;
   process->alive = true;
   process->frozen = false;
@@ -218,6 +218,7 @@
   process->thawed = now;
   process->last_version = core::NoteVersion(0);
   process->permitted = false;
+  process->listed_since.reset();
   process->node = core::NodeId{AddressOf(*process),
                                core::Incarnation(setup->next_incarnation++)};
   setup->network.listeners[process->node.address] = index;
--- a/prove/process.h
+++ b/prove/process.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
@@ -17,6 +18,9 @@
 
 struct Setup;
 
+/// Addresses among which a process moves; agents know those of all entries.
+inline constexpr int kMostAddresses = 4;
+
 /// Names one life of one process of the set-up.
 struct ProcessLife {
   int process = -1;
@@ -42,7 +46,7 @@
   bool alive = false;
   bool frozen = false;
   bool stopping = false;
-  /// How often it came back at another address.
+  /// Which of its addresses it has.
   int moves = 0;
   dispatch::AgentBoard agent;
   dispatch::EntryBoard entry;
@@ -52,6 +56,8 @@
   core::Time thawed;
   core::Time stop_requested;
   core::NoteVersion last_version;
+  /// Since when an entry sees itself in the list of entries.
+  std::optional<core::Time> listed_since;
   /// An agent's permit was valid at its last event.
   bool permitted = false;
 };
--- a/prove/run.cc
+++ b/prove/run.cc
@@ -91,6 +91,7 @@
                     core::TenantId("c")};
   setup->agents = 3 + static_cast<int>(random.Below(4));
   setup->entries = 1 + static_cast<int>(random.Below(4));
+  setup->entry_churn = random.Chance(300);
   for (int i = 0; i < setup->agents; ++i) AddProcess(setup, true, i);
   for (int i = 0; i < setup->entries; ++i) AddProcess(setup, false, i);
   setup->targets.all.resize(setup->agents);
@@ -99,8 +100,7 @@
     target.slots = 2 + static_cast<std::uint32_t>(random.Below(3));
   }
   // The settings name every address that an entry may come to have.
-  constexpr int kMostMoves = 4;
-  for (int move = 0; move < kMostMoves; ++move) {
+  for (int move = 0; move < kMostAddresses; ++move) {
     for (int i = 0; i < setup->entries; ++i) {
       setup->seeds.emplace_back("10.0." + std::to_string(setup->agents + i) +
                                 "." + std::to_string(move) + ":7100");
--- a/prove/setup.h
+++ b/prove/setup.h
@@ -43,6 +43,8 @@
   int entries = 0;
   /// Addresses at which agents may find entries at first.
   std::vector<core::Address> seeds;
+  /// Faults strike entries and the table most of all, and notes come often.
+  bool entry_churn = false;
   /// No more faults are started.
   bool quiet = false;
   std::uint64_t next_incarnation = 1;
--- a/prove/witness_notes.cc
+++ b/prove/witness_notes.cc
@@ -58,6 +58,9 @@
   if (!IsAlive(setup, source)) return false;
   const Process& teller = setup.processes[source.process];
   if (!IsCalm(setup, teller, since)) return false;
+  if (!entry.listed_since.has_value() || *entry.listed_since > since) {
+    return false;
+  }
   return std::any_of(entry.entry.entries.members.begin(),
                      entry.entry.entries.members.end(),
                      [&teller](const dispatch::EntryMember& member) {
@@ -117,6 +120,21 @@
   });
 }
 
+/// Remembers since when an entry sees itself registered.
+void WitnessListed(Setup* setup, Process* process) {
+  const std::vector<dispatch::EntryMember>& members =
+      process->entry.entries.members;
+  const bool listed = std::any_of(members.begin(), members.end(),
+                                  [process](const auto& member) {
+                                    return member.node == process->node;
+                                  });
+  if (!listed) {
+    process->listed_since.reset();
+  } else if (!process->listed_since.has_value()) {
+    process->listed_since = Now(*setup);
+  }
+}
+
 }  // namespace
 
 void WitnessWorldWrite(Setup* setup, const dispatch::World& world) {
@@ -171,7 +189,10 @@
     Note(setup, kNoJob, "in force", process->index, -1,
          static_cast<std::int64_t>(version.value()));
   }
-  if (!process->is_agent) return;
+  if (!process->is_agent) {
+    WitnessListed(setup, process);
+    return;
+  }
   const bool permitted = Now(*setup) < process->agent.permit_until;
   if (process->permitted && !permitted) Count(setup, "permit.lapsed");
   process->permitted = permitted;
