Dispatch: call an entry ready only if an agent takes new jobs

Cause: an entry that knew a single agent, which was being stopped, said that it was ready; the balancer sent clients to it and all got no handle or no_target, while other entries knew homes. Ruled out: lost heartbeats; each agent speaks to heartbeat_fanout entries only.

--- a/dispatch/entry.cc
+++ b/dispatch/entry.cc
@@ -1,5 +1,6 @@
 #include "tarragon/dispatch/entry.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "entry_parts.h"
@@ -148,7 +149,10 @@
   if (PermitLifetime(board, now).count() <= 0) {
     return "Neither the table nor other entries confirm the release note.";
   }
-  if (board.members.empty()) return "No agent is known.";
+  const bool has_home = std::any_of(
+      board.members.begin(), board.members.end(),
+      [](const auto& member) { return !member.second.status.leaving; });
+  if (!has_home) return "No agent that takes new jobs is known.";
   return std::nullopt;
 }
 
