Dispatch: place at a full executor when late binding is off

Cause: without late binding nobody asks a home for its waiting tasks, yet the least loaded choice left them at the home while all executors seemed full; they waited until the load was forgotten after 5 s and admission refused new jobs meanwhile. Change: with late binding off a full executor may be chosen, as the settings say; the task waits there.

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -70,7 +70,9 @@
   for (const auto& [node, peer] : board->peers) {
     if (!Eligible(*board, now, peer, service)) continue;
     if (!Fits(peer.status, spec)) continue;
-    if (BelievedFree(*board, now, node, peer) == 0) continue;
+    // Without late binding nobody would ask for a task that waits here.
+    const bool full = BelievedFree(*board, now, node, peer) == 0;
+    if (full && board->policy.late_binding) continue;
     const double score = Score(board, now, node, peer);
     if (best.has_value() && score <= best_score) continue;
     best = node;
