Dispatch: refuse copies of an entry's life that is gone

Cause: a home forgot what it had refused to an entry once that life of the entry was proved gone; a copy of a refused request that arrived after that was taken in and started. Ruled out: the resubmission by the client through another entry; its request was refused on its own. Change: of a life that is gone, and of which something was refused, nothing is run any more; the latest 256 such lives are kept.

--- a/dispatch/home_settle.cc
+++ b/dispatch/home_settle.cc
@@ -253,7 +253,7 @@
            "An executor is gone; a task may have run.");
   }
   board->peers.erase(peer);
-  ForgetRefusals(board, peer);
+  RefuseGoneEntry(board, peer);
 }
 
 }  // namespace tarragon::dispatch
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -327,6 +327,8 @@
   std::deque<std::pair<core::Time, core::JobKey>> kept;
   std::map<core::JobKey, Tombstone> tombstones;
   std::map<core::NodeId, EntryRefusals> refusals;
+  /// Lives of entries that are gone and still in `refusals`, oldest first.
+  std::deque<core::NodeId> gone_entries;
   std::map<core::ServiceId, ServiceQueue> queues;
   std::map<core::TenantId, std::uint32_t> tenant_queued;
   std::map<core::TenantId, std::uint32_t> tenant_running;
--- a/dispatch/refusals.cc
+++ b/dispatch/refusals.cc
@@ -1,12 +1,15 @@
 #include "refusals.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace tarragon::dispatch {
 namespace {
 
 /// Refusals that are remembered for one entry.
 constexpr std::size_t kMaxRefusals = 1024;
+/// Lives of entries, gone by now, of which copies are still refused.
+constexpr std::size_t kMaxGoneEntries = 256;
 /// Pause after the refusal of a request that may have been refused before.
 constexpr core::Duration kForgottenPause = std::chrono::milliseconds(100);
 
@@ -38,8 +41,15 @@
   return RefusedRequest{Reason::kOverload, kForgottenPause};
 }
 
-void ForgetRefusals(AgentBoard* board, const core::NodeId& entry) {
-  board->refusals.erase(entry);
+void RefuseGoneEntry(AgentBoard* board, const core::NodeId& entry) {
+  const auto refusals = board->refusals.find(entry);
+  if (refusals == board->refusals.end()) return;
+  refusals->second = EntryRefusals{};
+  refusals->second.forgotten_up_to = std::numeric_limits<std::uint64_t>::max();
+  board->gone_entries.push_back(entry);
+  if (board->gone_entries.size() <= kMaxGoneEntries) return;
+  board->refusals.erase(board->gone_entries.front());
+  board->gone_entries.pop_front();
 }
 
 }  // namespace tarragon::dispatch
--- a/dispatch/refusals.h
+++ b/dispatch/refusals.h
@@ -20,8 +20,9 @@
 std::optional<RefusedRequest> FindRefusal(const AgentBoard& board,
                                           const Waiter& waiter);
 
-/// The entry is gone; no copy of it matters any more.
-void ForgetRefusals(AgentBoard* board, const core::NodeId& entry);
+/// The entry is gone and so are its clients' connections: what still arrives of
+/// it is not run any more, if something of it was refused.
+void RefuseGoneEntry(AgentBoard* board, const core::NodeId& entry);
 
 }  // namespace tarragon::dispatch
 
