Dispatch: let an entry learn from one that asks and knows more

Cause: an entry that is cut off from the table and holds an old list pings only the members of that list; those that joined since ping it, but a ping told it nothing, so notes stayed pending for as long as it was cut off from the table, although the network between the entries was whole. Ruled out: an unsafe acceptance; the note waited as it must. Change: a ping that shows a newer note or list is answered by a ping back. Before: the new test EntryGroupTest::AFreshEntryWaitsForTheRegisteredOnes failed. After: it passes.

--- a/dispatch/entry.cc
+++ b/dispatch/entry.cc
@@ -17,7 +17,7 @@
       : board_(board), now_(now), from_(from) {}
 
   void operator()(Heartbeat& m) { HandleHeartbeat(board_, now_, from_, m); }
-  void operator()(EntryPing& m) { HandlePing(board_, from_, m); }
+  void operator()(EntryPing& m) { HandlePing(board_, now_, from_, m); }
   void operator()(EntryPong& m) {
     HandlePong(board_, now_, from_, std::move(m));
   }
--- a/dispatch/entry_freshness.cc
+++ b/dispatch/entry_freshness.cc
@@ -44,6 +44,16 @@
   return nodes;
 }
 
+void PingOne(EntryBoard* board, core::Time now, const core::NodeId& node) {
+  const auto [peer, added] = board->peers.try_emplace(node);
+  if (added) peer->second.heard = now;
+  const std::uint64_t sequence = ++peer->second.ping_sequence;
+  peer->second.sent.emplace_back(sequence, now);
+  if (peer->second.sent.size() > kOpenPings) peer->second.sent.pop_front();
+  Post(board, node,
+       EntryPing{sequence, board->world.version, board->entries.version});
+}
+
 void PingOthers(EntryBoard* board, core::Time now) {
   const std::vector<core::NodeId> others = OtherEntries(*board);
   for (auto it = board->peers.begin(); it != board->peers.end();) {
@@ -51,15 +61,7 @@
         std::find(others.begin(), others.end(), it->first) != others.end();
     it = listed ? std::next(it) : board->peers.erase(it);
   }
-  for (const core::NodeId& node : others) {
-    const auto [peer, added] = board->peers.try_emplace(node);
-    if (added) peer->second.heard = now;
-    const std::uint64_t sequence = ++peer->second.ping_sequence;
-    peer->second.sent.emplace_back(sequence, now);
-    if (peer->second.sent.size() > kOpenPings) peer->second.sent.pop_front();
-    Post(board, node,
-         EntryPing{sequence, board->world.version, board->entries.version});
-  }
+  for (const core::NodeId& node : others) PingOne(board, now, node);
 }
 
 void Confirm(EntryBoard* board, core::Time moment) {
@@ -125,7 +127,7 @@
   if (quorum.has_value()) Confirm(board, *quorum);
 }
 
-void HandlePing(EntryBoard* board, const core::NodeId& from,
+void HandlePing(EntryBoard* board, core::Time now, const core::NodeId& from,
                 const EntryPing& ping) {
   EntryPong pong;
   pong.sequence = ping.sequence;
@@ -136,6 +138,11 @@
   pong.has_entries = board->entries.version > ping.entries_version;
   if (pong.has_entries) pong.entries = board->entries;
   Post(board, from, std::move(pong));
+  // The asker may be registered in a list that is not known here yet.
+  if (ping.note_version > board->world.version ||
+      ping.entries_version > board->entries.version) {
+    PingOne(board, now, from);
+  }
 }
 
 void HandlePong(EntryBoard* board, core::Time now, const core::NodeId& from,
--- a/dispatch/entry_parts.h
+++ b/dispatch/entry_parts.h
@@ -20,7 +20,7 @@
 
 // Freshness: what is in force, by the table and by other entries.
 void TickFreshness(EntryBoard* board, core::Time now);
-void HandlePing(EntryBoard* board, const core::NodeId& from,
+void HandlePing(EntryBoard* board, core::Time now, const core::NodeId& from,
                 const EntryPing& ping);
 void HandlePong(EntryBoard* board, core::Time now, const core::NodeId& from,
                 EntryPong pong);
