Dispatch: seal no task that has just failed

Cause: a failed task still counted as placed when its job ended, so that its executor got a seal for a task that it had reported itself: one wasted message and its answer for each failed job. Before: the new test HomeTest::AFailureStopsTheOtherTasks saw two seals where one is due. After: it passes.

--- a/dispatch/home_settle.cc
+++ b/dispatch/home_settle.cc
@@ -128,6 +128,9 @@
     finished.reason = Reason::kTruncated;
   }
   if (!finished.ok) {
+    // It has ended: there is nothing to stop at its executor.
+    task->state = TaskState::kEnded;
+    --board->tenant_running[job.spec.tenant];
     const bool known = finished.reason == Reason::kTaskFailed;
     EndJob(board, now, finished.ref.key,
            known ? Outcome::kFailed : Outcome::kUnknown, finished.reason,
