--- /dev/null
+++ b/dispatch/tests/ejection_test.cc
@@ -0,0 +1,84 @@
+#include "ejection.h"
+
+#include "agent_fixture.h"
+#include "executor.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+/// Targets that fail most tasks get single trials only; never too many at once.
+class EjectionTest : public AgentFixture {
+  CPPUNIT_TEST_SUITE(EjectionTest);
+  CPPUNIT_TEST(EjectsTheOneThatFailsAlone);
+  CPPUNIT_TEST(EjectsNobodyWhenAllFail);
+  CPPUNIT_TEST(EjectsAQuarterAtMost);
+  CPPUNIT_TEST(EjectsNobodyAmongFew);
+  CPPUNIT_TEST(TriesOneTaskAtATime);
+  CPPUNIT_TEST(ReturnsAfterSuccesses);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void EjectsTheOneThatFailsAlone() { CPPUNIT_ASSERT(IsEjected({0, 0, 0})); }
+
+  void EjectsNobodyWhenAllFail() {
+    CPPUNIT_ASSERT(!IsEjected({900, 900, 900}));
+  }
+
+  void EjectsAQuarterAtMost() {
+    // Two of eight may go; two others are worse.
+    CPPUNIT_ASSERT(!IsEjected({1001, 1001, 0, 0, 0, 0, 0}));
+    CPPUNIT_ASSERT(IsEjected({1001, 0, 0, 0, 0, 0, 0}));
+  }
+
+  void EjectsNobodyAmongFew() { CPPUNIT_ASSERT(!IsEjected({0, 0})); }
+
+  void TriesOneTaskAtATime() {
+    CPPUNIT_ASSERT(IsEjected({0, 0, 0}));
+    CPPUNIT_ASSERT_EQUAL(0U, FreeSlots(board_, now_));
+    Advance(board_.policy.trial_interval);
+    Admit(MakeWorld(1), Others({0, 0, 0}));
+    CPPUNIT_ASSERT_EQUAL(1U, FreeSlots(board_, now_));
+  }
+
+  void ReturnsAfterSuccesses() {
+    CPPUNIT_ASSERT(IsEjected({0, 0, 0}));
+    for (int i = 0; i < 3; ++i) {
+      RecordEnd(&board_, true, std::chrono::milliseconds(10));
+    }
+    ReviewEjection(&board_, now_);
+    CPPUNIT_ASSERT(!board_.health.ejected);
+  }
+
+ private:
+  static std::vector<AgentStatus> Others(
+      const std::vector<std::uint32_t>& failures) {
+    std::vector<AgentStatus> others;
+    for (std::size_t i = 0; i < failures.size(); ++i) {
+      const core::NodeId node{
+          core::Address("10.0.1." + std::to_string(i) + ":7100"),
+          core::Incarnation(100 + i)};
+      AgentStatus status = StatusOf(node, 4);
+      status.failure_permille = failures[i];
+      others.push_back(status);
+    }
+    return others;
+  }
+
+  /// This target fails every task; the others fail this share.
+  bool IsEjected(const std::vector<std::uint32_t>& failures) {
+    board_ = AgentBoard{};
+    Prepare();
+    AnnounceTarget(4);
+    Admit(MakeWorld(1), Others(failures));
+    for (int i = 0; i < 10; ++i) {
+      RecordEnd(&board_, false, std::chrono::milliseconds(10));
+    }
+    ReviewEjection(&board_, now_);
+    return board_.health.ejected;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EjectionTest);
+
+}  // namespace
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/tests/entry_group.h
@@ -0,0 +1,205 @@
+#ifndef TARRAGON_DISPATCH_TESTS_ENTRY_GROUP_H_
+#define TARRAGON_DISPATCH_TESTS_ENTRY_GROUP_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "tarragon/dispatch/entry.h"
+
+namespace tarragon::dispatch {
+
+/// Some entries with a table, in steps of 20 ms. Messages and table calls take
+/// effect at once, in order; the test cuts entries off, takes the table out and
+/// loses replies.
+class EntryGroup {
+ public:
+  struct Member {
+    EntryBoard board;
+    bool alive = true;
+    /// Cut off from the other entries, and from the table.
+    bool cut = false;
+    bool table_cut = false;
+    /// The next write takes effect, but its reply is lost.
+    bool lose_next_write = false;
+    std::vector<NoteAnswer> note_answers;
+    std::vector<JobAnswer> job_answers;
+    std::vector<SendMessage> to_agents;
+  };
+
+  explicit EntryGroup(int entries) {
+    for (int i = 0; i < entries; ++i) Add();
+  }
+
+  /// A new entry at an address of its own.
+  std::size_t Add() {
+    const std::uint64_t number = members_.size() + 1;
+    const core::NodeId node{
+        core::Address("10.0.9." + std::to_string(number) + ":7100"),
+        core::Incarnation(number)};
+    members_.push_back(std::make_unique<Member>());
+    InitEntry(&members_.back()->board, now_, node, core::DomainId("d"), number);
+    return members_.size() - 1;
+  }
+
+  Member& At(std::size_t index) { return *members_[index]; }
+  EntryBoard& Board(std::size_t index) { return members_[index]->board; }
+  std::size_t size() const { return members_.size(); }
+  core::Time now() const { return now_; }
+
+  void Run(core::Duration duration) {
+    const core::Time until = now_ + duration;
+    while (now_ < until) {
+      now_ = now_ + std::chrono::milliseconds(20);
+      for (const std::unique_ptr<Member>& member : members_) {
+        if (!member->alive) continue;
+        OnTick(&member->board, now_);
+        CarryOut(member.get());
+      }
+    }
+  }
+
+  void Submit(std::size_t entry, const std::string& key) {
+    JobSpec spec;
+    spec.service = core::ServiceId("fit");
+    spec.time_left = std::chrono::seconds(5);
+    spec.tasks.resize(1);
+    OnClientSubmit(&Board(entry), now_, spec, key, spec.time_left);
+    CarryOut(&At(entry));
+  }
+
+  void HandIn(std::size_t entry, ReleaseNote note) {
+    OnOperatorNote(&Board(entry), now_, std::move(note));
+    CarryOut(&At(entry));
+  }
+
+  /// The answer of a heartbeat sent now to this entry.
+  Permit AskPermit(std::size_t entry) {
+    const core::NodeId agent{core::Address("10.0.0.1:7100"),
+                             core::Incarnation(500)};
+    Heartbeat heartbeat;
+    heartbeat.sequence = 1;
+    heartbeat.status.node = agent;
+    OnMessage(&Board(entry), now_, agent, heartbeat);
+    Permit permit;
+    for (EntryAction& action : Board(entry).actions) {
+      auto* send = std::get_if<SendMessage>(&action);
+      if (send == nullptr || send->to != agent) continue;
+      permit = std::get<Permit>(send->message);
+    }
+    CarryOut(&At(entry));
+    return permit;
+  }
+
+  bool GrantsPermits(std::size_t entry) {
+    return AskPermit(entry).lifetime.count() > 0;
+  }
+
+  bool table_out = false;
+  std::uint64_t writes = 0;
+
+ private:
+  struct Cell {
+    std::uint64_t version = 0;
+    TableCall call;
+  };
+
+  void CarryOut(Member* member) {
+    while (!member->board.actions.empty()) {
+      std::vector<EntryAction> actions;
+      actions.swap(member->board.actions);
+      for (EntryAction& action : actions) Do(member, &action);
+    }
+  }
+
+  void Do(Member* member, EntryAction* action) {
+    if (auto* send = std::get_if<SendMessage>(action)) {
+      Deliver(member, std::move(*send));
+    } else if (auto* call = std::get_if<TableCall>(action)) {
+      Answer(member, *call);
+    } else if (auto* note = std::get_if<AnswerNote>(action)) {
+      member->note_answers.push_back(note->answer);
+    } else if (auto* job = std::get_if<AnswerClient>(action)) {
+      member->job_answers.push_back(job->answer);
+    }
+  }
+
+  void Deliver(Member* from, SendMessage send) {
+    for (const std::unique_ptr<Member>& member : members_) {
+      if (member->board.self != send.to) continue;
+      if (!member->alive || member->cut || from->cut) return;
+      OnMessage(&member->board, now_, from->board.self,
+                std::move(send.message));
+      CarryOut(member.get());
+      return;
+    }
+    from->to_agents.push_back(std::move(send));
+  }
+
+  static std::string NameOf(const TableCall& call) {
+    if (call.row == TableRow::kWorld) return "world";
+    if (call.row == TableRow::kEntries) return "entries";
+    return "key/" + call.key;
+  }
+
+  void Answer(Member* member, const TableCall& call) {
+    TableReply reply;
+    reply.number = call.number;
+    if (table_out || member->table_cut) {
+      reply.status = TableStatus::kUnavailable;
+    } else if (call.operation == TableOperation::kRead) {
+      Read(call, &reply);
+    } else {
+      Write(call, &reply);
+      if (std::exchange(member->lose_next_write, false)) {
+        reply = TableReply{};
+        reply.number = call.number;
+        reply.status = TableStatus::kUnknown;
+      }
+    }
+    OnTableReply(&member->board, now_, std::move(reply));
+  }
+
+  void Read(const TableCall& call, TableReply* reply) {
+    const auto cell = cells_.find(NameOf(call));
+    if (cell == cells_.end()) {
+      reply->status = TableStatus::kMissing;
+      return;
+    }
+    reply->version = cell->second.version;
+    reply->status = reply->version == call.version ? TableStatus::kUnchanged
+                                                   : TableStatus::kOk;
+    if (reply->status == TableStatus::kUnchanged) return;
+    reply->world = cell->second.call.world;
+    reply->entries = cell->second.call.entries;
+    reply->text = cell->second.call.text;
+  }
+
+  void Write(const TableCall& call, TableReply* reply) {
+    Cell& cell = cells_[NameOf(call)];
+    const std::uint64_t expected =
+        call.operation == TableOperation::kInsert ? 0 : call.version;
+    if (cell.version != expected) {
+      reply->status = TableStatus::kConflict;
+      return;
+    }
+    ++writes;
+    ++cell.version;
+    cell.call = call;
+    reply->status = TableStatus::kOk;
+    reply->version = cell.version;
+  }
+
+  core::Time now_{std::chrono::seconds(1000)};
+  std::vector<std::unique_ptr<Member>> members_;
+  std::map<std::string, Cell> cells_;
+};
+
+}  // namespace tarragon::dispatch
+
+#endif  // TARRAGON_DISPATCH_TESTS_ENTRY_GROUP_H_
--- /dev/null
+++ b/dispatch/tests/entry_group_test.cc
@@ -0,0 +1,285 @@
+#include "entry_group.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tarragon::dispatch {
+namespace {
+
+constexpr core::Duration kSettle = std::chrono::seconds(10);
+constexpr core::Duration kOutage = std::chrono::minutes(10);
+constexpr core::Duration kMoment = std::chrono::seconds(2);
+
+ReleaseNote MakeNote(const std::string& id, std::uint64_t base) {
+  ReleaseNote note;
+  note.id = core::NoteId(id);
+  note.base = core::NoteVersion(base);
+  note.added_domains[core::DomainId(id)] = Domain{core::RegionId("r"), true};
+  return note;
+}
+
+std::size_t Listed(const EntryBoard& board) {
+  return board.entries.members.size();
+}
+
+/// What entries do together: registration, outages of the table, notes.
+class EntryGroupTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EntryGroupTest);
+  CPPUNIT_TEST(AllRegister);
+  CPPUNIT_TEST(OneEntryKeepsPermitsGoingThroughAnOutage);
+  CPPUNIT_TEST(TwoEntriesKeepPermitsGoingThroughAnOutage);
+  CPPUNIT_TEST(ThreeEntriesKeepPermitsGoingThroughAnOutage);
+  CPPUNIT_TEST(OneOfTwoDoesNotVouchAloneInAnOutage);
+  CPPUNIT_TEST(TwoOfThreeDo);
+  CPPUNIT_TEST(EntriesReplacedInAnOutageGrantNothingUntilItEnds);
+  CPPUNIT_TEST(ANoteAcceptedJustBeforeAnOutageIsInForceEverywhere);
+  CPPUNIT_TEST(ACutOffEntryStopsVouching);
+  CPPUNIT_TEST(ALostReplyIsSettledByReadingBack);
+  CPPUNIT_TEST(AWriteThatFailedIsTriedAgain);
+  CPPUNIT_TEST(OneOfTwoRacingNotesIsAccepted);
+  CPPUNIT_TEST(ANoteSentAgainIsAcceptedOnce);
+  CPPUNIT_TEST(AFreshEntryWaitsForTheRegisteredOnes);
+  CPPUNIT_TEST(ADeadEntryIsTakenOutAfterSilence);
+  CPPUNIT_TEST(TheOperatorRemovesAMajority);
+  CPPUNIT_TEST(AnEntryLeavesInGoodOrder);
+  CPPUNIT_TEST(TheOnlyEntryIsReplaced);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AllRegister() {
+    EntryGroup group(3);
+    group.Run(kSettle);
+    for (std::size_t i = 0; i < group.size(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Listed(group.Board(i)));
+      CPPUNIT_ASSERT(group.Board(i).entries.previous.empty());
+      CPPUNIT_ASSERT(group.GrantsPermits(i));
+    }
+  }
+
+  void OneEntryKeepsPermitsGoingThroughAnOutage() { Outlast(1); }
+  void TwoEntriesKeepPermitsGoingThroughAnOutage() { Outlast(2); }
+  void ThreeEntriesKeepPermitsGoingThroughAnOutage() { Outlast(3); }
+
+  void OneOfTwoDoesNotVouchAloneInAnOutage() {
+    EntryGroup group(2);
+    group.Run(kSettle);
+    group.table_out = true;
+    group.At(0).alive = false;
+    group.Run(kSettle);
+    CPPUNIT_ASSERT(!group.GrantsPermits(1));
+    CPPUNIT_ASSERT(NotReady(group.Board(1), group.now()).has_value());
+  }
+
+  void TwoOfThreeDo() {
+    EntryGroup group(3);
+    group.Run(kSettle);
+    group.table_out = true;
+    group.At(0).alive = false;
+    group.Run(kOutage);
+    CPPUNIT_ASSERT(group.GrantsPermits(1));
+    CPPUNIT_ASSERT(group.GrantsPermits(2));
+  }
+
+  void EntriesReplacedInAnOutageGrantNothingUntilItEnds() {
+    EntryGroup group(2);
+    group.Run(kSettle);
+    group.table_out = true;
+    group.At(0).alive = false;
+    group.At(1).alive = false;
+    const std::size_t fresh = group.Add();
+    group.Run(kOutage);
+    CPPUNIT_ASSERT(!group.GrantsPermits(fresh));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("Neither the table nor other entries confirm the release "
+                    "note."),
+        NotReady(group.Board(fresh), group.now()).value());
+    group.table_out = false;
+    group.Run(kMoment);
+    CPPUNIT_ASSERT(group.GrantsPermits(fresh));
+  }
+
+  void ANoteAcceptedJustBeforeAnOutageIsInForceEverywhere() {
+    EntryGroup group(3);
+    group.Run(kSettle);
+    // Two do not see the table any more when the note is written.
+    group.At(1).table_cut = true;
+    group.At(2).table_cut = true;
+    group.HandIn(0, MakeNote("n1", 0));
+    group.Run(kMoment);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group.At(0).note_answers.size());
+    CPPUNIT_ASSERT(NoteState::kAccepted ==
+                   group.At(0).note_answers.front().state);
+    group.table_out = true;
+    group.At(0).alive = false;
+    group.Run(kMoment);
+    for (const std::size_t entry : {std::size_t{1}, std::size_t{2}}) {
+      CPPUNIT_ASSERT(core::NoteVersion(1) == group.Board(entry).world.version);
+      CPPUNIT_ASSERT(group.GrantsPermits(entry));
+    }
+  }
+
+  void ACutOffEntryStopsVouching() {
+    EntryGroup group(3);
+    group.Run(kSettle);
+    group.At(2).cut = true;
+    group.At(2).table_cut = true;
+    group.HandIn(0, MakeNote("n1", 0));
+    group.Run(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(!group.GrantsPermits(2));
+    CPPUNIT_ASSERT(group.GrantsPermits(0));
+  }
+
+  void ALostReplyIsSettledByReadingBack() {
+    EntryGroup group(1);
+    group.Run(kSettle);
+    const std::uint64_t before = group.writes;
+    group.At(0).lose_next_write = true;
+    group.HandIn(0, MakeNote("n1", 0));
+    group.Run(kMoment);
+    CPPUNIT_ASSERT(NoteState::kAccepted ==
+                   group.At(0).note_answers.at(0).state);
+    CPPUNIT_ASSERT_EQUAL(before + 1, group.writes);
+    CPPUNIT_ASSERT(core::NoteVersion(1) == group.Board(0).world.version);
+  }
+
+  void AWriteThatFailedIsTriedAgain() {
+    EntryGroup group(1);
+    group.Run(kSettle);
+    group.table_out = true;
+    group.HandIn(0, MakeNote("n1", 0));
+    group.Run(kMoment);
+    CPPUNIT_ASSERT(group.At(0).note_answers.empty());
+    group.table_out = false;
+    group.Run(kMoment);
+    CPPUNIT_ASSERT(NoteState::kAccepted ==
+                   group.At(0).note_answers.at(0).state);
+    group.table_out = true;
+    group.HandIn(0, MakeNote("n2", 1));
+    group.Run(kSettle);
+    CPPUNIT_ASSERT(NoteState::kUnavailable ==
+                   group.At(0).note_answers.at(1).state);
+  }
+
+  void OneOfTwoRacingNotesIsAccepted() {
+    EntryGroup group(2);
+    group.Run(kSettle);
+    group.HandIn(0, MakeNote("n1", 0));
+    group.HandIn(1, MakeNote("n2", 0));
+    group.Run(kMoment);
+    CPPUNIT_ASSERT(NoteState::kAccepted ==
+                   group.At(0).note_answers.at(0).state);
+    CPPUNIT_ASSERT(NoteState::kConflict ==
+                   group.At(1).note_answers.at(0).state);
+    const World& world = group.Board(1).world;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.domains.size());
+  }
+
+  void ANoteSentAgainIsAcceptedOnce() {
+    EntryGroup group(2);
+    group.Run(kSettle);
+    group.HandIn(0, MakeNote("n1", 0));
+    group.Run(kMoment);
+    group.HandIn(1, MakeNote("n1", 0));
+    group.Run(kMoment);
+    CPPUNIT_ASSERT(NoteState::kAccepted ==
+                   group.At(1).note_answers.at(0).state);
+    CPPUNIT_ASSERT(core::NoteVersion(1) == group.Board(0).world.version);
+  }
+
+  void AFreshEntryWaitsForTheRegisteredOnes() {
+    EntryGroup group(1);
+    group.Run(kSettle);
+    group.At(0).cut = true;
+    group.At(0).table_cut = true;
+    const std::size_t fresh = group.Add();
+    group.HandIn(fresh, MakeNote("n1", 0));
+    group.Run(kSettle);
+    // The other still vouches for the world without the note.
+    CPPUNIT_ASSERT(group.GrantsPermits(0));
+    CPPUNIT_ASSERT(NoteState::kPending ==
+                   group.At(fresh).note_answers.at(0).state);
+    group.At(0).cut = false;
+    group.Run(kSettle);
+    CPPUNIT_ASSERT(core::NoteVersion(1) == group.Board(0).world.version);
+    group.HandIn(fresh, MakeNote("n1", 0));
+    group.Run(kMoment);
+    CPPUNIT_ASSERT(NoteState::kAccepted ==
+                   group.At(fresh).note_answers.at(1).state);
+  }
+
+  void ADeadEntryIsTakenOutAfterSilence() {
+    EntryGroup group(3);
+    group.Run(kSettle);
+    group.At(0).alive = false;
+    group.Run(group.Board(1).policy.entry_timeout + kSettle);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Listed(group.Board(1)));
+    CPPUNIT_ASSERT(group.Board(1).entries.previous.empty());
+  }
+
+  void TheOperatorRemovesAMajority() {
+    EntryGroup group(3);
+    group.Run(kSettle);
+    group.At(0).alive = false;
+    group.At(1).alive = false;
+    group.Run(group.Board(2).policy.entry_timeout + kSettle);
+    CPPUNIT_ASSERT(!group.Board(2).entries.previous.empty());
+    const core::NodeId dead = group.Board(0).self;
+    CPPUNIT_ASSERT(OnOperatorRemoveEntry(&group.Board(2), group.now(), dead));
+    group.Run(kSettle);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Listed(group.Board(2)));
+    CPPUNIT_ASSERT(group.Board(2).entries.previous.empty());
+    CPPUNIT_ASSERT(!OnOperatorRemoveEntry(&group.Board(2), group.now(), dead));
+  }
+
+  void AnEntryLeavesInGoodOrder() {
+    EntryGroup group(2);
+    group.Run(kSettle);
+    RequestStop(&group.Board(0), group.now());
+    CPPUNIT_ASSERT(!StopFinished(group.Board(0), group.now()));
+    group.Run(std::chrono::seconds(6));
+    CPPUNIT_ASSERT(StopFinished(group.Board(0), group.now()));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Listed(group.Board(1)));
+    group.At(0).alive = false;
+    group.table_out = true;
+    group.Run(kSettle);
+    CPPUNIT_ASSERT(group.GrantsPermits(1));
+  }
+
+  void TheOnlyEntryIsReplaced() {
+    EntryGroup group(1);
+    group.Run(kSettle);
+    RequestStop(&group.Board(0), group.now());
+    group.Run(std::chrono::seconds(6));
+    CPPUNIT_ASSERT(StopFinished(group.Board(0), group.now()));
+    group.At(0).alive = false;
+    const std::size_t fresh = group.Add();
+    group.Run(kSettle);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Listed(group.Board(fresh)));
+    group.HandIn(fresh, MakeNote("n1", 0));
+    group.Run(kMoment);
+    CPPUNIT_ASSERT(NoteState::kAccepted ==
+                   group.At(fresh).note_answers.at(0).state);
+  }
+
+ private:
+  /// Permits go on through ten minutes without the table.
+  static void Outlast(int entries) {
+    EntryGroup group(entries);
+    group.Run(kSettle);
+    group.HandIn(0, MakeNote("n1", 0));
+    group.Run(kMoment);
+    group.table_out = true;
+    for (core::Duration passed{0}; passed < kOutage; passed += kMoment) {
+      group.Run(kMoment);
+      for (std::size_t i = 0; i < group.size(); ++i) {
+        const Permit permit = group.AskPermit(i);
+        CPPUNIT_ASSERT(permit.lifetime > std::chrono::seconds(1));
+        CPPUNIT_ASSERT(core::NoteVersion(1) == permit.note_version);
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryGroupTest);
+
+}  // namespace
+}  // namespace tarragon::dispatch
--- /dev/null
+++ b/dispatch/tests/quorum_test.cc
@@ -0,0 +1,132 @@
+#include "quorum.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace tarragon::dispatch {
+namespace {
+
+core::NodeId Node(std::uint64_t number) {
+  return core::NodeId{
+      core::Address("10.0.9." + std::to_string(number) + ":7100"),
+      core::Incarnation(number)};
+}
+
+std::vector<EntryMember> Members(const std::vector<std::uint64_t>& numbers) {
+  std::vector<EntryMember> members;
+  for (const std::uint64_t number : numbers) {
+    members.push_back(EntryMember{Node(number), core::DomainId("d")});
+  }
+  return members;
+}
+
+/// Quorums among the registered entries.
+class QuorumTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(QuorumTest);
+  CPPUNIT_TEST(EveryReadQuorumMeetsEveryWriteQuorum);
+  CPPUNIT_TEST(ASingleEntryVouchesAlone);
+  CPPUNIT_TEST(TwoEntriesVouchOnlyTogether);
+  CPPUNIT_TEST(TakesTheMomentOfTheMajority);
+  CPPUNIT_TEST(AChangeNeedsBothLists);
+  CPPUNIT_TEST(AnUnregisteredEntryVouchesForNothing);
+  CPPUNIT_TEST(VouchesOnlyAfterALookAtTheTable);
+  CPPUNIT_TEST(OneThatIsGoneCountsForWritesOnly);
+  CPPUNIT_TEST(AnEarlierLifeAtTheOwnAddressIsGone);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    now_ = core::Time{std::chrono::seconds(100)};
+    board_ = EntryBoard{};
+    board_.self = Node(1);
+    board_.registered_since = core::Time{std::chrono::seconds(1)};
+    board_.world_read = core::Time{std::chrono::seconds(2)};
+  }
+
+  void EveryReadQuorumMeetsEveryWriteQuorum() {
+    for (std::size_t size = 1; size <= 60; ++size) {
+      CPPUNIT_ASSERT(ReadQuorum(size) + WriteQuorum(size) > size);
+      CPPUNIT_ASSERT(ReadQuorum(size) <= size);
+      CPPUNIT_ASSERT(WriteQuorum(size) >= 1);
+      CPPUNIT_ASSERT(2 * ReadQuorum(size) > size);
+    }
+  }
+
+  void ASingleEntryVouchesAlone() {
+    board_.entries.members = Members({1});
+    CPPUNIT_ASSERT(now_ == QuorumConfirmed(board_, now_));
+  }
+
+  void TwoEntriesVouchOnlyTogether() {
+    board_.entries.members = Members({1, 2});
+    CPPUNIT_ASSERT(!QuorumConfirmed(board_, now_).has_value());
+    board_.peers[Node(2)].confirmed = core::Time{std::chrono::seconds(99)};
+    CPPUNIT_ASSERT(core::Time{std::chrono::seconds(99)} ==
+                   QuorumConfirmed(board_, now_));
+  }
+
+  void TakesTheMomentOfTheMajority() {
+    board_.entries.members = Members({1, 2, 3, 4, 5});
+    for (std::uint64_t number = 2; number <= 4; ++number) {
+      board_.peers[Node(number)].confirmed =
+          core::Time{std::chrono::seconds(90 + number)};
+    }
+    CPPUNIT_ASSERT(core::Time{std::chrono::seconds(93)} ==
+                   QuorumConfirmed(board_, now_));
+  }
+
+  void AChangeNeedsBothLists() {
+    board_.entries.members = Members({1});
+    board_.entries.previous = Members({1, 2, 3});
+    CPPUNIT_ASSERT(!QuorumConfirmed(board_, now_).has_value());
+    CPPUNIT_ASSERT(!NoteConfirmed(board_, core::NoteVersion(4)));
+    EntryPeer& peer = board_.peers[Node(2)];
+    peer.confirmed = now_;
+    peer.note_version = core::NoteVersion(4);
+    CPPUNIT_ASSERT(QuorumConfirmed(board_, now_).has_value());
+    CPPUNIT_ASSERT(NoteConfirmed(board_, core::NoteVersion(4)));
+    CPPUNIT_ASSERT(!NoteConfirmed(board_, core::NoteVersion(5)));
+  }
+
+  void AnUnregisteredEntryVouchesForNothing() {
+    board_.entries.members = Members({2});
+    board_.peers[Node(2)].confirmed = now_;
+    CPPUNIT_ASSERT(!QuorumConfirmed(board_, now_).has_value());
+  }
+
+  void VouchesOnlyAfterALookAtTheTable() {
+    board_.entries.members = Members({1});
+    board_.registered_since = core::Time{std::chrono::seconds(3)};
+    CPPUNIT_ASSERT(!QuorumConfirmed(board_, now_).has_value());
+    board_.world_read = board_.registered_since;
+    CPPUNIT_ASSERT(QuorumConfirmed(board_, now_).has_value());
+  }
+
+  void OneThatIsGoneCountsForWritesOnly() {
+    board_.entries.members = Members({1, 2, 3});
+    board_.peers[Node(2)].gone = true;
+    CPPUNIT_ASSERT(NoteConfirmed(board_, core::NoteVersion(4)));
+    CPPUNIT_ASSERT(!QuorumConfirmed(board_, now_).has_value());
+  }
+
+  void AnEarlierLifeAtTheOwnAddressIsGone() {
+    board_.entries.members = Members({1});
+    board_.entries.previous = {
+        EntryMember{core::NodeId{Node(1).address, core::Incarnation(99)},
+                    core::DomainId("d")}};
+    board_.entries.version = 7;
+    CPPUNIT_ASSERT(EntriesConfirmed(board_));
+    CPPUNIT_ASSERT(!QuorumConfirmed(board_, now_).has_value());
+  }
+
+ private:
+  core::Time now_;
+  EntryBoard board_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuorumTest);
+
+}  // namespace
+}  // namespace tarragon::dispatch
