--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,7 @@
 
 lint: deps
 	clang-format --dry-run --Werror $(SOURCES)
-	cmake --preset lint >/dev/null
-	@printf '%s\n' $(filter %.cc,$(SOURCES)) | xargs -P 10 -n 1 clang-tidy --quiet -p build-lint
+	bash scripts/lint.sh
 
 asan: deps
 	cmake --preset asan >/dev/null
@@ -58,4 +57,4 @@
 	$(CAPACITY_BUILD)/bin/tarragon-capacity --markdown --points $(CAPACITY_BUILD)/load.points
 
 clean:
-	rm -rf build build-asan build-tsan build-lint
+	rm -rf build build-asan build-tsan build-lint build-lint-groups
