Dispatch: give up a lost home only while it confirms nothing

Cause: an entry counted home_timeout from the first break of the connection to the home and stopped counting only at the final answer. A job that ran longer than that after a repaired connection was answered as unknown, reason home_gone, although its home was alive and at work. DomainTest's NothingStartsWhereTheNoteCannotReach cuts all processes off for 3.5 s and then needs some seconds more on half of the slots: the answer carried home_gone.

Ruled out: gone_after of the executors (8 s, the reason was not executor_gone). Heartbeats as the sign of life: an agent sends them to three entries only, not to all that send it jobs.

Change: a home answers a copy of a request that waits already with kRunning. The entry then forgets the break. Until it hears that, it sends the request again four times within home_timeout, since the first copy may have been lost with the connection. A refusal counts as a sign of life too.

--- a/dispatch/entry_requests.cc
+++ b/dispatch/entry_requests.cc
@@ -14,6 +14,8 @@
 constexpr core::Duration kOverloadPause = std::chrono::milliseconds(500);
 /// Time after a deadline in which the home's own answer is still awaited.
 constexpr core::Duration kDeadlineGrace = std::chrono::milliseconds(500);
+/// A request whose home was lost is sent so often before the home is given up.
+constexpr int kResendsUntilGivenUp = 4;
 /// How long a query, a cancellation or an explanation waits at most.
 constexpr core::Duration kQueryLimit = std::chrono::minutes(10);
 
@@ -76,7 +78,12 @@
 
 void SendToHome(EntryBoard* board, core::Time now, std::uint64_t number) {
   EntryRequest& request = board->requests.at(number);
-  request.resend_at = core::kNever;
+  // Until the home confirms it: the first copy may have been lost with the
+  // connection, and the home confirms only a repeated one.
+  request.resend_at =
+      request.lost_since.has_value()
+          ? now + board->policy.home_timeout / kResendsUntilGivenUp
+          : core::kNever;
   request.sent = true;
   const std::uint64_t wire = WireNumber(number, request.round);
   switch (request.kind) {
@@ -166,6 +173,13 @@
          board.world.services.count(request.spec.service) > 0;
 }
 
+/// The home has the request and is at work: it is not lost any more.
+void HomeReached(EntryRequest* request) {
+  if (!request->lost_since.has_value()) return;
+  request->lost_since.reset();
+  request->resend_at = core::kNever;
+}
+
 bool ResultsMatch(const Answer& answer) {
   return Digest(answer.answer.results) == answer.results_digest ||
          answer.answer.outcome != Outcome::kComplete;
@@ -206,9 +220,12 @@
   EntryRequest& request = found->second;
   // Answers are matched on the home and the key, not on the number alone.
   if (request.home != from || request.spec.key != answer.answer.key) return;
-  // A refusal of an earlier round says nothing of the present one.
-  if (answer.answer.outcome == Outcome::kNotRun &&
-      answer.request != WireNumber(number, request.round)) {
+  // A refusal or confirmation of an earlier round says nothing of the present
+  // one.
+  const bool present = answer.request == WireNumber(number, request.round);
+  if (answer.answer.outcome == Outcome::kNotRun && !present) return;
+  if (answer.answer.outcome == Outcome::kRunning) {
+    if (present) HomeReached(&request);
     return;
   }
   const bool whole = answer.answer.outcome != Outcome::kComplete ||
@@ -223,6 +240,7 @@
   if (HomeIsBehind(*board, request, answer.answer) &&
       now + board->policy.resubmit_interval < request.deadline) {
     request.resend_at = now + board->policy.resubmit_interval;
+    request.lost_since.reset();
     ++request.round;
     return;
   }
--- a/dispatch/home.h
+++ b/dispatch/home.h
@@ -51,7 +51,7 @@
 /// Ends the job whose tasks have all ended well.
 void CompleteJob(AgentBoard* board, core::Time now, const core::JobKey& key);
 
-/// Sends the job's final answer to one waiter.
+/// Sends the job's answer to one waiter: the final one, or that it is running.
 void SendAnswer(AgentBoard* board, const HomeJob& job, const Waiter& waiter);
 
 /// Forgets answers and keys whose time has passed.
--- a/dispatch/home_requests.cc
+++ b/dispatch/home_requests.cc
@@ -107,6 +107,18 @@
   return job.answer.outcome != Outcome::kRunning;
 }
 
+/// Lets the request wait for the job's end. An entry repeats a request after a
+/// broken connection and learns here that it has reached the home again.
+void AwaitEnd(AgentBoard* board, HomeJob* job, const Waiter& waiter) {
+  const bool repeated = std::find(job->waiters.begin(), job->waiters.end(),
+                                  waiter) != job->waiters.end();
+  if (repeated) {
+    SendAnswer(board, *job, waiter);
+    return;
+  }
+  job->waiters.push_back(waiter);
+}
+
 /// Answers a submission whose key has a record. True when it had.
 bool AnswerKnownKey(AgentBoard* board, const Waiter& waiter,
                     const Submit& submit) {
@@ -121,7 +133,7 @@
     } else if (IsFinal(job)) {
       SendAnswer(board, job, waiter);
     } else {
-      job.waiters.push_back(waiter);
+      AwaitEnd(board, &job, waiter);
     }
     return true;
   }
@@ -199,7 +211,7 @@
     if (IsFinal(found->second)) {
       SendAnswer(board, found->second, waiter);
     } else {
-      found->second.waiters.push_back(waiter);
+      AwaitEnd(board, &found->second, waiter);
     }
     return;
   }
--- a/dispatch/include/tarragon/dispatch/entry_board.h
+++ b/dispatch/include/tarragon/dispatch/entry_board.h
@@ -126,6 +126,8 @@
   core::Time wait_until;
   /// When to send it again after a broken connection.
   core::Time resend_at = core::kNever;
+  /// The connection to the home broke, and the home has confirmed nothing
+  /// since.
   std::optional<core::Time> lost_since;
   bool sent = false;
   /// Rises when a refused request is submitted anew; the home tells such a one
--- a/dispatch/include/tarragon/dispatch/message.h
+++ b/dispatch/include/tarragon/dispatch/message.h
@@ -134,7 +134,8 @@
   bool operator==(const Cancel&) const = default;
 };
 
-/// Home to entry: the final answer to `request`.
+/// Home to entry: the final answer to `request`, or kRunning to a copy of a
+/// request that waits already.
 struct Answer {
   std::uint64_t request = 0;
   JobAnswer answer;
--- a/dispatch/tests/entry_request_test.cc
+++ b/dispatch/tests/entry_request_test.cc
@@ -16,6 +16,9 @@
   CPPUNIT_TEST(PassesTheAnswerOfTheRightHomeAndKeyOnly);
   CPPUNIT_TEST(AnAnswerThatIsNotWholeIsUnknown);
   CPPUNIT_TEST(SendsAgainAfterALostConnection);
+  CPPUNIT_TEST(AHomeThatIsReachedAgainIsAwaited);
+  CPPUNIT_TEST(ALostHomeIsAskedUntilItConfirms);
+  CPPUNIT_TEST(AnUnreachableHomeIsGivenUp);
   CPPUNIT_TEST(AHomeThatIsGoneLeavesTheOutcomeUnknown);
   CPPUNIT_TEST(AHomeThatStaysSilentIsGivenUp);
   CPPUNIT_TEST(SubmitsAnewAtAHomeThatIsBehindItsNote);
@@ -74,6 +77,43 @@
     CPPUNIT_ASSERT(second.spec.time_left < first.spec.time_left);
   }
 
+  void AHomeThatIsReachedAgainIsAwaited() {
+    group_->Board(0).policy.home_timeout = std::chrono::seconds(1);
+    group_->Submit(0, kKey);
+    const Submit submit = TakeSubmit(0);
+    OnPeerLost(&group_->Board(0), group_->now(), kHome);
+    group_->Run(std::chrono::milliseconds(220));
+    AnswerFrom(kHome, Running(TakeSubmit(0)));
+    group_->Run(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(group_->At(0).job_answers.empty());
+    AnswerFrom(kHome, Complete(submit));
+    CPPUNIT_ASSERT(Outcome::kComplete == OnlyAnswer(0).outcome);
+  }
+
+  /// The home confirms only a request that it has already.
+  void ALostHomeIsAskedUntilItConfirms() {
+    group_->Board(0).policy.home_timeout = std::chrono::seconds(1);
+    group_->Submit(0, kKey);
+    TakeSubmit(0);
+    OnPeerLost(&group_->Board(0), group_->now(), kHome);
+    group_->Run(std::chrono::milliseconds(220));
+    TakeSubmit(0);
+    group_->Run(std::chrono::milliseconds(260));
+    AnswerFrom(kHome, Running(TakeSubmit(0)));
+    group_->Run(std::chrono::seconds(3));
+    CPPUNIT_ASSERT(group_->At(0).job_answers.empty());
+    CPPUNIT_ASSERT(group_->At(0).to_agents.empty());
+  }
+
+  void AnUnreachableHomeIsGivenUp() {
+    group_->Board(0).policy.home_timeout = std::chrono::seconds(1);
+    group_->Submit(0, kKey);
+    OnPeerLost(&group_->Board(0), group_->now(), kHome);
+    group_->Run(std::chrono::milliseconds(1020));
+    CPPUNIT_ASSERT(Outcome::kUnknown == OnlyAnswer(0).outcome);
+    CPPUNIT_ASSERT(Reason::kHomeGone == OnlyAnswer(0).reason);
+  }
+
   void AHomeThatIsGoneLeavesTheOutcomeUnknown() {
     group_->Submit(0, kKey);
     OnPeerGone(&group_->Board(0), group_->now(), kHome);
@@ -166,6 +206,13 @@
     return group_->At(entry).job_answers.front();
   }
 
+  static Answer Running(const Submit& submit) {
+    Answer answer;
+    answer.request = submit.request;
+    answer.answer.key = submit.spec.key;
+    return answer;
+  }
+
   static Answer Complete(const Submit& submit) {
     Answer answer;
     answer.request = submit.request;
--- a/dispatch/tests/key_test.cc
+++ b/dispatch/tests/key_test.cc
@@ -7,6 +7,7 @@
 class KeyTest : public AgentFixture {
   CPPUNIT_TEST_SUITE(KeyTest);
   CPPUNIT_TEST(ASecondSubmissionJoinsTheFirst);
+  CPPUNIT_TEST(ARepeatedRequestIsConfirmed);
   CPPUNIT_TEST(ASecondSubmissionGetsTheKeptAnswer);
   CPPUNIT_TEST(AReusedKeyIsRefusedAndTheFirstJobUntouched);
   CPPUNIT_TEST(ACancellationBeforeTheSubmissionBinds);
@@ -38,6 +39,18 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Take<Answer>().size());
   }
 
+  void ARepeatedRequestIsConfirmed() {
+    const TaskRef ref = SubmitAndPlace(1, "a");
+    Receive(kEntryNode, MakeSubmit(1, MakeKey("a")));
+    CPPUNIT_ASSERT(Outcome::kRunning == TakeOne<Answer>().answer.outcome);
+    Receive(kEntryNode, Query{2, MakeKey("a")});
+    CPPUNIT_ASSERT(Take<Answer>().empty());
+    Receive(kEntryNode, Query{2, MakeKey("a")});
+    CPPUNIT_ASSERT(Outcome::kRunning == TakeOne<Answer>().answer.outcome);
+    Receive(kOtherNode, MakeFinished(ref, "done"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Take<Answer>().size());
+  }
+
   void ASecondSubmissionGetsTheKeptAnswer() {
     Receive(kOtherNode, MakeFinished(SubmitAndPlace(1, "a"), "done"));
     TakeOne<Answer>();
