Dispatch: vouch without the table as soon as the entry is registered

Cause: NoteTest's WorkGoesOnWithoutThePlatform takes the table out some 60 to 100 ms after the start. An entry that has just been registered must look at the table once more before it vouches by a quorum; that look waited for the next poll, and with the table out it never came, so that no entry vouched and the permits lapsed. The logs of a failed run: note accepted at 26.778, table out at 26.838, "Cannot vouch for the release note" at 27.8, answers not_run, stale_view.

Ruled out: the quorum of two entries later on. A new unit test takes the table out at each of 250 moments while the second entry is registered; one entry always went on.

Change: the look follows the registration at once. GET /v1/state tells whether an entry vouches without the table. The real tests assumed that from the start: nothing said that the cluster was ready for an outage, and without a table no entry can ever become so. Cluster now waits until one entry vouches (not all: the outage may still strike while the second is being registered). The test itself is unchanged; a load that stops tells its last answer and the logs.

--- a/daemons/state_json.cc
+++ b/daemons/state_json.cc
@@ -46,6 +46,7 @@
   }
   return {{"version", board.entries.version},
           {"changing", !board.entries.previous.empty()},
+          {"vouches_without_table", dispatch::VouchesWithoutTable(board, now)},
           {"members", std::move(members)}};
 }
 
--- a/dispatch/entry_freshness.cc
+++ b/dispatch/entry_freshness.cc
@@ -108,6 +108,8 @@
     board->registered_since.reset();
   } else if (!board->registered_since.has_value()) {
     board->registered_since = now;
+    // Until it has looked at the table once more, it cannot vouch without it.
+    board->next_poll = now;
   }
 }
 
@@ -201,4 +203,9 @@
   return *board.confirmed + board.policy.freshness - now;
 }
 
+bool VouchesWithoutTable(const EntryBoard& board, core::Time now) {
+  const std::optional<core::Time> quorum = QuorumConfirmed(board, now);
+  return quorum.has_value() && *quorum + board.policy.freshness > now;
+}
+
 }  // namespace tarragon::dispatch
--- a/dispatch/include/tarragon/dispatch/entry.h
+++ b/dispatch/include/tarragon/dispatch/entry.h
@@ -60,6 +60,10 @@
 /// How long a permit that is granted now would last; zero or less: none.
 core::Duration PermitLifetime(const EntryBoard& board, core::Time now);
 
+/// True when a read quorum confirms the release note, so that permits go on in
+/// an outage of the table that begins now.
+bool VouchesWithoutTable(const EntryBoard& board, core::Time now);
+
 /// Why the entry cannot serve now, or nothing when it can.
 std::optional<std::string> NotReady(const EntryBoard& board, core::Time now);
 
--- a/dispatch/tests/entry_group.h
+++ b/dispatch/tests/entry_group.h
@@ -15,7 +15,8 @@
 namespace tarragon::dispatch {
 
 /// Some entries with a table, in steps of 20 ms. Messages and table calls take
-/// effect at once, in order; the test cuts entries off, takes the table out and
+/// effect at once, in order, but for the replies of a slow table, which take a
+/// step; the test cuts entries off, takes the table out and
 /// loses replies.
 class EntryGroup {
  public:
@@ -30,6 +31,8 @@
     std::vector<NoteAnswer> note_answers;
     std::vector<JobAnswer> job_answers;
     std::vector<SendMessage> to_agents;
+    /// Replies of a slow table on their way.
+    std::vector<TableReply> replies;
   };
 
   explicit EntryGroup(int entries) {
@@ -58,6 +61,9 @@
       now_ = now_ + std::chrono::milliseconds(20);
       for (const std::unique_ptr<Member>& member : members_) {
         if (!member->alive) continue;
+        for (TableReply& reply : std::exchange(member->replies, {})) {
+          OnTableReply(&member->board, now_, std::move(reply));
+        }
         OnTick(&member->board, now_);
         CarryOut(member.get());
       }
@@ -101,6 +107,7 @@
   }
 
   bool table_out = false;
+  bool slow_table = false;
   std::uint64_t writes = 0;
 
  private:
@@ -162,6 +169,10 @@
         reply.status = TableStatus::kUnknown;
       }
     }
+    if (slow_table) {
+      member->replies.push_back(std::move(reply));
+      return;
+    }
     OnTableReply(&member->board, now_, std::move(reply));
   }
 
--- a/dispatch/tests/entry_group_test.cc
+++ b/dispatch/tests/entry_group_test.cc
@@ -8,6 +8,9 @@
 constexpr core::Duration kSettle = std::chrono::seconds(10);
 constexpr core::Duration kOutage = std::chrono::minutes(10);
 constexpr core::Duration kMoment = std::chrono::seconds(2);
+constexpr core::Duration kStep = std::chrono::milliseconds(20);
+/// The second entry is in the list, and no change is under way, by then.
+constexpr core::Duration kRegistration = std::chrono::seconds(5);
 
 ReleaseNote MakeNote(const std::string& id, std::uint64_t base) {
   ReleaseNote note;
@@ -28,6 +31,8 @@
   CPPUNIT_TEST(OneEntryKeepsPermitsGoingThroughAnOutage);
   CPPUNIT_TEST(TwoEntriesKeepPermitsGoingThroughAnOutage);
   CPPUNIT_TEST(ThreeEntriesKeepPermitsGoingThroughAnOutage);
+  CPPUNIT_TEST(AnOutageJustAfterTheFirstRegistrationStopsNothing);
+  CPPUNIT_TEST(AnOutageAtAnyLaterMomentStopsNothing);
   CPPUNIT_TEST(OneOfTwoDoesNotVouchAloneInAnOutage);
   CPPUNIT_TEST(TwoOfThreeDo);
   CPPUNIT_TEST(EntriesReplacedInAnOutageGrantNothingUntilItEnds);
@@ -59,6 +64,34 @@
   void TwoEntriesKeepPermitsGoingThroughAnOutage() { Outlast(2); }
   void ThreeEntriesKeepPermitsGoingThroughAnOutage() { Outlast(3); }
 
+  void AnOutageJustAfterTheFirstRegistrationStopsNothing() {
+    EntryGroup group(1);
+    group.slow_table = true;
+    while (Listed(group.Board(0)) == 0) group.Run(kStep);
+    // One more look at the table takes two steps.
+    group.Run(2 * kStep);
+    CPPUNIT_ASSERT(VouchesWithoutTable(group.Board(0), group.now()));
+    group.table_out = true;
+    group.Run(kOutage);
+    CPPUNIT_ASSERT(group.GrantsPermits(0));
+  }
+
+  /// Also while the second entry is being registered.
+  void AnOutageAtAnyLaterMomentStopsNothing() {
+    for (core::Duration lead{0}; lead < kRegistration; lead += kStep) {
+      EntryGroup group(2);
+      group.slow_table = true;
+      while (!VouchesWithoutTable(group.Board(0), group.now()) &&
+             !VouchesWithoutTable(group.Board(1), group.now())) {
+        group.Run(kStep);
+      }
+      group.Run(lead);
+      group.table_out = true;
+      group.Run(kSettle);
+      CPPUNIT_ASSERT(group.GrantsPermits(0) || group.GrantsPermits(1));
+    }
+  }
+
   void OneOfTwoDoesNotVouchAloneInAnOutage() {
     EntryGroup group(2);
     group.Run(kSettle);
--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -74,6 +74,12 @@
     AwaitEntry(i, agents_.size());
   }
   for (std::size_t i = 0; i < agents_.size(); ++i) AwaitAgent(i);
+  AwaitTrue("an entry that vouches without the table", [this] {
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      if (VouchesWithoutTable(i)) return true;
+    }
+    return false;
+  });
 }
 
 Cluster::~Cluster() {
@@ -230,6 +236,11 @@
   return boost::json::parse(reply.body).as_object();
 }
 
+bool Cluster::VouchesWithoutTable(std::size_t entry) {
+  const boost::json::object state = Operators(entry, "/v1/state");
+  return state.at("entries").at("vouches_without_table").as_bool();
+}
+
 std::uint64_t Cluster::NoteVersion(std::size_t entry) {
   return Operators(entry, "/v1/note").at("version").to_number<std::uint64_t>();
 }
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -84,7 +84,7 @@
 class Cluster {
  public:
   /// Starts all, accepts a first note and waits until all agents can start
-  /// tasks.
+  /// tasks and an outage of the table would not stop them.
   explicit Cluster(ClusterOptions options);
   ~Cluster();
   Cluster(const Cluster&) = delete;
@@ -125,6 +125,8 @@
   std::future<Reply> StartNote(std::size_t entry, const std::string& id,
                                std::uint64_t base, const std::string& sections);
   boost::json::object Operators(std::size_t entry, const std::string& path);
+  /// True when permits of the entry go on in an outage of the table.
+  bool VouchesWithoutTable(std::size_t entry);
   /// The version of the note at entry `i`.
   std::uint64_t NoteVersion(std::size_t entry);
 
--- a/tests/system/load.cc
+++ b/tests/system/load.cc
@@ -62,7 +62,9 @@
   const std::size_t wanted = completed_ + more;
   if (!changed_.wait_for(lock, kSafetyStop,
                          [this, wanted] { return completed_ >= wanted; })) {
-    FailTest("The load came to a stop.");
+    const std::string last = results_.empty() ? "none" : results_.back().body;
+    FailTest("The load came to a stop. Last answer: " + last +
+             cluster_->Logs());
   }
 }
 
