Tests: add a killed target and a replaced home to the fault matrix

A target that is killed took its witness with it, so that nothing could be checked afterwards. The stand-in now writes each start to its log as well when asked to, in one write before the task goes on, and the check of the answers reads the log of a target that is gone: stricter than before, when the starts of such a target counted as none. The row "home replaced" starts an agent at a new address after the home was killed.

--- a/tests/standins/target_standin.cc
+++ b/tests/standins/target_standin.cc
@@ -34,6 +34,7 @@
  public:
   Target(boost::asio::io_context& io, const TargetOptions& options)
       : io_(io),
+        witness_(options.log_starts),
         tasks_(io, options.slots, &witness_),
         server_(io, Limits(options),
                 [this](const http::Request& request,
--- a/tests/standins/target_standin_options.cc
+++ b/tests/standins/target_standin_options.cc
@@ -15,7 +15,8 @@
   kSlots,
   kCores,
   kMemoryMb,
-  kMaxConnections
+  kMaxConnections,
+  kLogStarts
 };
 
 constexpr option kOptions[] = {
@@ -26,6 +27,7 @@
     {"cores", required_argument, nullptr, kCores},
     {"memory-mb", required_argument, nullptr, kMemoryMb},
     {"max-connections", required_argument, nullptr, kMaxConnections},
+    {"log-starts", no_argument, nullptr, kLogStarts},
     {nullptr, 0, nullptr, 0}};
 
 std::vector<std::string> SplitNames(const std::string& text) {
@@ -64,6 +66,9 @@
       return ParseNumber(argument, &options->memory_mb);
     case kMaxConnections:
       return ParseNumber(argument, &options->max_connections);
+    case kLogStarts:
+      options->log_starts = true;
+      return true;
     default:
       return false;
   }
--- a/tests/standins/target_standin_options.h
+++ b/tests/standins/target_standin_options.h
@@ -21,6 +21,8 @@
   std::uint32_t cores = 16;
   std::uint32_t memory_mb = 65536;
   std::uint32_t max_connections = 60;
+  /// Writes a line to the standard error output for each start.
+  bool log_starts = false;
 };
 
 /// Reads the command line. Nothing, with a reason, if it is wrong.
--- a/tests/standins/target_standin_witness.cc
+++ b/tests/standins/target_standin_witness.cc
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 #include <charconv>
+#include <iostream>
+#include <string>
 #include <utility>
 
 #include "tarragon/core/clock.h"
@@ -30,10 +32,17 @@
           {"ended", task.ended},      {"ok", task.ok}};
 }
 
+/// In one write, so that a kill leaves no part of a line.
+void LogStart(const WitnessedTask& task) {
+  std::cerr << "start " + task.key + ' ' + task.task + ' ' +
+                   std::to_string(task.started_ms) + '\n';
+}
+
 }  // namespace
 
 std::size_t Witness::RecordStart(WitnessedTask task) {
   task.started_ms = NowMs();
+  if (log_starts_) LogStart(task);
   tasks_.push_back(std::move(task));
   AnswerReady();
   return tasks_.size() - 1;
--- a/tests/standins/target_standin_witness.h
+++ b/tests/standins/target_standin_witness.h
@@ -27,6 +27,10 @@
 /// the record to tests.
 class Witness {
  public:
+  /// With `log_starts` the starts also outlive a kill, as lines of "start KEY
+  /// TASK AT_MS" on the standard error output.
+  explicit Witness(bool log_starts) : log_starts_(log_starts) {}
+
   /// Records a start now; returns its number for RecordEnd.
   std::size_t RecordStart(WitnessedTask task);
   /// Records the end of the start `number`.
@@ -48,6 +52,7 @@
   void AnswerReady();
   http::Response Answer() const;
 
+  bool log_starts_;
   std::vector<WitnessedTask> tasks_;
   std::size_t ends_ = 0;
   std::vector<Waiter> waiters_;
--- a/tests/system/child_process.cc
+++ b/tests/system/child_process.cc
@@ -104,9 +104,14 @@
                            : kSignalBase + WTERMSIG(status);
 }
 
+std::string ChildProcess::Log() const { return LogFrom(0); }
+
 std::string ChildProcess::LogTail() const {
+  return LogFrom(std::max<off_t>(0, lseek(log_, 0, SEEK_END) - kTailBytes));
+}
+
+std::string ChildProcess::LogFrom(off_t from) const {
   const off_t size = lseek(log_, 0, SEEK_END);
-  const off_t from = std::max<off_t>(0, size - kTailBytes);
   std::string text(static_cast<std::size_t>(size - from), '\0');
   const ssize_t got = pread(log_, text.data(), text.size(), from);
   text.resize(static_cast<std::size_t>(std::max<ssize_t>(0, got)));
--- a/tests/system/child_process.h
+++ b/tests/system/child_process.h
@@ -35,10 +35,13 @@
   /// Waits for the end. The exit code, or 128 and the signal.
   int WaitEnd();
   bool running() const { return pid_ > 0; }
-  /// The end of what it has logged.
+  /// All that it has logged, and the end of that.
+  std::string Log() const;
   std::string LogTail() const;
 
  private:
+  std::string LogFrom(off_t from) const;
+
   std::string name_;
   pid_t pid_ = 0;
   int output_ = -1;
--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -152,7 +152,7 @@
       std::vector<std::string>{"--listen", Loopback(), "--agent",
                                agent.announce, "--services", "carve", "--slots",
                                std::to_string(options_.slots), "--cores", "64",
-                               "--memory-mb", "65536"});
+                               "--memory-mb", "65536", "--log-starts"});
   target.address = AfterListening(target.process->FirstLine());
   agents_.push_back(std::move(agent));
   targets_.push_back(std::move(target));
@@ -256,6 +256,12 @@
   return text;
 }
 
+void Cluster::KillTarget(std::size_t target) {
+  ChildProcess& process = *targets_.at(target).process;
+  process.Signal(SIGKILL);
+  process.WaitEnd();
+}
+
 void Cluster::Hold(std::size_t target) {
   loop_.Post(targets_.at(target).address, "/hold", R"({"on":true})");
 }
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -137,6 +137,8 @@
   /// To be called before a target is stopped gracefully: keeps what it has
   /// started until its end.
   void KeepWitness(std::size_t target);
+  /// Kills a target; what it has started is known from its log.
+  void KillTarget(std::size_t target);
   void Hold(std::size_t target);
   void Release(std::size_t target);
   void PlatformFault(const std::string& body);
--- a/tests/system/cluster_jobs.cc
+++ b/tests/system/cluster_jobs.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <set>
+#include <sstream>
 #include <utility>
 
 #include "cluster.h"
@@ -59,6 +60,22 @@
   return starts;
 }
 
+/// The lines "start KEY TASK AT_MS" of a target that was killed.
+std::vector<WitnessedStart> LoggedStarts(std::size_t target,
+                                         const std::string& log) {
+  std::vector<WitnessedStart> starts;
+  std::istringstream lines(log);
+  std::string word;
+  while (lines >> word) {
+    if (word != "start") continue;
+    WitnessedStart start;
+    start.target = target;
+    lines >> start.key >> start.task >> start.at_ms;
+    starts.push_back(std::move(start));
+  }
+  return starts;
+}
+
 }  // namespace
 
 std::string Cluster::Body(const std::vector<TaskText>& tasks,
@@ -150,7 +167,9 @@
 std::vector<WitnessedStart> Cluster::FinalWitness(std::size_t target) {
   TargetProcess& process = targets_[target];
   if (process.process->running()) return Witness(target);
-  if (!process.last_witness.valid()) return {};
+  if (!process.last_witness.valid()) {
+    return LoggedStarts(target, process.process->Log());
+  }
   return StartsOf(target, Await(std::move(process.last_witness), "a witness"));
 }
 
--- a/tests/system/matrix_faults.cc
+++ b/tests/system/matrix_faults.cc
@@ -81,6 +81,16 @@
   if (first + second != 200 + 409) FailTest("The race had no one winner.");
 }
 
+void KillTarget(Cluster* cluster, std::size_t home) {
+  cluster->KillTarget(1 - home);
+}
+
+void ReplaceHome(Cluster* cluster, std::size_t home) {
+  const std::string domain = cluster->agent(home).domain;
+  cluster->agent(home).process->Signal(SIGKILL);
+  cluster->AwaitAgent(cluster->StartAgent(domain));
+}
+
 void ReplaceExecutor(Cluster* cluster, std::size_t home) {
   const std::string domain = cluster->agent(1 - home).domain;
   cluster->agent(1 - home).process->Signal(SIGKILL);
@@ -119,6 +129,8 @@
       {"reply lost after the write", false, ReplyLost},
       {"operators race", false, OperatorRace},
       {"executor replaced", true, ReplaceExecutor},
+      {"home replaced", true, ReplaceHome},
+      {"kill target", true, KillTarget},
       {"domain out and back", false, DomainOutAndBack},
       {"note during an outage", false, NoteDuringOutage},
   };
