Tests: replace an entry while the platform is down

The platform is down from before the start of a job until after its answer; the operator replaces one of three entries meanwhile. The job completes, both targets still start tasks 2.5 freshness times after the kill, the fresh entry vouches for nothing before the table is back, and is registered in the place of the dead one afterwards.

The test was not run against a fault: it found none.

--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -226,6 +226,14 @@
   return loop_.Start(entries_.at(entry).operators, request);
 }
 
+Reply Cluster::RemoveEntry(std::size_t at, std::size_t dead) {
+  http::Request request;
+  request.method = "DELETE";
+  request.path = "/v1/entries/" + entries_.at(dead).node;
+  request.headers["authorization"] = kAuthorization;
+  return loop_.Call(entries_.at(at).operators, request);
+}
+
 boost::json::object Cluster::Operators(std::size_t entry,
                                        const std::string& path) {
   http::Request request;
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -124,6 +124,8 @@
              const std::string& sections);
   std::future<Reply> StartNote(std::size_t entry, const std::string& id,
                                std::uint64_t base, const std::string& sections);
+  /// Tells entry `at` that the entry `dead` is dead.
+  Reply RemoveEntry(std::size_t at, std::size_t dead);
   boost::json::object Operators(std::size_t entry, const std::string& path);
   /// True when permits of the entry go on in an outage of the table.
   bool VouchesWithoutTable(std::size_t entry);
--- a/tests/system/note_test.cc
+++ b/tests/system/note_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(RaceHasOneWinner);
   CPPUNIT_TEST(LostReplyCountsOnce);
   CPPUNIT_TEST(WorkGoesOnWithoutThePlatform);
+  CPPUNIT_TEST(AnEntryIsReplacedWithoutThePlatform);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -106,7 +107,56 @@
     cluster.CheckAnswers();
   }
 
+  /// The platform is down from before the start of a job until after its
+  /// answer; meanwhile the operator replaces one of three entries.
+  void AnEntryIsReplacedWithoutThePlatform() {
+    ClusterOptions options = FastOptions();
+    options.entries = 3;
+    Cluster cluster(options);
+    AwaitMembers(&cluster, 0, 3);
+    AwaitMembers(&cluster, 2, 3);
+    cluster.PlatformFault(kDown);
+    const std::vector<TaskText> tasks = EightTasks();
+    const std::string key = cluster.NewKey(cluster.Handle(0));
+    cluster.Expect(key, tasks);
+    std::future<JobResult> answer = StartHeld(&cluster, key, tasks);
+    cluster.entry(1).process->Signal(SIGKILL);
+    cluster.entry(1).process->WaitEnd();
+    const std::int64_t killed = NowMs();
+    CPPUNIT_ASSERT_EQUAL(200, cluster.RemoveEntry(0, 1).status);
+    const std::size_t fresh = cluster.StartEntry();
+    for (std::size_t i = 0; i < 2; ++i) cluster.Release(i);
+    CPPUNIT_ASSERT_EQUAL(std::string("complete"),
+                         Await(std::move(answer), "the answer").outcome);
+    Load load(&cluster, {0, 2}, 6, 5);
+    AwaitStartAfter(&cluster, &load, 0, killed + 2500);
+    AwaitStartAfter(&cluster, &load, 1, killed + 2500);
+    CPPUNIT_ASSERT(!cluster.VouchesWithoutTable(fresh));
+    cluster.PlatformFault(kUp);
+    AwaitMembers(&cluster, fresh, 3);
+    load.AwaitCompleted(20);
+    load.Stop();
+    for (const JobResult& result : load.Results()) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(result.body, std::string("complete"),
+                                   result.outcome);
+    }
+    cluster.CheckAnswers();
+  }
+
  private:
+  /// Waits until the entry knows a settled list of `count` running entries and
+  /// vouches without the table.
+  static void AwaitMembers(Cluster* cluster, std::size_t entry,
+                           std::size_t count) {
+    Cluster::AwaitTrue("a settled list of entries", [&] {
+      const boost::json::object state = cluster->Operators(entry, "/v1/state");
+      const boost::json::object& list = state.at("entries").as_object();
+      if (list.at("changing").as_bool()) return false;
+      if (list.at("members").as_array().size() != count) return false;
+      return list.at("vouches_without_table").as_bool();
+    });
+  }
+
   static void AwaitVersionEverywhere(Cluster* cluster, std::uint64_t version) {
     Cluster::AwaitTrue("version " + std::to_string(version), [&] {
       bool all = true;
