--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -74,6 +74,12 @@
     AwaitEntry(i, agents_.size());
   }
   for (std::size_t i = 0; i < agents_.size(); ++i) AwaitAgent(i);
+  AwaitTrue("an entry that vouches without the table", [this] {
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      if (VouchesWithoutTable(i)) return true;
+    }
+    return false;
+  });
 }
 
 Cluster::~Cluster() {
@@ -146,7 +152,7 @@
       std::vector<std::string>{"--listen", Loopback(), "--agent",
                                agent.announce, "--services", "carve", "--slots",
                                std::to_string(options_.slots), "--cores", "64",
-                               "--memory-mb", "65536"});
+                               "--memory-mb", "65536", "--log-starts"});
   target.address = AfterListening(target.process->FirstLine());
   agents_.push_back(std::move(agent));
   targets_.push_back(std::move(target));
@@ -220,6 +226,14 @@
   return loop_.Start(entries_.at(entry).operators, request);
 }
 
+Reply Cluster::RemoveEntry(std::size_t at, std::size_t dead) {
+  http::Request request;
+  request.method = "DELETE";
+  request.path = "/v1/entries/" + entries_.at(dead).node;
+  request.headers["authorization"] = kAuthorization;
+  return loop_.Call(entries_.at(at).operators, request);
+}
+
 boost::json::object Cluster::Operators(std::size_t entry,
                                        const std::string& path) {
   http::Request request;
@@ -230,6 +244,11 @@
   return boost::json::parse(reply.body).as_object();
 }
 
+bool Cluster::VouchesWithoutTable(std::size_t entry) {
+  const boost::json::object state = Operators(entry, "/v1/state");
+  return state.at("entries").at("vouches_without_table").as_bool();
+}
+
 std::uint64_t Cluster::NoteVersion(std::size_t entry) {
   return Operators(entry, "/v1/note").at("version").to_number<std::uint64_t>();
 }
@@ -245,6 +264,12 @@
   return text;
 }
 
+void Cluster::KillTarget(std::size_t target) {
+  ChildProcess& process = *targets_.at(target).process;
+  process.Signal(SIGKILL);
+  process.WaitEnd();
+}
+
 void Cluster::Hold(std::size_t target) {
   loop_.Post(targets_.at(target).address, "/hold", R"({"on":true})");
 }
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -84,7 +84,7 @@
 class Cluster {
  public:
   /// Starts all, accepts a first note and waits until all agents can start
-  /// tasks.
+  /// tasks and an outage of the table would not stop them.
   explicit Cluster(ClusterOptions options);
   ~Cluster();
   Cluster(const Cluster&) = delete;
@@ -124,7 +124,11 @@
              const std::string& sections);
   std::future<Reply> StartNote(std::size_t entry, const std::string& id,
                                std::uint64_t base, const std::string& sections);
+  /// Tells entry `at` that the entry `dead` is dead.
+  Reply RemoveEntry(std::size_t at, std::size_t dead);
   boost::json::object Operators(std::size_t entry, const std::string& path);
+  /// True when permits of the entry go on in an outage of the table.
+  bool VouchesWithoutTable(std::size_t entry);
   /// The version of the note at entry `i`.
   std::uint64_t NoteVersion(std::size_t entry);
 
@@ -135,6 +139,8 @@
   /// To be called before a target is stopped gracefully: keeps what it has
   /// started until its end.
   void KeepWitness(std::size_t target);
+  /// Kills a target; what it has started is known from its log.
+  void KillTarget(std::size_t target);
   void Hold(std::size_t target);
   void Release(std::size_t target);
   void PlatformFault(const std::string& body);
