Dispatch: keep an entry's choice of homes until its members change

Cause: for each fresh handle an entry walked all its members on the ring, with two look-ups in maps and a search among the homes chosen so far.

Ruled out: keeping the choice for each service that is asked for; clients may name any, and the unknown ones would fill the memory or push out the known. Taking `members_version` as the mark of a change: it rises with shares of failures and numbers of slots, on which the choice does not depend.

Change: one walk chooses for every service that a member offers, and once for all others. The choice holds until a member comes, goes, is lost, is heard again or changes its domain, services or leaving, or until the note changes. The walk over the candidates is linear; it no longer searches the homes.

The two lines are measured apart from here on.

--- a/capacity/entry_slopes.cc
+++ b/capacity/entry_slopes.cc
@@ -22,7 +22,8 @@
 constexpr int kJobs = 1000;
 constexpr std::size_t kHeartbeats = 20000;
 constexpr int kTicks = 20;
-constexpr std::size_t kMintCalls = 4;
+constexpr std::size_t kMintCalls = 1000;
+constexpr std::size_t kChanges = 10;
 
 /// Decodes heartbeats, answers them and encodes the permits.
 double HeartbeatMicros(dispatch::EntryBoard* entry, std::size_t members) {
@@ -51,7 +52,21 @@
   return (CpuMicros() - before) / kTicks;
 }
 
+/// The next handle after the connection to a member broke.
+double MintChangedMicros(dispatch::EntryBoard* entry) {
+  double spent = 0;
+  for (std::size_t i = 0; i < kChanges; ++i) {
+    dispatch::OnPeerLost(entry, kBegin, AgentNode(i));
+    const double before = CpuMicros();
+    dispatch::MintHandle(entry, MeasuredService());
+    spent += CpuMicros() - before;
+  }
+  return spent / static_cast<double>(kChanges);
+}
+
+/// A handle while no member changes.
 double MintMicros(dispatch::EntryBoard* entry) {
+  dispatch::MintHandle(entry, MeasuredService());
   const double before = CpuMicros();
   for (std::size_t i = 0; i < kMintCalls; ++i) {
     dispatch::MintHandle(entry, MeasuredService());
@@ -132,14 +147,18 @@
              {},      kPlannedMembers};
   Slope mint{"entry", "mint one handle", "members", "us per handle",
              {},      kPlannedMembers};
+  Slope mint_changed{"entry",   "mint one handle after a change of a member",
+                     "members", "us per handle",
+                     {},        kPlannedMembers};
   for (const std::size_t members : kMembers) {
     dispatch::EntryBoard entry = MakeEntry(kBegin, members);
     const double x = static_cast<double>(members);
     beat.points.push_back({x, HeartbeatMicros(&entry, members)});
     tick.points.push_back({x, TickMicros(&entry)});
     mint.points.push_back({x, MintMicros(&entry)});
+    mint_changed.points.push_back({x, MintChangedMicros(&entry)});
   }
-  return {beat, tick, mint, JobSlope()};
+  return {beat, tick, mint, mint_changed, JobSlope()};
 }
 
 }  // namespace tarragon::capacity
--- a/dispatch/entry.cc
+++ b/dispatch/entry.cc
@@ -82,7 +82,9 @@
 void OnPeerLost(EntryBoard* board, core::Time now, const core::NodeId& peer) {
   RequestsPeerLost(board, now, peer);
   const auto member = board->members.find(peer);
-  if (member != board->members.end()) member->second.lost = true;
+  if (member == board->members.end()) return;
+  member->second.lost = true;
+  ++board->candidates_version;
 }
 
 void OnPeerGone(EntryBoard* board, core::Time now, const core::NodeId& peer) {
--- /dev/null
+++ b/dispatch/entry_homes.cc
@@ -0,0 +1,100 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "entry_parts.h"
+#include "placement.h"
+#include "tarragon/dispatch/entry.h"
+#include "tarragon/dispatch/handle.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+using Members = std::vector<const AgentMember*>;
+
+/// Members in the order of the ring, by what they may be homes of.
+struct Candidates {
+  /// Those that can start tasks of a service without a hop.
+  std::map<core::ServiceId, Members> offering;
+  Members all;
+};
+
+Candidates FindCandidates(const EntryBoard& board) {
+  Candidates candidates;
+  for (const auto& [position, node] : board.ring) {
+    const AgentMember& member = board.members.at(node);
+    if (member.status.leaving || member.lost) continue;
+    candidates.all.push_back(&member);
+    if (!InService(board.world, member.status.domain)) continue;
+    for (const core::ServiceId& service : member.status.services) {
+      Members& offering = candidates.offering[service];
+      const bool named_twice = !offering.empty() && offering.back() == &member;
+      if (!named_twice) offering.push_back(&member);
+    }
+  }
+  return candidates;
+}
+
+/// The first of `from`, so that all entries choose the same, from as many
+/// failure domains as there are.
+std::vector<core::NodeId> ChooseHomes(const Policy& policy,
+                                      const Members& from) {
+  const std::size_t wanted = std::max<std::size_t>(
+      policy.min_homes, from.size() / policy.agents_per_home);
+  std::vector<core::NodeId> homes;
+  Members rest;
+  std::set<core::DomainId> domains;
+  for (const AgentMember* member : from) {
+    if (homes.size() >= wanted) return homes;
+    if (domains.insert(member->status.domain).second) {
+      homes.push_back(member->status.node);
+    } else {
+      rest.push_back(member);
+    }
+  }
+  for (const AgentMember* member : rest) {
+    if (homes.size() >= wanted) return homes;
+    homes.push_back(member->status.node);
+  }
+  return homes;
+}
+
+void ChooseAgain(EntryBoard* board) {
+  const Candidates candidates = FindCandidates(*board);
+  HomeChoice choice;
+  choice.candidates_version = board->candidates_version;
+  choice.note_version = board->world.version;
+  for (const auto& [service, members] : candidates.offering) {
+    choice.offering[service] = ChooseHomes(board->policy, members);
+  }
+  choice.others = ChooseHomes(board->policy, candidates.all);
+  board->homes = std::move(choice);
+}
+
+/// The agents that take new jobs of `service`. A service that nobody offers
+/// adds nothing to what is kept: clients may name any.
+const std::vector<core::NodeId>& HomesOf(EntryBoard* board,
+                                         const core::ServiceId& service) {
+  const bool current =
+      board->homes.candidates_version == board->candidates_version &&
+      board->homes.note_version == board->world.version;
+  if (!current) ChooseAgain(board);
+  const auto found = board->homes.offering.find(service);
+  if (found == board->homes.offering.end()) return board->homes.others;
+  return found->second;
+}
+
+}  // namespace
+
+std::optional<std::string> MintHandle(EntryBoard* board,
+                                      const core::ServiceId& service) {
+  const std::vector<core::NodeId>& homes = HomesOf(board, service);
+  if (homes.empty()) return std::nullopt;
+  // Homes take turns.
+  const core::NodeId& chosen = homes[board->next_home++ % homes.size()];
+  const AgentStatus& status = board->members.at(chosen).status;
+  return ToString(Handle{chosen, status.handle_epoch});
+}
+
+}  // namespace tarragon::dispatch
--- a/dispatch/entry_members.cc
+++ b/dispatch/entry_members.cc
@@ -1,13 +1,10 @@
 #include <algorithm>
 #include <functional>
-#include <set>
 #include <utility>
 #include <vector>
 
 #include "entry_parts.h"
-#include "placement.h"
 #include "tarragon/dispatch/entry.h"
-#include "tarragon/dispatch/handle.h"
 
 namespace tarragon::dispatch {
 namespace {
@@ -22,15 +19,20 @@
   return {std::hash<std::string>()(node.address.value()), node};
 }
 
+/// True when another choice of homes may follow from the difference.
+bool DiffersAsHome(const AgentStatus& a, const AgentStatus& b) {
+  return a.domain != b.domain || a.services != b.services ||
+         a.leaving != b.leaving;
+}
+
 /// True when the other agents must learn of the difference.
 bool Differs(const AgentStatus& a, const AgentStatus& b) {
   const std::uint32_t failure_change =
       a.failure_permille > b.failure_permille
           ? a.failure_permille - b.failure_permille
           : b.failure_permille - a.failure_permille;
-  return a.domain != b.domain || a.services != b.services ||
-         a.load.slots != b.load.slots || a.cores != b.cores ||
-         a.memory_mb != b.memory_mb || a.leaving != b.leaving ||
+  return DiffersAsHome(a, b) || a.load.slots != b.load.slots ||
+         a.cores != b.cores || a.memory_mb != b.memory_mb ||
          failure_change >= kFailureStep;
 }
 
@@ -77,6 +79,9 @@
                   const AgentStatus& status) {
   const auto [member, added] = board->members.try_emplace(status.node);
   AgentMember& known = member->second;
+  if (added || known.lost || DiffersAsHome(known.status, status)) {
+    ++board->candidates_version;
+  }
   known.heard = now;
   known.lost = false;
   if (added || Differs(known.status, status)) {
@@ -91,44 +96,12 @@
   known.status.failure_permille = told;
 }
 
-/// The agents that take new jobs of `service`: the first of the ring, so that
-/// all entries choose the same, from as many failure domains as there are. One
-/// that offers the service is preferred: it can start tasks without a hop.
-std::vector<const AgentMember*> ChooseHomes(const EntryBoard& board,
-                                            const core::ServiceId& service) {
-  std::vector<const AgentMember*> offering, others, homes;
-  for (const auto& [position, node] : board.ring) {
-    const AgentMember& member = board.members.at(node);
-    if (member.status.leaving || member.lost) continue;
-    const bool useful = Offers(member.status, service) &&
-                        InService(board.world, member.status.domain);
-    (useful ? offering : others).push_back(&member);
-  }
-  const std::vector<const AgentMember*>& from =
-      offering.empty() ? others : offering;
-  const std::size_t wanted = std::max<std::size_t>(
-      board.policy.min_homes, from.size() / board.policy.agents_per_home);
-  std::set<core::DomainId> domains;
-  for (const bool any_domain : {false, true}) {
-    for (const AgentMember* member : from) {
-      if (homes.size() >= wanted) return homes;
-      const bool seen = domains.count(member->status.domain) > 0;
-      if (seen != any_domain) continue;
-      if (std::find(homes.begin(), homes.end(), member) != homes.end()) {
-        continue;
-      }
-      domains.insert(member->status.domain);
-      homes.push_back(member);
-    }
-  }
-  return homes;
-}
-
 }  // namespace
 
 void RemoveMember(EntryBoard* board, const core::NodeId& node) {
   if (board->members.erase(node) == 0) return;
   board->ring.erase(RingKey(node));
+  ++board->candidates_version;
   board->gone.emplace_back(++board->members_version, node);
   if (board->gone.size() > kGoneMemory) board->gone.pop_front();
 }
@@ -164,13 +137,4 @@
   for (const core::NodeId& node : silent) RemoveMember(board, node);
 }
 
-std::optional<std::string> MintHandle(EntryBoard* board,
-                                      const core::ServiceId& service) {
-  const std::vector<const AgentMember*> homes = ChooseHomes(*board, service);
-  if (homes.empty()) return std::nullopt;
-  // Homes take turns.
-  const AgentMember* chosen = homes[board->next_home++ % homes.size()];
-  return ToString(Handle{chosen->status.node, chosen->status.handle_epoch});
-}
-
 }  // namespace tarragon::dispatch
--- a/dispatch/include/tarragon/dispatch/entry_board.h
+++ b/dispatch/include/tarragon/dispatch/entry_board.h
@@ -110,6 +110,17 @@
   bool lost = false;
 };
 
+/// The agents that take new jobs, in the order of their turns.
+struct HomeChoice {
+  /// What the choice was made from; it holds while both are the present ones.
+  std::uint64_t candidates_version = 0;
+  core::NoteVersion note_version;
+  /// By service; only services that a member offers.
+  std::map<core::ServiceId, std::vector<core::NodeId>> offering;
+  /// Of any other service.
+  std::vector<core::NodeId> others;
+};
+
 // Requests of clients and operators.
 
 enum class RequestKind : std::uint8_t { kSubmit, kQuery, kCancel, kExplain };
@@ -240,6 +251,9 @@
   std::deque<std::pair<std::uint64_t, core::NodeId>> gone;
   /// Members in the order of a hash, from which samples are taken.
   std::map<std::pair<std::uint64_t, core::NodeId>, core::NodeId> ring;
+  /// Rises with every change of a member that may change the choice of homes.
+  std::uint64_t candidates_version = 1;
+  HomeChoice homes;
   std::uint64_t next_home = 0;
 
   // Requests.
