Dispatch: let a home's tick look only at jobs of which something is due

Cause: each tick of 20 ms copied the keys of all active jobs and walked all their tasks to find deadlines and seals that are due.

Ruled out: an index of tasks; most jobs end before their first seal is due, and one entry for each job is moved less often.

Change: active jobs are indexed by the earliest moment at which something of them may be due. Placing, seals and broken connections bring it forward; it is moved back only when it has come. What is due is handled in the order of the keys, as before.

Tests: home_due_test takes 6,000 random steps and finds after each that nothing that was due was passed over.

--- a/capacity/memory_slopes.cc
+++ b/capacity/memory_slopes.cc
@@ -30,7 +30,8 @@
 }
 
 double Jobs(const dispatch::AgentBoard& home) {
-  return HeapOf(home.jobs) + HeapOf(home.active) + HeapOf(home.kept);
+  return HeapOf(home.jobs) + HeapOf(home.active) + HeapOf(home.job_due) +
+         HeapOf(home.kept);
 }
 
 /// Memory of one kept answer by the size of its job.
--- a/dispatch/home.h
+++ b/dispatch/home.h
@@ -2,6 +2,7 @@
 #define TARRAGON_DISPATCH_HOME_H_
 
 #include <string>
+#include <vector>
 
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
@@ -36,6 +37,18 @@
 void HandlePull(AgentBoard* board, core::Time now, const core::NodeId& executor,
                 const Pull& pull);
 
+// What is due: the deadline of a job or the seal of a task.
+/// Counts a job that was taken in as active.
+void Activate(AgentBoard* board, HomeJob* job);
+/// Nothing of the job is due any more.
+void Deactivate(AgentBoard* board, const HomeJob& job);
+/// Something of the active job is due at `due`.
+void DueBy(AgentBoard* board, HomeJob* job, core::Time due);
+/// All of the active job that was due is done.
+void FindNextDue(AgentBoard* board, HomeJob* job);
+/// The active jobs of which something may be due, in the order of their keys.
+std::vector<core::JobKey> DueJobs(const AgentBoard& board, core::Time now);
+
 void TickHome(AgentBoard* board, core::Time now);
 void HomePeerLost(AgentBoard* board, core::Time now, const core::NodeId& peer);
 void HomePeerGone(AgentBoard* board, core::Time now, const core::NodeId& peer);
--- a/dispatch/home_end.cc
+++ b/dispatch/home_end.cc
@@ -102,7 +102,7 @@
   const bool not_run = ProvedNotRun(job);
   WithdrawTasks(board, &job);
   DropPayloads(board, &job);
-  board->active.erase(key);
+  Deactivate(board, job);
   job.answer.outcome = not_run ? Outcome::kNotRun : outcome;
   job.answer.reason = reason;
   job.answer.detail = detail;
@@ -137,7 +137,7 @@
     job.answer.results.push_back(std::move(task.result));
     task.result.clear();
   }
-  board->active.erase(key);
+  Deactivate(board, job);
   Record(&job, now, "Ended as complete.");
   AnswerWaiters(board, now, &job);
   board->kept.emplace_back(now + board->policy.answer_memory, key);
--- a/dispatch/home_requests.cc
+++ b/dispatch/home_requests.cc
@@ -153,8 +153,8 @@
          "Took in " + std::to_string(job.tasks.size()) + " tasks of service " +
              job.spec.service.value() + " for tenant " +
              job.spec.tenant.value() + ".");
-  const HomeJob& kept = board->jobs.emplace(key, std::move(job)).first->second;
-  board->active.insert(key);
+  HomeJob& kept = board->jobs.emplace(key, std::move(job)).first->second;
+  Activate(board, &kept);
   for (std::uint32_t i = 0; i < kept.tasks.size(); ++i) {
     Enqueue(board, kept, core::TaskIndex(i));
   }
--- a/dispatch/home_settle.cc
+++ b/dispatch/home_settle.cc
@@ -189,6 +189,7 @@
   Heard(task, now);
   task->started = true;
   task->seal_at = now + board->policy.seal_after;
+  DueBy(board, &board->jobs.at(started.ref.key), task->seal_at);
 }
 
 void HandleFinished(AgentBoard* board, core::Time now,
@@ -205,17 +206,16 @@
   // The load that came along may show a free slot.
   PlaceAll(board, now);
 }
+
 void TickHome(AgentBoard* board, core::Time now) {
-  const std::vector<core::JobKey> keys(board->active.begin(),
-                                       board->active.end());
-  for (const core::JobKey& key : keys) {
-    if (board->active.count(key) == 0) continue;
-    if (board->jobs.at(key).deadline <= now) {
+  for (const core::JobKey& key : DueJobs(*board, now)) {
+    HomeJob& job = board->jobs.at(key);
+    if (job.deadline <= now) {
       EndJob(board, now, key, Outcome::kFailed, Reason::kDeadline,
              "The deadline passed.");
-      continue;
+    } else if (TickTasks(board, now, key)) {
+      FindNextDue(board, &job);
     }
-    TickTasks(board, now, key);
   }
   if (now >= board->next_want_refresh) {
     board->next_want_refresh = now + board->policy.want_refresh;
@@ -233,10 +233,12 @@
   }
   for (auto& [service, queue] : board->queues) queue.told.erase(peer);
   for (const core::JobKey& key : board->active) {
-    for (HomeTask& task : board->jobs.at(key).tasks) {
+    HomeJob& job = board->jobs.at(key);
+    for (HomeTask& task : job.tasks) {
       if (task.state != TaskState::kAssigned || task.executor != peer) continue;
       if (!task.unanswered_since.has_value()) task.unanswered_since = now;
       task.seal_at = std::min(task.seal_at, now + kSealPause);
+      DueBy(board, &job, task.seal_at);
     }
   }
 }
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -77,6 +77,9 @@
   std::vector<Waiter> waiters;
   /// Number in the order of arrival; the order of the queue.
   std::uint64_t number = 0;
+  /// Nothing of it is due earlier while it is active; also in the board's
+  /// index.
+  core::Time due = core::kNever;
   std::vector<std::string> history;
 };
 
@@ -324,6 +327,8 @@
   // The home.
   std::map<core::JobKey, HomeJob> jobs;
   std::set<core::JobKey> active;
+  /// Active jobs by `due` and number.
+  std::map<std::pair<core::Time, std::uint64_t>, core::JobKey> job_due;
   std::deque<std::pair<core::Time, core::JobKey>> kept;
   std::map<core::JobKey, Tombstone> tombstones;
   std::map<core::NodeId, EntryRefusals> refusals;
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -209,6 +209,7 @@
   task.seal_at = now + std::max(board->policy.seal_after,
                                 kRunsUntilSeal *
                                     ExpectedRun(*board, now, job.spec.service));
+  DueBy(board, &job, task.seal_at);
   ++board->tenant_running[job.spec.tenant];
   ++board->counters.placements;
   if (task.placements == 1) {
--- /dev/null
+++ b/dispatch/tests/home_due_test.cc
@@ -0,0 +1,164 @@
+#include <random>
+
+#include "agent_fixture.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+constexpr int kSteps = 6000;
+constexpr std::uint32_t kSlots = 8;
+constexpr core::Duration kMs = std::chrono::milliseconds(1);
+
+/// One placed task at the executor that has it.
+struct Placed {
+  core::NodeId executor;
+  TaskRef ref;
+};
+
+/// What a home does when a deadline or a seal is due.
+class HomeDueTest : public AgentFixture {
+  CPPUNIT_TEST_SUITE(HomeDueTest);
+  CPPUNIT_TEST(NothingDueIsPassedOverWhateverHappens);
+  CPPUNIT_TEST(ATickTouchesNoJobThatIsNotDue);
+  CPPUNIT_TEST(ABrokenConnectionBringsTheSealForward);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void NothingDueIsPassedOverWhateverHappens() {
+    random_.seed(kSeed);
+    for (int step = 0; step < kSteps; ++step) {
+      Advance(kMs * Below(60));
+      if (step % 20 == 0) Renew();
+      Change(step);
+      CheckIndex();
+      OnTick(&board_, now_);
+      board_.actions.clear();
+      CheckIndex();
+      CheckNothingDue();
+    }
+    CPPUNIT_ASSERT(board_.counters.seals > 100);
+    CPPUNIT_ASSERT(board_.counters.retries > 100);
+    CPPUNIT_ASSERT(board_.counters.outcomes["complete"] > 100);
+    CPPUNIT_ASSERT(board_.counters.outcomes["failed"] > 100);
+    CPPUNIT_ASSERT(board_.counters.outcomes["unknown"] > 20);
+  }
+
+  void ATickTouchesNoJobThatIsNotDue() {
+    Renew();
+    Receive(kEntryNode, MakeSubmit(1, MakeKey("a"), 3));
+    const HomeJob& job = board_.jobs.at(MakeKey("a"));
+    const core::Time due = job.due;
+    CPPUNIT_ASSERT(job.tasks[0].seal_at == due);
+    now_ = due - kMs;
+    OnTick(&board_, now_);
+    CPPUNIT_ASSERT(Take<Seal>().empty());
+    CPPUNIT_ASSERT(due == job.due);
+    now_ = due;
+    OnTick(&board_, now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Take<Seal>().size());
+    CPPUNIT_ASSERT(now_ + board_.policy.seal_interval == job.due);
+  }
+
+  void ABrokenConnectionBringsTheSealForward() {
+    Renew();
+    Receive(kEntryNode, MakeSubmit(1, MakeKey("a")));
+    const core::NodeId executor =
+        board_.jobs.at(MakeKey("a")).tasks[0].executor;
+    Advance(10 * kMs);
+    OnPeerLost(&board_, now_, executor);
+    Advance(50 * kMs);
+    OnTick(&board_, now_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<Seal>().size());
+  }
+
+ private:
+  std::uint64_t Below(std::uint64_t bound) {
+    return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(random_);
+  }
+
+  void Renew() {
+    Admit(MakeWorld(1),
+          {StatusOf(kOtherNode, kSlots), StatusOf(kThirdNode, kSlots)});
+    board_.actions.clear();
+  }
+
+  void Change(int step) {
+    const std::uint64_t kind = Below(20);
+    if (kind < 6) {
+      Submit submit = MakeSubmit(static_cast<std::uint64_t>(step) + 1,
+                                 MakeKey(std::to_string(step)),
+                                 static_cast<std::uint32_t>(Below(4)) + 1);
+      submit.spec.time_left = kMs * (500 + Below(6000));
+      Receive(kEntryNode, submit);
+    } else if (kind < 18) {
+      AnswerOne(kind);
+    } else if (kind == 18) {
+      OnPeerLost(&board_, now_, Below(2) == 0 ? kOtherNode : kThirdNode);
+    } else if (Below(10) == 0) {
+      OnPeerGone(&board_, now_, Below(2) == 0 ? kOtherNode : kThirdNode);
+    }
+  }
+
+  /// Lets an executor answer for one placed task.
+  void AnswerOne(std::uint64_t kind) {
+    const std::vector<Placed> placed = AllPlaced();
+    if (placed.empty()) return;
+    const Placed& one = placed[Below(placed.size())];
+    if (kind < 9) {
+      Receive(one.executor, Refused{one.ref, Reason::kNoSlot, {}, {}});
+    } else if (kind < 11) {
+      Receive(one.executor, Started{one.ref, {}});
+    } else {
+      Finished finished = MakeFinished(one.ref, "done");
+      finished.run_time = kMs * (1 + Below(900));
+      Receive(one.executor, finished);
+    }
+  }
+
+  std::vector<Placed> AllPlaced() const {
+    std::vector<Placed> placed;
+    for (const core::JobKey& key : board_.active) {
+      const HomeJob& job = board_.jobs.at(key);
+      for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+        const HomeTask& task = job.tasks[i];
+        if (task.state != TaskState::kAssigned) continue;
+        placed.push_back(
+            {task.executor, TaskRef{key, core::TaskIndex(i), task.attempt}});
+      }
+    }
+    return placed;
+  }
+
+  /// The index holds the active jobs, none later than what is due of it.
+  void CheckIndex() const {
+    CPPUNIT_ASSERT_EQUAL(board_.active.size(), board_.job_due.size());
+    for (const core::JobKey& key : board_.active) {
+      const HomeJob& job = board_.jobs.at(key);
+      CPPUNIT_ASSERT(board_.job_due.at({job.due, job.number}) == key);
+      CPPUNIT_ASSERT(job.due <= job.deadline);
+      for (const HomeTask& task : job.tasks) {
+        if (task.state != TaskState::kAssigned) continue;
+        CPPUNIT_ASSERT(job.due <= task.seal_at);
+      }
+    }
+  }
+
+  void CheckNothingDue() const {
+    for (const core::JobKey& key : board_.active) {
+      const HomeJob& job = board_.jobs.at(key);
+      CPPUNIT_ASSERT(job.deadline > now_);
+      for (const HomeTask& task : job.tasks) {
+        if (task.state != TaskState::kAssigned) continue;
+        CPPUNIT_ASSERT(task.seal_at > now_);
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HomeDueTest);
+
+}  // namespace
+}  // namespace tarragon::dispatch
