Dispatch: keep less of an ended job, and count all of it

Cause: a home kept the whole record of an ended job for `answer_memory`: the tasks, the waiters and a text for each event. `max_home_bytes` counted only the results, so it did not hold memory down when results are short. And when kept results did fill it, new jobs were refused until answers lapsed, up to 10 min: answers were dropped over the bound, but admission stopped just below it.

Ruled out: events in place of texts in the history; the joined text is small enough and the lines stay as they are. Counting the records of active jobs, too; their number is bound by the queue, and payloads are the larger part.

Change: an ended job keeps its spec, digest and answer, and its history as one text. What that takes is counted in `bytes_held`, and in `bytes_kept`, which admission leaves out, since the next tick drops the oldest answers over the bound.

--- a/capacity/memory_slopes.cc
+++ b/capacity/memory_slopes.cc
@@ -34,21 +34,30 @@
          HeapOf(home.kept);
 }
 
-/// Memory of one kept answer by the size of its job.
-Slope KeptByTasks() {
+/// Memory of one kept answer by the size of its job, and what it is counted as.
+std::vector<Slope> KeptByTasks() {
   Slope slope{"home",
               "memory of one kept answer",
               "tasks in the job",
               "bytes",
               {},
               kPlannedTasks};
+  Slope counted{"home",
+                "bytes that one kept answer is counted as",
+                "tasks in the job",
+                "bytes",
+                {},
+                kPlannedTasks};
   for (const std::size_t tasks : kTasks) {
     Cluster cluster = MakeCluster(kExecutors, kSlots);
     RunJobs(&cluster, kKeptJobs, tasks, false);
-    slope.points.push_back({static_cast<double>(tasks),
-                            Jobs(cluster.boards[0]) / double{kKeptJobs}});
+    const dispatch::AgentBoard& home = cluster.boards[0];
+    const double x = static_cast<double>(tasks);
+    slope.points.push_back({x, Jobs(home) / double{kKeptJobs}});
+    counted.points.push_back(
+        {x, static_cast<double>(home.bytes_kept) / double{kKeptJobs}});
   }
-  return slope;
+  return {slope, counted};
 }
 
 double TickMicros(dispatch::AgentBoard* board, core::Time now) {
@@ -98,7 +107,10 @@
     Pass(&cluster, kForget);
     keys.points.push_back({x, HeapOf(cluster.boards[0].tombstones)});
   }
-  return {members, active, ticks, kept, KeptByTasks(), keys, running, records};
+  const std::vector<Slope> by_tasks = KeptByTasks();
+  std::vector<Slope> all{members, active, ticks, kept, keys, running, records};
+  all.insert(all.end(), by_tasks.begin(), by_tasks.end());
+  return all;
 }
 
 }  // namespace tarragon::capacity
--- a/dispatch/admission.cc
+++ b/dispatch/admission.cc
@@ -168,7 +168,10 @@
     return Refusal{Reason::kDomainOut,
                    "No target of the service is in service.", kNoTargetPause};
   }
-  if (board.bytes_held + PayloadBytes(spec) > board.policy.max_home_bytes) {
+  // Kept answers give way: the next tick drops the oldest.
+  const std::uint64_t needed =
+      board.bytes_held - board.bytes_kept + PayloadBytes(spec);
+  if (needed > board.policy.max_home_bytes) {
     return Refusal{Reason::kOverload, "The home's memory is used up.",
                    kTenantPause};
   }
--- a/dispatch/home.h
+++ b/dispatch/home.h
@@ -67,6 +67,16 @@
 /// Sends the job's final answer to one waiter.
 void SendAnswer(AgentBoard* board, const HomeJob& job, const Waiter& waiter);
 
+/// Drops all of an ended job but what its answer and its history need, and
+/// counts the rest as held. Its results are counted already.
+void KeepRecord(AgentBoard* board, HomeJob* job);
+
+/// Counts an ended job as held no more.
+void ForgetRecord(AgentBoard* board, const HomeJob& job);
+
+/// The job's history, oldest first, whether it has ended or not.
+std::vector<std::string> History(const HomeJob& job);
+
 /// Forgets answers and keys whose time has passed.
 void TickKept(AgentBoard* board, core::Time now);
 
--- a/dispatch/home_end.cc
+++ b/dispatch/home_end.cc
@@ -119,6 +119,7 @@
     ForgetNotRun(board, key, reason);
     return;
   }
+  KeepRecord(board, &job);
   board->kept.emplace_back(now + board->policy.answer_memory, key);
 }
 
@@ -133,6 +134,7 @@
                  job.history);
   DropPayloads(board, &job);
   job.answer.outcome = Outcome::kComplete;
+  job.answer.results.reserve(job.tasks.size());
   for (HomeTask& task : job.tasks) {
     job.answer.results.push_back(std::move(task.result));
     task.result.clear();
@@ -140,6 +142,7 @@
   Deactivate(board, job);
   Record(&job, now, "Ended as complete.");
   AnswerWaiters(board, now, &job);
+  KeepRecord(board, &job);
   board->kept.emplace_back(now + board->policy.answer_memory, key);
 }
 
@@ -151,9 +154,7 @@
     if (until > now && !over) break;
     const auto job = board->jobs.find(key);
     if (job != board->jobs.end()) {
-      for (const std::string& result : job->second.answer.results) {
-        ForgetBytes(board, result.size());
-      }
+      ForgetRecord(board, job->second);
       const std::optional<Handle> handle = HandleOf(key);
       const std::uint32_t epoch = handle.has_value() ? handle->epoch : 0;
       board->tombstones.emplace(key,
--- a/dispatch/home_requests.cc
+++ b/dispatch/home_requests.cc
@@ -142,13 +142,14 @@
   job.answer.key = key;
   job.number = board->next_job_number++;
   job.waiters.push_back(waiter);
+  job.tasks.reserve(job.spec.tasks.size());
   for (TaskSpec& spec : job.spec.tasks) {
     HomeTask task;
     board->bytes_held += spec.payload.size();
     task.spec = std::move(spec);
     job.tasks.push_back(std::move(task));
   }
-  job.spec.tasks.clear();
+  job.spec.tasks = std::vector<TaskSpec>();
   Record(&job, now,
          "Took in " + std::to_string(job.tasks.size()) + " tasks of service " +
              job.spec.service.value() + " for tenant " +
@@ -246,7 +247,7 @@
   explanation.request = explain.request;
   const auto found = board->jobs.find(explain.key);
   if (found != board->jobs.end()) {
-    explanation.lines = found->second.history;
+    explanation.lines = History(found->second);
   } else if (board->tombstones.count(explain.key) > 0) {
     explanation.lines = {"Ended; the history is no longer kept."};
   } else {
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -81,6 +81,10 @@
   /// index.
   core::Time due = core::kNever;
   std::vector<std::string> history;
+  /// The history once the job has ended, a line for each event, and the bytes
+  /// that its record is counted with from then on.
+  std::string ended_history;
+  std::uint64_t kept_bytes = 0;
 };
 
 /// What is left of a job after its answer was dropped.
@@ -341,7 +345,10 @@
   /// Numbers placements; never used twice, so that a late copy of an old
   /// message is known whatever became of its job since.
   std::uint32_t next_attempt = 1;
+  /// Bytes of payloads, results and records of ended jobs, and the part of
+  /// ended jobs, which gives way to new ones.
   std::uint64_t bytes_held = 0;
+  std::uint64_t bytes_kept = 0;
   double retry_tokens = 0;
   core::Time next_want_refresh;
   /// Epoch in which old tombstones were last dropped.
--- a/dispatch/include/tarragon/dispatch/policy.h
+++ b/dispatch/include/tarragon/dispatch/policy.h
@@ -56,7 +56,8 @@
   core::Duration max_queue_delay{std::chrono::milliseconds(600)};
   /// Tasks waiting at one home.
   std::uint32_t max_home_queue = 4000;
-  /// Bytes of payloads and answers held by one home.
+  /// Bytes of payloads, results and kept answers held by one home. Over it the
+  /// oldest kept answers go.
   std::uint64_t max_home_bytes = 24ULL << 20;
   /// Run time assumed for a service of which nothing was measured yet.
   core::Duration assumed_run{std::chrono::milliseconds(200)};
--- /dev/null
+++ b/dispatch/tests/home_kept_test.cc
@@ -0,0 +1,116 @@
+#include <algorithm>
+
+#include "agent_fixture.h"
+
+namespace tarragon::dispatch {
+namespace {
+
+constexpr std::uint32_t kSlots = 200;
+constexpr std::uint64_t kBytes = 20000;
+constexpr core::Duration kMs = std::chrono::milliseconds(1);
+
+/// What a home keeps of jobs that have ended.
+class HomeKeptTest : public AgentFixture {
+  CPPUNIT_TEST_SUITE(HomeKeptTest);
+  CPPUNIT_TEST(GivesTheWholeAnswerAgain);
+  CPPUNIT_TEST(ExplainsAnEndedJobAsBefore);
+  CPPUNIT_TEST(KeptAnswersGiveWayToNewJobs);
+  CPPUNIT_TEST(CountsNothingWhenNothingIsKept);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void GivesTheWholeAnswerAgain() {
+    Renew();
+    const core::JobKey key = MakeKey("a");
+    RunJob(1, key, 3, "result");
+    const Answer first = TakeOne<Answer>();
+    CPPUNIT_ASSERT(Outcome::kComplete == first.answer.outcome);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, first.answer.results.size());
+    CPPUNIT_ASSERT(board_.jobs.at(key).tasks.empty());
+    Receive(kEntryNode, MakeSubmit(2, key, 3));
+    const Answer again = TakeOne<Answer>();
+    CPPUNIT_ASSERT(first.answer == again.answer);
+    CPPUNIT_ASSERT_EQUAL(first.results_digest, again.results_digest);
+    Receive(kEntryNode, MakeSubmit(3, key, 3, "other body"));
+    CPPUNIT_ASSERT(Reason::kKeyReused == TakeOne<Answer>().answer.reason);
+  }
+
+  void ExplainsAnEndedJobAsBefore() {
+    Renew();
+    const core::JobKey key = MakeKey("a");
+    Receive(kEntryNode, MakeSubmit(1, key, 2));
+    std::vector<std::string> wanted = Explained(key);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, wanted.size());
+    Finish(key, "result");
+    wanted.push_back("+0ms Task 0 ended at " + core::ToString(kOtherNode) +
+                     " well.");
+    wanted.push_back("+0ms Task 1 ended at " + core::ToString(kOtherNode) +
+                     " well.");
+    wanted.push_back("+0ms Ended as complete.");
+    CPPUNIT_ASSERT(wanted == Explained(key));
+  }
+
+  void KeptAnswersGiveWayToNewJobs() {
+    board_.policy.max_home_bytes = kBytes;
+    const std::string result(1000, 'r');
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+      Advance(100 * kMs);
+      if (i % 10 == 1) Renew();
+      RunJob(i, MakeKey(std::to_string(i)), 2, result);
+      CPPUNIT_ASSERT(Outcome::kComplete == TakeOne<Answer>().answer.outcome);
+      OnTick(&board_, now_);
+      board_.actions.clear();
+      CPPUNIT_ASSERT(board_.bytes_held <= kBytes);
+    }
+    CPPUNIT_ASSERT(board_.kept.size() >= 3);
+    CPPUNIT_ASSERT(board_.kept.size() <= kBytes / (2 * result.size()));
+    Receive(kEntryNode, Query{200, MakeKey("100")});
+    CPPUNIT_ASSERT(Outcome::kComplete == TakeOne<Answer>().answer.outcome);
+    Receive(kEntryNode, Query{201, MakeKey("1")});
+    CPPUNIT_ASSERT(Reason::kAnswerDropped == TakeOne<Answer>().answer.reason);
+  }
+
+  void CountsNothingWhenNothingIsKept() {
+    Renew();
+    RunJob(1, MakeKey("complete"), 3, "result");
+    Receive(kEntryNode, MakeSubmit(2, MakeKey("cancelled"), 3));
+    Receive(kEntryNode, Cancel{3, MakeKey("cancelled")});
+    CPPUNIT_ASSERT(board_.bytes_kept > 0);
+    CPPUNIT_ASSERT_EQUAL(board_.bytes_kept, board_.bytes_held);
+    Advance(board_.policy.answer_memory);
+    OnTick(&board_, now_);
+    CPPUNIT_ASSERT(board_.jobs.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, board_.bytes_held);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, board_.bytes_kept);
+  }
+
+ private:
+  void Renew() {
+    Admit(MakeWorld(1), {StatusOf(kOtherNode, kSlots)});
+    board_.actions.clear();
+  }
+
+  void RunJob(std::uint64_t request, const core::JobKey& key,
+              std::uint32_t tasks, const std::string& result) {
+    Receive(kEntryNode, MakeSubmit(request, key, tasks));
+    Finish(key, result);
+  }
+
+  /// Ends all tasks of the job well, if it was taken in.
+  void Finish(const core::JobKey& key, const std::string& result) {
+    for (const Assign& assign : Take<Assign>()) {
+      CPPUNIT_ASSERT(assign.ref.key == key);
+      Receive(kOtherNode, MakeFinished(assign.ref, result));
+    }
+  }
+
+  std::vector<std::string> Explained(const core::JobKey& key) {
+    Receive(kEntryNode, Explain{100, key});
+    return TakeOne<Explanation>().lines;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HomeKeptTest);
+
+}  // namespace
+}  // namespace tarragon::dispatch
