--- a/dispatch/entry_members.cc
+++ b/dispatch/entry_members.cc
@@ -1,13 +1,10 @@
 #include <algorithm>
 #include <functional>
-#include <set>
 #include <utility>
 #include <vector>
 
 #include "entry_parts.h"
-#include "placement.h"
 #include "tarragon/dispatch/entry.h"
-#include "tarragon/dispatch/handle.h"
 
 namespace tarragon::dispatch {
 namespace {
@@ -22,15 +19,20 @@
   return {std::hash<std::string>()(node.address.value()), node};
 }
 
+/// True when another choice of homes may follow from the difference.
+bool DiffersAsHome(const AgentStatus& a, const AgentStatus& b) {
+  return a.domain != b.domain || a.services != b.services ||
+         a.leaving != b.leaving;
+}
+
 /// True when the other agents must learn of the difference.
 bool Differs(const AgentStatus& a, const AgentStatus& b) {
   const std::uint32_t failure_change =
       a.failure_permille > b.failure_permille
           ? a.failure_permille - b.failure_permille
           : b.failure_permille - a.failure_permille;
-  return a.domain != b.domain || a.services != b.services ||
-         a.load.slots != b.load.slots || a.cores != b.cores ||
-         a.memory_mb != b.memory_mb || a.leaving != b.leaving ||
+  return DiffersAsHome(a, b) || a.load.slots != b.load.slots ||
+         a.cores != b.cores || a.memory_mb != b.memory_mb ||
          failure_change >= kFailureStep;
 }
 
@@ -73,16 +75,28 @@
   }
 }
 
+void CheckSilenceAt(EntryBoard* board, AgentMember* member, core::Time at) {
+  const core::NodeId& node = member->status.node;
+  board->silence_checks.erase({member->check_at, node});
+  member->check_at = at;
+  board->silence_checks.emplace(at, node);
+}
+
 void UpdateMember(EntryBoard* board, core::Time now,
                   const AgentStatus& status) {
   const auto [member, added] = board->members.try_emplace(status.node);
   AgentMember& known = member->second;
+  if (added || known.lost || DiffersAsHome(known.status, status)) {
+    ++board->candidates_version;
+  }
   known.heard = now;
   known.lost = false;
   if (added || Differs(known.status, status)) {
     known.changed = ++board->members_version;
     known.status = status;
-    if (added) board->ring[RingKey(status.node)] = status.node;
+    if (!added) return;
+    board->ring[RingKey(status.node)] = status.node;
+    CheckSilenceAt(board, &known, now + board->policy.member_timeout);
     return;
   }
   // The failure share told last stays the one that changes are measured by.
@@ -91,44 +105,21 @@
   known.status.failure_permille = told;
 }
 
-/// The agents that take new jobs of `service`: the first of the ring, so that
-/// all entries choose the same, from as many failure domains as there are. One
-/// that offers the service is preferred: it can start tasks without a hop.
-std::vector<const AgentMember*> ChooseHomes(const EntryBoard& board,
-                                            const core::ServiceId& service) {
-  std::vector<const AgentMember*> offering, others, homes;
-  for (const auto& [position, node] : board.ring) {
-    const AgentMember& member = board.members.at(node);
-    if (member.status.leaving || member.lost) continue;
-    const bool useful = Offers(member.status, service) &&
-                        InService(board.world, member.status.domain);
-    (useful ? offering : others).push_back(&member);
-  }
-  const std::vector<const AgentMember*>& from =
-      offering.empty() ? others : offering;
-  const std::size_t wanted = std::max<std::size_t>(
-      board.policy.min_homes, from.size() / board.policy.agents_per_home);
-  std::set<core::DomainId> domains;
-  for (const bool any_domain : {false, true}) {
-    for (const AgentMember* member : from) {
-      if (homes.size() >= wanted) return homes;
-      const bool seen = domains.count(member->status.domain) > 0;
-      if (seen != any_domain) continue;
-      if (std::find(homes.begin(), homes.end(), member) != homes.end()) {
-        continue;
-      }
-      domains.insert(member->status.domain);
-      homes.push_back(member);
-    }
-  }
-  return homes;
+/// Agents do not need the ids of notes, by which entries know a repeated one.
+World WorldForAgents(World world) {
+  world.recent_notes.clear();
+  return world;
 }
 
 }  // namespace
 
 void RemoveMember(EntryBoard* board, const core::NodeId& node) {
-  if (board->members.erase(node) == 0) return;
+  const auto found = board->members.find(node);
+  if (found == board->members.end()) return;
+  board->silence_checks.erase({found->second.check_at, node});
+  board->members.erase(found);
   board->ring.erase(RingKey(node));
+  ++board->candidates_version;
   board->gone.emplace_back(++board->members_version, node);
   if (board->gone.size() > kGoneMemory) board->gone.pop_front();
 }
@@ -148,29 +139,29 @@
     ++board->counters.permits_refused;
   }
   permit.has_world = board->world.version > heartbeat.note_version;
-  if (permit.has_world) permit.world = board->world;
+  if (permit.has_world) permit.world = WorldForAgents(board->world);
   TellMembers(*board, from, heartbeat.members_version, &permit);
   permit.entries = board->entries;
   Post(board, from, std::move(permit));
 }
 
 void TickMembers(EntryBoard* board, core::Time now) {
-  std::vector<core::NodeId> silent;
-  for (const auto& [node, member] : board->members) {
-    if (now - member.heard > board->policy.member_timeout) {
-      silent.push_back(node);
+  std::vector<core::NodeId> due;
+  for (const auto& [at, node] : board->silence_checks) {
+    if (at >= now) break;
+    due.push_back(node);
+  }
+  // Removals are told in this order.
+  std::sort(due.begin(), due.end());
+  for (const core::NodeId& node : due) {
+    AgentMember& member = board->members.at(node);
+    const core::Time silent_at = member.heard + board->policy.member_timeout;
+    if (silent_at < now) {
+      RemoveMember(board, node);
+    } else {
+      CheckSilenceAt(board, &member, silent_at);
     }
   }
-  for (const core::NodeId& node : silent) RemoveMember(board, node);
-}
-
-std::optional<std::string> MintHandle(EntryBoard* board,
-                                      const core::ServiceId& service) {
-  const std::vector<const AgentMember*> homes = ChooseHomes(*board, service);
-  if (homes.empty()) return std::nullopt;
-  // Homes take turns.
-  const AgentMember* chosen = homes[board->next_home++ % homes.size()];
-  return ToString(Handle{chosen->status.node, chosen->status.handle_epoch});
 }
 
 }  // namespace tarragon::dispatch
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -77,7 +77,14 @@
   std::vector<Waiter> waiters;
   /// Number in the order of arrival; the order of the queue.
   std::uint64_t number = 0;
+  /// Nothing of it is due earlier while it is active; also in the board's
+  /// index.
+  core::Time due = core::kNever;
   std::vector<std::string> history;
+  /// The history once the job has ended, a line for each event, and the bytes
+  /// that its record is counted with from then on.
+  std::string ended_history;
+  std::uint64_t kept_bytes = 0;
 };
 
 /// What is left of a job after its answer was dropped.
@@ -324,6 +331,8 @@
   // The home.
   std::map<core::JobKey, HomeJob> jobs;
   std::set<core::JobKey> active;
+  /// Active jobs by `due` and number.
+  std::map<std::pair<core::Time, std::uint64_t>, core::JobKey> job_due;
   std::deque<std::pair<core::Time, core::JobKey>> kept;
   std::map<core::JobKey, Tombstone> tombstones;
   std::map<core::NodeId, EntryRefusals> refusals;
@@ -336,7 +345,10 @@
   /// Numbers placements; never used twice, so that a late copy of an old
   /// message is known whatever became of its job since.
   std::uint32_t next_attempt = 1;
+  /// Bytes of payloads, results and records of ended jobs, and the part of
+  /// ended jobs, which gives way to new ones.
   std::uint64_t bytes_held = 0;
+  std::uint64_t bytes_kept = 0;
   double retry_tokens = 0;
   core::Time next_want_refresh;
   /// Epoch in which old tombstones were last dropped.
--- a/dispatch/include/tarragon/dispatch/entry_board.h
+++ b/dispatch/include/tarragon/dispatch/entry_board.h
@@ -104,12 +104,25 @@
 struct AgentMember {
   AgentStatus status;
   core::Time heard;
+  /// When its silence is checked next; also in the board's index.
+  core::Time check_at;
   /// Version of the member list that last changed this member.
   std::uint64_t changed = 0;
   /// Its connection broke since the last heartbeat; it takes no new jobs.
   bool lost = false;
 };
 
+/// The agents that take new jobs, in the order of their turns.
+struct HomeChoice {
+  /// What the choice was made from; it holds while both are the present ones.
+  std::uint64_t candidates_version = 0;
+  core::NoteVersion note_version;
+  /// By service; only services that a member offers.
+  std::map<core::ServiceId, std::vector<core::NodeId>> offering;
+  /// Of any other service.
+  std::vector<core::NodeId> others;
+};
+
 // Requests of clients and operators.
 
 enum class RequestKind : std::uint8_t { kSubmit, kQuery, kCancel, kExplain };
@@ -237,11 +250,17 @@
 
   // Agents.
   std::map<core::NodeId, AgentMember> members;
+  /// Members by their next check. A heartbeat changes nothing here: the check
+  /// finds it and moves on, so that a tick touches only what is due.
+  std::set<std::pair<core::Time, core::NodeId>> silence_checks;
   std::uint64_t members_version = 1;
   /// Members that went, with the version at which they did.
   std::deque<std::pair<std::uint64_t, core::NodeId>> gone;
   /// Members in the order of a hash, from which samples are taken.
   std::map<std::pair<std::uint64_t, core::NodeId>, core::NodeId> ring;
+  /// Rises with every change of a member that may change the choice of homes.
+  std::uint64_t candidates_version = 1;
+  HomeChoice homes;
   std::uint64_t next_home = 0;
 
   // Requests.
