Daemons, Http: name status codes once; share main and reload of the daemons

Cause: seven files named the same status codes for themselves, and the two daemons had the same main program and the same answer to SIGHUP. Change: http/status.h, daemons/daemon_main.h, daemons/policy_reload.h. Behaviour is the same. Tests: daemons_test, ctl_test, platform_test and http_test passed.

--- a/ctl/operator_commands.cc
+++ b/ctl/operator_commands.cc
@@ -8,13 +8,13 @@
 #include "answer_body.h"
 #include "tarragon/ctl/exit_code.h"
 #include "tarragon/ctl/table.h"
+#include "tarragon/http/status.h"
 
 namespace tarragon::ctl {
 namespace {
 
 /// Pause before a note whose answer was lost goes out again.
 constexpr std::chrono::milliseconds kRetryPause{500};
-constexpr int kStatusNotFound = 404;
 constexpr char kStandardInput[] = "-";
 
 http::Request OperatorRequest(const Options& options, std::string method,
@@ -165,7 +165,7 @@
       OperatorRequest(options, "GET", "/v1/explain/" + options.argument),
       options.timeout, &error);
   if (!response) return ReportNoAnswer(error, output);
-  if (response->status == kStatusNotFound) {
+  if (response->status == http::kStatusNotFound) {
     if (options.json) output.out << WithLineEnd(response->body);
     output.err << TextOf(ParseObject(response->body), "detail") << "\n";
     return kExitJobNotRun;
--- a/daemons/agent_daemon.cc
+++ b/daemons/agent_daemon.cc
@@ -9,6 +9,7 @@
 #include "job_json.h"
 #include "message_limits.h"
 #include "open_work.h"
+#include "policy_reload.h"
 #include "process_runner.h"
 #include "target_runner.h"
 #include "tarragon/core/exit_code.h"
@@ -16,15 +17,12 @@
 #include "tarragon/daemons/policy_settings.h"
 #include "tarragon/dispatch/agent.h"
 #include "tarragon/http/server.h"
+#include "tarragon/http/status.h"
 #include "tarragon/wire/transport.h"
 
 namespace tarragon::daemons {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusUnavailable = 503;
 /// Connections to the pages of one agent.
 constexpr std::size_t kMaxPageConnections = 64;
 
@@ -123,7 +121,9 @@
     events.tick = [this]() { Tick(); };
     events.stop = [this]() { Stop(); };
     events.abort = [this]() { Abort(); };
-    events.reload = [this]() { Reload(); };
+    events.reload = [this]() {
+      ReloadPolicy(settings_, reload_(), AgentLog(), &board_.policy);
+    };
     process_ = std::make_unique<ProcessRunner>(io_, std::move(events));
     AgentLog().Info("Started.", {{"node", core::ToString(*self)},
                                  {"domain", board_.domain}});
@@ -168,22 +168,24 @@
   }
 
   http::Handler TargetHandler() {
-    return [this](const http::Request& request,
-                  const http::Responder& respond) {
-      if (request.method != "POST" || request.path != "/v1/announce") {
-        respond(ErrorResponse(kStatusNotFound, "not_found", "No such path."));
-        return;
-      }
-      RequestError error;
-      const std::optional<dispatch::Target> target =
-          ParseAnnouncement(request.body, &error);
-      if (!target.has_value()) {
-        respond(ErrorResponse(kStatusBadRequest, "bad_request", error.detail));
-        return;
-      }
-      Announce(*target);
-      respond(http::Response{});
-    };
+    return
+        [this](const http::Request& request, const http::Responder& respond) {
+          if (request.method != "POST" || request.path != "/v1/announce") {
+            respond(ErrorResponse(http::kStatusNotFound, "not_found",
+                                  "No such path."));
+            return;
+          }
+          RequestError error;
+          const std::optional<dispatch::Target> target =
+              ParseAnnouncement(request.body, &error);
+          if (!target.has_value()) {
+            respond(ErrorResponse(http::kStatusBadRequest, "bad_request",
+                                  error.detail));
+            return;
+          }
+          Announce(*target);
+          respond(http::Response{});
+        };
   }
 
   void Announce(dispatch::Target target) {
@@ -200,24 +202,25 @@
   }
 
   http::Handler PagesHandler() {
-    return [this](const http::Request& request,
-                  const http::Responder& respond) {
-      if (request.path == "/metrics") {
-        respond(TextResponse(
-            kStatusOk,
-            metrics_.Page(board_, transport_.counters(), clock_.Now())));
-      } else if (request.path == "/healthz") {
-        respond(TextResponse(kStatusOk, "ok\n"));
-      } else if (request.path == "/readyz") {
-        const std::optional<std::string> reason =
-            NotReady(board_, clock_.Now());
-        respond(reason.has_value()
-                    ? TextResponse(kStatusUnavailable, *reason + "\n")
-                    : TextResponse(kStatusOk, "ok\n"));
-      } else {
-        respond(ErrorResponse(kStatusNotFound, "not_found", "No such path."));
-      }
-    };
+    return
+        [this](const http::Request& request, const http::Responder& respond) {
+          if (request.path == "/metrics") {
+            respond(TextResponse(
+                http::kStatusOk,
+                metrics_.Page(board_, transport_.counters(), clock_.Now())));
+          } else if (request.path == "/healthz") {
+            respond(TextResponse(http::kStatusOk, "ok\n"));
+          } else if (request.path == "/readyz") {
+            const std::optional<std::string> reason =
+                NotReady(board_, clock_.Now());
+            respond(reason.has_value()
+                        ? TextResponse(http::kStatusUnavailable, *reason + "\n")
+                        : TextResponse(http::kStatusOk, "ok\n"));
+          } else {
+            respond(ErrorResponse(http::kStatusNotFound, "not_found",
+                                  "No such path."));
+          }
+        };
   }
 
   TargetRunner::Ended TargetEnded() {
@@ -272,19 +275,6 @@
     transport_.Shutdown([this]() { io_.stop(); });
   }
 
-  void Reload() {
-    const std::optional<core::Settings> next = reload_();
-    if (!next.has_value()) {
-      AgentLog().Error("Kept the old settings.");
-      return;
-    }
-    for (const std::string& key : settings_.ChangedFixed(*next)) {
-      AgentLog().Warn("A setting needs a restart.", {{"key", key}});
-    }
-    board_.policy = ReadPolicy(*next);
-    AgentLog().Info("Read the settings again.");
-  }
-
   /// Carries out what the decisions ask for.
   void Flush() {
     std::vector<dispatch::AgentAction> actions;
--- a/daemons/client_api.cc
+++ b/daemons/client_api.cc
@@ -8,14 +8,13 @@
 
 #include "job_json.h"
 #include "tarragon/dispatch/entry.h"
+#include "tarragon/http/status.h"
 
 namespace tarragon::daemons {
 namespace {
 
 namespace json = boost::json;
 
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusNotFound = 404;
 constexpr char kHome[] = "/v1/home";
 constexpr char kJobs[] = "/v1/jobs";
 constexpr char kJobPrefix[] = "/v1/jobs/";
@@ -73,13 +72,13 @@
     return;
   }
   if (request.path.rfind(kJobPrefix, 0) != 0) {
-    respond(ErrorResponse(kStatusNotFound, "not_found", "No such path."));
+    respond(ErrorResponse(http::kStatusNotFound, "not_found", "No such path."));
     return;
   }
   const std::string key = request.path.substr(sizeof(kJobPrefix) - 1);
   const std::optional<core::Duration> wait = WaitOf(request);
   if (!IsKeyText(key) || !wait.has_value()) {
-    respond(ErrorResponse(kStatusBadRequest, "bad_request",
+    respond(ErrorResponse(http::kStatusBadRequest, "bad_request",
                           "The key or wait_ms is malformed."));
     return;
   }
@@ -120,7 +119,7 @@
                        const http::Responder& respond) {
   const std::string key = HeaderOf(request, "idempotency-key");
   if (!IsKeyText(key)) {
-    respond(ErrorResponse(kStatusBadRequest, "bad_request",
+    respond(ErrorResponse(http::kStatusBadRequest, "bad_request",
                           "Idempotency-Key must be 1 to 200 visible "
                           "characters."));
     return;
@@ -128,7 +127,8 @@
   RequestError error;
   std::optional<Submission> submission = ParseSubmission(request.body, &error);
   if (!submission.has_value()) {
-    respond(ErrorResponse(kStatusBadRequest, "bad_request", error.detail));
+    respond(
+        ErrorResponse(http::kStatusBadRequest, "bad_request", error.detail));
     return;
   }
   const core::ServiceId service = submission->spec.service;
--- /dev/null
+++ b/daemons/daemon_main.h
@@ -0,0 +1,57 @@
+#ifndef TARRAGON_DAEMONS_DAEMON_MAIN_H_
+#define TARRAGON_DAEMONS_DAEMON_MAIN_H_
+
+#include <boost/asio/io_context.hpp>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "tarragon/core/command_line.h"
+#include "tarragon/core/exit_code.h"
+#include "tarragon/core/log.h"
+#include "tarragon/daemons/checked_settings.h"
+
+namespace tarragon::daemons {
+
+/// What a daemon's main program tells of it.
+struct DaemonInfo {
+  core::ProgramInfo program;
+  /// All settings that it knows.
+  std::vector<core::SettingSpec> specs;
+  /// The section of its own settings.
+  std::string section;
+};
+
+/// Reads the command line and the settings, runs a `Daemon` until it ends, and
+/// returns the exit code of the process.
+template <typename Daemon>
+int RunDaemon(int argc, char* argv[], const DaemonInfo& info) {
+  int exit_code = core::kExitOk;
+  const std::optional<core::CommandLine> command =
+      core::ParseCommandLine(argc, argv, info.program, &exit_code);
+  if (!command.has_value()) return exit_code;
+  const std::optional<core::Settings> settings =
+      LoadChecked(*command, info.specs, info.section, &exit_code);
+  if (!settings.has_value()) return exit_code;
+
+  boost::asio::io_context io;
+  const auto reload = [&command, &info]() {
+    int ignored = core::kExitOk;
+    return LoadChecked(*command, info.specs, info.section, &ignored);
+  };
+  Daemon daemon(io, *settings, reload);
+  std::string reason;
+  if (!daemon.Start(&reason)) {
+    core::Log("main").Error("Cannot start.", {{"why", reason}});
+    return core::kExitFailure;
+  }
+  std::cout << daemon.ReadyLine() << std::endl;
+  io.run();
+  core::FlushLog();
+  return daemon.exit_code();
+}
+
+}  // namespace tarragon::daemons
+
+#endif  // TARRAGON_DAEMONS_DAEMON_MAIN_H_
--- a/daemons/entry_daemon.cc
+++ b/daemons/entry_daemon.cc
@@ -9,6 +9,7 @@
 #include "message_limits.h"
 #include "open_work.h"
 #include "operator_api.h"
+#include "policy_reload.h"
 #include "process_runner.h"
 #include "table_gateway.h"
 #include "tarragon/core/exit_code.h"
@@ -151,7 +152,9 @@
     events.tick = [this]() { Tick(); };
     events.stop = [this]() { Stop(); };
     events.abort = [this]() { Abort(); };
-    events.reload = [this]() { Reload(); };
+    events.reload = [this]() {
+      ReloadPolicy(settings_, reload_(), EntryLog(), &board_.policy);
+    };
     process_ = std::make_unique<ProcessRunner>(io_, std::move(events));
     EntryLog().Info("Started.", {{"node", core::ToString(*self)},
                                  {"domain", board_.domain}});
@@ -263,19 +266,6 @@
     transport_.Shutdown([this]() { io_.stop(); });
   }
 
-  void Reload() {
-    const std::optional<core::Settings> next = reload_();
-    if (!next.has_value()) {
-      EntryLog().Error("Kept the old settings.");
-      return;
-    }
-    for (const std::string& key : settings_.ChangedFixed(*next)) {
-      EntryLog().Warn("A setting needs a restart.", {{"key", key}});
-    }
-    board_.policy = ReadPolicy(*next);
-    EntryLog().Info("Read the settings again.");
-  }
-
   /// Carries out what the decisions ask for.
   void Flush() {
     std::vector<dispatch::EntryAction> actions;
--- a/daemons/job_json.cc
+++ b/daemons/job_json.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "json_reader.h"
+#include "tarragon/http/status.h"
 
 namespace tarragon::daemons {
 namespace {
@@ -13,7 +14,6 @@
 using dispatch::Outcome;
 using dispatch::Reason;
 
-constexpr int kStatusMethod = 405;
 constexpr std::size_t kMaxDepth = 8;
 constexpr std::size_t kMaxPayload = std::size_t{64} * 1024;
 constexpr std::size_t kMaxName = 64;
@@ -187,8 +187,8 @@
 }
 
 http::Response MethodResponse(const std::string& allowed) {
-  http::Response response =
-      ErrorResponse(kStatusMethod, "method", "Use " + allowed + ".");
+  http::Response response = ErrorResponse(http::kStatusMethodNotAllowed,
+                                          "method", "Use " + allowed + ".");
   response.headers["allow"] = allowed;
   return response;
 }
--- a/daemons/operator_api.cc
+++ b/daemons/operator_api.cc
@@ -8,15 +8,12 @@
 #include "state_json.h"
 #include "tarragon/core/log.h"
 #include "tarragon/dispatch/entry.h"
+#include "tarragon/http/status.h"
 #include "tarragon/platform/note_parser.h"
 
 namespace tarragon::daemons {
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusUnauthorized = 401;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusUnavailable = 503;
 constexpr char kNotes[] = "/v1/notes";
 constexpr char kNote[] = "/v1/note";
 constexpr char kState[] = "/v1/state";
@@ -90,17 +87,18 @@
     return true;
   }
   if (request.path == "/metrics") {
-    respond(TextResponse(kStatusOk, metrics_()));
+    respond(TextResponse(http::kStatusOk, metrics_()));
     return true;
   }
   if (request.path == "/healthz") {
-    respond(TextResponse(kStatusOk, "ok\n"));
+    respond(TextResponse(http::kStatusOk, "ok\n"));
     return true;
   }
   const std::optional<std::string> reason =
       dispatch::NotReady(*board_, clock_->Now());
-  respond(reason.has_value() ? TextResponse(kStatusUnavailable, *reason + "\n")
-                             : TextResponse(kStatusOk, "ok\n"));
+  respond(reason.has_value()
+              ? TextResponse(http::kStatusUnavailable, *reason + "\n")
+              : TextResponse(http::kStatusOk, "ok\n"));
   return true;
 }
 
@@ -116,13 +114,13 @@
   if (!Authorized(request)) {
     OperatorLog().Warn("Refused a call without the token.",
                        {{"peer", request.peer}});
-    respond(ErrorResponse(kStatusUnauthorized, "unauthorized",
+    respond(ErrorResponse(http::kStatusUnauthorized, "unauthorized",
                           "A valid bearer token is needed."));
     return;
   }
   const std::string allowed = AllowedMethod(request.path);
   if (allowed.empty()) {
-    respond(ErrorResponse(kStatusNotFound, "not_found", "No such call."));
+    respond(ErrorResponse(http::kStatusNotFound, "not_found", "No such call."));
   } else if (request.method != allowed) {
     respond(MethodResponse(allowed));
   } else {
@@ -171,7 +169,7 @@
 void OperatorApi::Explain(const std::string& key,
                           const http::Responder& respond) {
   if (!IsKeyText(key)) {
-    respond(ErrorResponse(kStatusNotFound, "not_found", "No such key."));
+    respond(ErrorResponse(http::kStatusNotFound, "not_found", "No such key."));
     return;
   }
   const std::uint64_t number = dispatch::OnClientRequest(
@@ -189,7 +187,7 @@
       dispatch::OnOperatorRemoveEntry(board_, clock_->Now(), dead);
   flush_();
   if (!removed) {
-    respond(ErrorResponse(kStatusNotFound, "not_found",
+    respond(ErrorResponse(http::kStatusNotFound, "not_found",
                           "No such entry is registered."));
     return;
   }
--- a/daemons/state_json.cc
+++ b/daemons/state_json.cc
@@ -4,6 +4,7 @@
 
 #include "job_json.h"
 #include "tarragon/dispatch/entry.h"
+#include "tarragon/http/status.h"
 
 namespace tarragon::daemons {
 namespace {
@@ -11,7 +12,6 @@
 namespace json = boost::json;
 using dispatch::NoteState;
 
-constexpr int kStatusNotFound = 404;
 /// What the decisions say of a key that they do not know.
 constexpr char kNoSuchJob[] = "No job is known under this key.";
 
@@ -168,7 +168,7 @@
 http::Response ExplainResponse(const std::string& key,
                                const std::vector<std::string>& lines) {
   if (lines.size() == 1 && lines.front() == kNoSuchJob) {
-    return ErrorResponse(kStatusNotFound, "unknown_key", lines.front());
+    return ErrorResponse(http::kStatusNotFound, "unknown_key", lines.front());
   }
   http::Response response;
   response.body =
--- a/daemons/target_runner.cc
+++ b/daemons/target_runner.cc
@@ -4,14 +4,13 @@
 #include <utility>
 
 #include "tarragon/core/log.h"
+#include "tarragon/http/status.h"
 
 namespace tarragon::daemons {
 namespace {
 
 using dispatch::TargetEnd;
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusUnavailable = 503;
 /// Idle connections to the target; it allows about 60.
 constexpr std::size_t kIdleConnections = 32;
 constexpr core::Duration kStopTimeout = std::chrono::seconds(2);
@@ -53,10 +52,10 @@
     const bool too_large = error.kind == http::HttpErrorKind::kTooLarge;
     return too_large ? TargetEnd::kFailed : TargetEnd::kUnknown;
   }
-  const bool refused = response->status == kStatusUnavailable &&
+  const bool refused = response->status == http::kStatusUnavailable &&
                        Header(*response, kNotStartedHeader) == "1";
   if (refused) return TargetEnd::kNotStarted;
-  if (response->status != kStatusOk) return TargetEnd::kFailed;
+  if (response->status != http::kStatusOk) return TargetEnd::kFailed;
   return IsAnswerTo(*response, ref) ? TargetEnd::kOk : TargetEnd::kUnknown;
 }
 
--- a/tests/standins/platform_standin_table.cc
+++ b/tests/standins/platform_standin_table.cc
@@ -5,18 +5,13 @@
 #include <chrono>
 #include <utility>
 
+#include "tarragon/http/status.h"
+
 namespace tarragon::standins {
 namespace {
 
 namespace json = boost::json;
 
-constexpr int kOk = 200;
-constexpr int kNotModified = 304;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kMethodNotAllowed = 405;
-constexpr int kPreconditionFailed = 412;
-constexpr int kUnavailable = 503;
 /// Tells the server to close the connection without an answer.
 constexpr int kCloseUnanswered = 0;
 constexpr std::string_view kPrefix = "/v1/tables/";
@@ -116,7 +111,7 @@
     return respond(StatsPage());
   }
   const std::optional<RowName> name = ReadPath(request.path);
-  if (!name) return respond(Status(kNotFound));
+  if (!name) return respond(Status(http::kStatusNotFound));
   if (!name->key) return respond(List(name->table));
   HandleRow(name->table, *name->key, request, respond);
 }
@@ -132,7 +127,7 @@
     case FaultMode::kDown:
       return respond(Status(kCloseUnanswered));
     case FaultMode::kRefuse:
-      return respond(Status(kUnavailable));
+      return respond(Status(http::kStatusUnavailable));
     case FaultMode::kLoseReply:
       Apply(table, key, request);
       return respond(Status(kCloseUnanswered));
@@ -169,18 +164,18 @@
   }
   if (request.method == "PUT") return Put(&rows, key, request);
   if (request.method == "DELETE") return Delete(&rows, key, request);
-  return Status(kMethodNotAllowed);
+  return Status(http::kStatusMethodNotAllowed);
 }
 
 http::Response PlatformStandin::Get(const Row* row,
                                     const http::Request& request) {
   ++stats_.reads;
-  if (row == nullptr) return Status(kNotFound);
+  if (row == nullptr) return Status(http::kStatusNotFound);
   const std::string tag = Tag(row->version);
   http::Response response;
   response.headers["ETag"] = tag;
   if (Header(request, "if-none-match") == tag) {
-    response.status = kNotModified;
+    response.status = http::kStatusNotModified;
     return response;
   }
   response.content_type = "application/octet-stream";
@@ -193,18 +188,18 @@
   const Rows::const_iterator found = rows->find(key);
   const std::string match = Header(request, "if-match");
   const bool insert = Header(request, "if-none-match") == "*";
-  if (insert == !match.empty()) return Status(kBadRequest);
+  if (insert == !match.empty()) return Status(http::kStatusBadRequest);
   const bool holds =
       insert ? found == rows->end()
              : found != rows->end() && match == Tag(found->second.version);
   if (!holds) {
     ++stats_.conflicts;
-    return Status(kPreconditionFailed);
+    return Status(http::kStatusPreconditionFailed);
   }
   ++stats_.writes;
   ++last_version_;
   (*rows)[key] = {request.body, last_version_};
-  http::Response response = Status(kOk);
+  http::Response response = Status(http::kStatusOk);
   response.headers["ETag"] = Tag(last_version_);
   return response;
 }
@@ -213,15 +208,15 @@
                                        const http::Request& request) {
   const Rows::const_iterator found = rows->find(key);
   const std::string match = Header(request, "if-match");
-  if (match.empty()) return Status(kBadRequest);
-  if (found == rows->end()) return Status(kNotFound);
+  if (match.empty()) return Status(http::kStatusBadRequest);
+  if (found == rows->end()) return Status(http::kStatusNotFound);
   if (match != Tag(found->second.version)) {
     ++stats_.conflicts;
-    return Status(kPreconditionFailed);
+    return Status(http::kStatusPreconditionFailed);
   }
   ++stats_.writes;
   rows->erase(found);
-  return Status(kOk);
+  return Status(http::kStatusOk);
 }
 
 http::Response PlatformStandin::List(const std::string& table) const {
@@ -236,9 +231,9 @@
 
 http::Response PlatformStandin::ReadFault(const http::Request& request) {
   const std::optional<Fault> fault = ParseFault(request.body);
-  if (!fault) return Status(kBadRequest);
+  if (!fault) return Status(http::kStatusBadRequest);
   fault_ = *fault;
-  return Status(kOk);
+  return Status(http::kStatusOk);
 }
 
 http::Response PlatformStandin::StatsPage() const {
