--- a/dispatch/entry_members.cc
+++ b/dispatch/entry_members.cc
@@ -12,8 +12,9 @@
 /// Removals that are remembered; an agent that is further behind gets the
 /// whole list.
 constexpr std::size_t kGoneMemory = 1000;
-/// A change of the failure share below this is not told, in thousandths.
+/// Changes of the shares below these are not told, in thousandths.
 constexpr std::uint32_t kFailureStep = 100;
+constexpr std::uint32_t kLateStep = 200;
 
 std::pair<std::uint64_t, core::NodeId> RingKey(const core::NodeId& node) {
   return {std::hash<std::string>()(node.address.value()), node};
@@ -25,15 +26,16 @@
          a.leaving != b.leaving;
 }
 
+std::uint32_t Change(std::uint32_t a, std::uint32_t b) {
+  return a > b ? a - b : b - a;
+}
+
 /// True when the other agents must learn of the difference.
 bool Differs(const AgentStatus& a, const AgentStatus& b) {
-  const std::uint32_t failure_change =
-      a.failure_permille > b.failure_permille
-          ? a.failure_permille - b.failure_permille
-          : b.failure_permille - a.failure_permille;
   return DiffersAsHome(a, b) || a.load.slots != b.load.slots ||
          a.cores != b.cores || a.memory_mb != b.memory_mb ||
-         failure_change >= kFailureStep;
+         Change(a.failure_permille, b.failure_permille) >= kFailureStep ||
+         Change(a.late_permille, b.late_permille) >= kLateStep;
 }
 
 /// The members told to `node`: all, or its neighbours on the ring.
@@ -99,10 +101,12 @@
     CheckSilenceAt(board, &known, now + board->policy.member_timeout);
     return;
   }
-  // The failure share told last stays the one that changes are measured by.
-  const std::uint32_t told = known.status.failure_permille;
+  // The shares told last stay those that changes are measured by.
+  const std::uint32_t told_failure = known.status.failure_permille;
+  const std::uint32_t told_late = known.status.late_permille;
   known.status = status;
-  known.status.failure_permille = told;
+  known.status.failure_permille = told_failure;
+  known.status.late_permille = told_late;
 }
 
 /// Agents do not need the ids of notes, by which entries know a repeated one.
