Dispatch: count no stopped task as a failure of its target

Cause: when a task of a job fails, the job's other tasks are stopped where they run; their ends counted as failures there. So a target that failed everything made its peers look bad: healthy ones were ejected, took up the quarter that may be ejected, and the failing one stayed. A wave of cancellations does the same. Found with the count of healthy ejections.

Ruled out: the new detection of slow targets; late_factor=0 shows the same.

Change: an execution remembers that its target was told to stop it, and its end does not count.

Tests: EjectionTest::CountsNoStoppedTasks and SimulationTest::BlamesNoTargetForStoppedTasks fail before and pass after.

--- a/dispatch/executor_gate.cc
+++ b/dispatch/executor_gate.cc
@@ -106,6 +106,7 @@
   execution.service = assign.service;
   execution.tenant = assign.tenant;
   execution.started = now;
+  execution.stopped = false;
   execution.waiting.reset();
   ++board->running;
   ++board->counters.starts;
@@ -230,7 +231,10 @@
     return;
   }
   if (execution.state == ExecutionState::kConfirmed) return;
-  if (seal.stop) board->actions.emplace_back(StopTask{seal.ref});
+  if (seal.stop) {
+    execution.stopped = true;
+    board->actions.emplace_back(StopTask{seal.ref});
+  }
   Post(board, home, Started{seal.ref, MakeLoad(board, now, home)});
 }
 
@@ -271,7 +275,7 @@
     return;
   }
   const core::Duration run_time = now - execution.started;
-  RecordEnd(board, ok, run_time);
+  if (!execution.stopped) RecordEnd(board, ok, run_time);
   // At once: until the next tick a target that fails within a millisecond would
   // take one task after the other.
   ReviewEjection(board, now);
--- a/dispatch/include/tarragon/dispatch/agent_board.h
+++ b/dispatch/include/tarragon/dispatch/agent_board.h
@@ -149,6 +149,8 @@
   core::ServiceId service;
   core::TenantId tenant;
   core::Time started;
+  /// The target was told to stop it; its end says nothing of the target.
+  bool stopped = false;
   /// When a running task is late, to repeat the end, or to forget the record;
   /// also in the board's index. A running task that is late has none.
   core::Time due = core::kNever;
--- a/dispatch/tests/ejection_test.cc
+++ b/dispatch/tests/ejection_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(EjectsNobodyAmongFew);
   CPPUNIT_TEST(TriesOneTaskAtATime);
   CPPUNIT_TEST(ReturnsAfterSuccesses);
+  CPPUNIT_TEST(CountsNoStoppedTasks);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -49,6 +50,20 @@
     CPPUNIT_ASSERT(!board_.health.ejected);
   }
 
+  /// A wave of cancellations says nothing of the target.
+  void CountsNoStoppedTasks() {
+    AnnounceTarget(4);
+    Admit(MakeWorld(1), Others({0, 0, 0}));
+    for (std::uint32_t i = 0; i < 10; ++i) {
+      const Assign assign = MakeAssign("key" + std::to_string(i), 1);
+      Receive(kOtherNode, assign);
+      Receive(kOtherNode, Seal{assign.ref, true});
+      OnTargetEnd(&board_, now_, assign.ref, TargetEnd::kFailed, "");
+    }
+    CPPUNIT_ASSERT_EQUAL(0U, FailurePermille(board_.health));
+    CPPUNIT_ASSERT(!board_.health.ejected);
+  }
+
  private:
   static std::vector<AgentStatus> Others(
       const std::vector<std::uint32_t>& failures) {
--- a/simulate/tests/simulation_test.cc
+++ b/simulate/tests/simulation_test.cc
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(WastesFewMessages);
   CPPUNIT_TEST(RefusesAtOnceUnderOverload);
   CPPUNIT_TEST(EjectsATargetThatFailsEverything);
+  CPPUNIT_TEST(BlamesNoTargetForStoppedTasks);
   CPPUNIT_TEST(EjectsATargetThatLingers);
   CPPUNIT_TEST(EjectsNoHealthyTarget);
   CPPUNIT_TEST(EjectsNobodyWhenAllLinger);
@@ -162,6 +163,16 @@
     CPPUNIT_ASSERT(with * 5 < without);
   }
 
+  /// The other tasks of a job that failed are stopped where they run.
+  void BlamesNoTargetForStoppedTasks() {
+    for (const std::uint64_t seed : kSeeds) {
+      Scenario scenario =
+          MakeScenario("kaptafa", 700, seed, std::chrono::seconds(40));
+      scenario.fault = Fault::kTargetFails;
+      CPPUNIT_ASSERT(core::Duration(0) == Simulate(scenario).healthy_ejected);
+    }
+  }
+
   /// Fewer tasks wait at the slow target, and no other target is blamed.
   void EjectsATargetThatLingers() {
     for (const std::uint64_t seed : kSeeds) {
