--- a/dispatch/entry_requests.cc
+++ b/dispatch/entry_requests.cc
@@ -78,6 +78,9 @@
 
 void SendToHome(EntryBoard* board, core::Time now, std::uint64_t number) {
   EntryRequest& request = board->requests.at(number);
+  const core::NodeId route = RouteOf(*board, request);
+  if (route != request.home) request.lost_since.reset();
+  request.home = route;
   // Until the home confirms it: the first copy may have been lost with the
   // connection, and the home confirms only a repeated one.
   request.resend_at =
@@ -143,7 +146,7 @@
     return;
   }
   request.spec.key = core::JobKey(key_text);
-  request.home = handle->home;
+  request.origin = handle->home;
   SendToHome(board, now, number);
 }
 
@@ -269,7 +272,7 @@
       return;
     }
     request.spec.key = core::JobKey(reply.text);
-    request.home = handle->home;
+    request.origin = handle->home;
     SendToHome(board, now, number);
     return;
   }
@@ -334,10 +337,18 @@
   }
 }
 
-void RequestsPeerGone(EntryBoard* board, const core::NodeId& peer) {
+void RequestsPeerGone(EntryBoard* board, core::Time now,
+                      const core::NodeId& peer) {
   std::vector<std::uint64_t> gone;
-  for (const auto& [number, request] : board->requests) {
-    if (request.home == peer) gone.push_back(number);
+  for (auto& [number, request] : board->requests) {
+    if (request.home != peer || !request.sent) continue;
+    const bool has_heir = RouteOf(*board, request) != peer;
+    if (!has_heir && !MayHaveHeir(*board, now, peer)) {
+      gone.push_back(number);
+      continue;
+    }
+    if (!request.lost_since.has_value()) request.lost_since = now;
+    request.resend_at = has_heir ? now : now + board->policy.resubmit_interval;
   }
   for (const std::uint64_t number : gone) GiveUp(board, number);
 }
