--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	clang-format -i $(SOURCES)
 
 lint: deps
-	clang-format --dry-run --Werror $(SOURCES)
+	@clang-format --dry-run --Werror $(SOURCES)
 	bash scripts/lint.sh
 
 asan: deps
--- a/daemons/agent_metrics.cc
+++ b/daemons/agent_metrics.cc
@@ -41,6 +41,8 @@
     {"active_jobs", MetricKind::kGauge, "Jobs open at this home."},
     {"kept_jobs", MetricKind::kGauge, "Jobs remembered at this home."},
     {"held_bytes", MetricKind::kGauge, "Payloads and answers held."},
+    {"inherited_homes", MetricKind::kGauge,
+     "Stopped homes for whose keys this agent answers."},
     {"peers", MetricKind::kGauge, "Agents known here."},
     {"note_version", MetricKind::kGauge, "Version of the note in force here."},
     {"ejected", MetricKind::kGauge,
@@ -107,6 +109,8 @@
   registry_.Set("active_jobs", {}, static_cast<double>(board.active.size()));
   registry_.Set("kept_jobs", {}, static_cast<double>(board.jobs.size()));
   registry_.Set("held_bytes", {}, static_cast<double>(board.bytes_held));
+  registry_.Set("inherited_homes", {},
+                static_cast<double>(board.inherited.size()));
   registry_.Set("peers", {}, static_cast<double>(board.peers.size()));
   registry_.Set("note_version", {},
                 static_cast<double>(board.world.version.value()));
--- a/simulate/simulation.cc
+++ b/simulate/simulation.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "fake_table.h"
+#include "fault_window.h"
 #include "tarragon/bench/client_answer.h"
 #include "tarragon/bench/run_result.h"
 #include "tarragon/dispatch/agent.h"
@@ -59,13 +60,6 @@
   std::map<std::string, std::uint64_t> sent;
 };
 
-/// A task as it ran at a target.
-struct RunInterval {
-  std::size_t worker = 0;
-  Time from;
-  Time to;
-};
-
 class Simulation {
  public:
   explicit Simulation(const Scenario& scenario)
@@ -93,10 +87,8 @@
   void Answer(const dispatch::AnswerClient& answer);
   void ApplyDomain(bool in_service, const std::string& id);
   void Kill(std::size_t index);
-  bool FaultActive(Fault fault, std::size_t index) const;
+  bool Struck(Fault fault, std::size_t index) const;
   std::vector<bench::ProcessReport> Processes() const;
-  bool Remains(std::size_t index) const;
-  double FaultWindowUse() const;
 
   const Scenario& scenario_;
   FakeTable table_;
@@ -166,7 +158,7 @@
   dispatch::OnTick(&workers_[index]->board, now_);
   FlushWorker(index);
   const bool ejected = workers_[index]->board.health.ejected;
-  if (ejected && Remains(index)) healthy_ejected_ += kTick;
+  if (ejected && Remains(scenario_, index)) healthy_ejected_ += kTick;
   At(now_ + kTick, [this, index]() { TickWorker(index); });
 }
 
@@ -287,11 +279,8 @@
   });
 }
 
-bool Simulation::FaultActive(Fault fault, std::size_t index) const {
-  const bool hit = index == 0 || fault == Fault::kAllLinger;
-  return scenario_.fault == fault && hit &&
-         now_ >= begin_ + scenario_.fault_from &&
-         now_ < begin_ + scenario_.fault_to;
+bool Simulation::Struck(Fault fault, std::size_t index) const {
+  return FaultActive(scenario_, begin_, now_, fault, index);
 }
 
 void Simulation::RunTask(std::size_t index, const dispatch::RunTask& task) {
@@ -300,12 +289,12 @@
                   task.payload.data() + task.payload.size(), micros);
   Duration run(micros);
   dispatch::TargetEnd end = dispatch::TargetEnd::kOk;
-  if (FaultActive(Fault::kTargetFails, index)) {
+  if (Struck(Fault::kTargetFails, index)) {
     run = std::chrono::milliseconds(1);
     end = dispatch::TargetEnd::kFailed;
   }
-  const bool lingers = FaultActive(Fault::kTargetLingers, index) ||
-                       FaultActive(Fault::kAllLinger, index);
+  const bool lingers =
+      Struck(Fault::kTargetLingers, index) || Struck(Fault::kAllLinger, index);
   if (lingers) run *= kLingerFactor;
   intervals_.push_back(RunInterval{index, now_, now_ + run});
   At(now_ + run, [this, index, ref = task.ref, end]() {
@@ -384,38 +373,6 @@
   return reports;
 }
 
-/// The fault leaves this worker useful.
-bool Simulation::Remains(std::size_t index) const {
-  switch (scenario_.fault) {
-    case Fault::kNone:
-    case Fault::kAllLinger:
-      return true;
-    case Fault::kDomainOut:
-      return index % scenario_.domains != 0;
-    default:
-      return index != 0;
-  }
-}
-
-double Simulation::FaultWindowUse() const {
-  const Time from = begin_ + scenario_.fault_from;
-  const Time to = begin_ + scenario_.fault_to;
-  double used = 0;
-  for (const RunInterval& interval : intervals_) {
-    if (!Remains(interval.worker)) continue;
-    const Duration overlap =
-        std::min(interval.to, to) - std::max(interval.from, from);
-    if (overlap.count() > 0) used += static_cast<double>(overlap.count());
-  }
-  std::size_t remaining = 0;
-  for (std::size_t i = 0; i < workers_.size(); ++i) {
-    if (Remains(i)) ++remaining;
-  }
-  const double slots =
-      static_cast<double>(remaining * scenario_.plan.preset.slots_per_target);
-  return used / (slots * static_cast<double>((to - from).count()));
-}
-
 Result Simulation::Run() {
   StartEntry();
   for (std::size_t i = 0; i < scenario_.plan.preset.targets; ++i) {
@@ -432,7 +389,8 @@
     event.run();
   }
   return Result{bench::BuildReport(scenario_.plan, result_, Processes()),
-                FaultWindowUse(), healthy_ejected_};
+                FaultWindowUse(scenario_, begin_, workers_.size(), intervals_),
+                healthy_ejected_};
 }
 
 }  // namespace
