--- a/capacity/world_slopes.cc
+++ b/capacity/world_slopes.cc
@@ -9,7 +9,7 @@
 #include "tarragon/capacity/slopes.h"
 #include "tarragon/dispatch/entry.h"
 #include "tarragon/dispatch/note.h"
-#include "tarragon/platform/world_codec.h"
+#include "tarragon/notes/world_codec.h"
 #include "tarragon/wire/codec.h"
 
 namespace tarragon::capacity {
@@ -56,7 +56,7 @@
 
 /// An entry reads the row, applies a note and writes the row.
 double NoteMicros(const dispatch::World& world) {
-  const std::string row = platform::EncodeWorld(world);
+  const std::string row = notes::EncodeWorld(world);
   dispatch::ReleaseNote note;
   note.id = core::NoteId("2026-12-04-next");
   note.base = world.version;
@@ -64,8 +64,8 @@
   const double before = CpuMicros();
   for (int i = 0; i < kRepeats; ++i) {
     const std::optional<dispatch::World> read =
-        platform::DecodeWorld(row, nullptr);
-    platform::EncodeWorld(*dispatch::ApplyNote(*read, note, nullptr));
+        notes::DecodeWorld(row, nullptr);
+    notes::EncodeWorld(*dispatch::ApplyNote(*read, note, nullptr));
   }
   return (CpuMicros() - before) / kRepeats;
 }
@@ -92,7 +92,7 @@
     tenant_bytes.points.push_back({x, WireBytes(plain)});
     tenant_cpu.points.push_back({x, CodecMicros(full)});
     row.points.push_back(
-        {x, static_cast<double>(platform::EncodeWorld(full).size())});
+        {x, static_cast<double>(notes::EncodeWorld(full).size())});
     note.points.push_back({x, NoteMicros(full)});
   }
   Slope domain_bytes{"world", "bytes in a permit", "domains", "bytes", {},
--- a/cmake/tarragon.cmake
+++ b/cmake/tarragon.cmake
@@ -11,6 +11,9 @@
 
 # tarragon_test(NAME SOURCES...): the one test program of the library NAME.
 function(tarragon_test name)
+  if(NOT TARRAGON_TESTS)
+    return()
+  endif()
   add_executable(${name}_test ${ARGN} ${CMAKE_SOURCE_DIR}/core/tests/test_main.cc)
   target_link_libraries(${name}_test PRIVATE tarragon_${name} tarragon_core ${CPPUNIT_LIBRARY})
   target_include_directories(${name}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
--- /dev/null
+++ b/coordinator/admission.cc
@@ -0,0 +1,123 @@
+#include "admission.h"
+
+#include <algorithm>
+
+#include "placing.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+/// With nothing of its own running an entry counts on this part of the room.
+constexpr double kLeastShare = 0.1;
+/// Retry-After is spread over this time, so that refused clients do not come
+/// back at once.
+constexpr core::Duration kRetrySpread = std::chrono::seconds(2);
+
+struct RoomSeen {
+  /// Of usable targets that serve the service.
+  double capacity = 0;
+  /// Taken by the runs of this entry.
+  double own = 0;
+  bool any_usable = false;
+  bool any_known = false;
+};
+
+RoomSeen SeeRoom(const JobBoard& board, core::Time now,
+                 const core::ServiceId& service) {
+  RoomSeen seen;
+  for (const auto& [address, gate] : board.gates) {
+    if (!gate.report.has_value() || gate.report->service != service) continue;
+    seen.any_known = true;
+    for (const auto& [ref, placed] : gate.runs) {
+      seen.own += static_cast<double>(placed.room.millicores);
+    }
+    if (!IsUsable(board, now, gate)) continue;
+    seen.any_usable = true;
+    seen.capacity += static_cast<double>(gate.report->capacity.millicores);
+  }
+  return seen;
+}
+
+bool CanEverFit(const JobBoard& board, const core::ServiceId& service,
+                const StepSpec& step) {
+  for (const auto& [address, gate] : board.gates) {
+    if (!gate.report.has_value() || gate.report->service != service) continue;
+    if (Fits(step.room, gate.report->capacity) &&
+        HasLabel(*gate.report, step.required)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+double Seconds(core::Duration duration) {
+  return static_cast<double>(duration.count()) / 1e6;
+}
+
+/// Millicore-seconds of the waiting tasks that come before `latest_start`.
+double WorkAhead(const JobBoard& board, core::Time latest_start) {
+  double work = 0;
+  for (const Waiting& each : board.waiting) {
+    if (each.late || each.latest_start > latest_start) break;
+    const Job& job = *board.jobs.at(each.job);
+    const StepSpec& step = job.request.steps[job.tasks[each.task].ref.step];
+    work += static_cast<double>(step.room.millicores) *
+            Seconds(ExpectedRun(board.run_times, job.queue.name,
+                                step.declared_run));
+  }
+  return work;
+}
+
+}  // namespace
+
+core::Duration RetryAfter(const JobBoard& board, core::Duration wait) {
+  const std::int64_t spread =
+      static_cast<std::int64_t>(board.random >> 20) % kRetrySpread.count();
+  return std::max(wait, board.policy.retry_floor) + core::Duration(spread);
+}
+
+Verdict Judge(const JobBoard& board, core::Time now, const Job& job) {
+  Verdict verdict;
+  if (board.stopping &&
+      now - board.stop_requested > board.policy.stop_accepting_after) {
+    verdict.refusal = Refusal::kStopping;
+    verdict.retry_after = board.policy.retry_floor;
+    return verdict;
+  }
+  const RoomSeen seen = SeeRoom(board, now, job.queue.service);
+  if (!seen.any_usable) {
+    verdict.refusal = Refusal::kNoTarget;
+    verdict.retry_after = RetryAfter(board, core::Duration(0));
+    return verdict;
+  }
+  for (const StepSpec& step : job.request.steps) {
+    if (CanEverFit(board, job.queue.service, step)) continue;
+    verdict.refusal = Refusal::kNeverFits;
+    return verdict;
+  }
+  if (board.waiting.empty()) return verdict;
+  const core::Duration chain = (job.objective - now) - job.queue.latency_target;
+  const core::Duration slack =
+      job.objective - now - chain * 1000 / job.queue.stretch_permille;
+  const double rate = std::max(seen.own, seen.capacity * kLeastShare);
+  const double seconds = WorkAhead(board, now + slack) / rate;
+  verdict.wait = core::Duration(static_cast<std::int64_t>(seconds * 1e6));
+  if (verdict.wait <= slack) return verdict;
+  verdict.refusal = Refusal::kOverload;
+  verdict.retry_after = RetryAfter(board, verdict.wait);
+  return verdict;
+}
+
+bool IsHopeless(const JobBoard& board, core::Time now, const Job& job) {
+  // Half of the time that a late answer has; the other half is for its run.
+  const core::Time limit =
+      job.objective + (job.useful_until - job.objective) / 2;
+  core::Duration longest{0};
+  for (const StepSpec& step : job.request.steps) {
+    longest = std::max(longest, ExpectedRun(board.run_times, job.queue.name,
+                                            step.declared_run));
+  }
+  return now + longest > std::min(limit, job.useful_until);
+}
+
+}  // namespace tarragon::coordinator
--- /dev/null
+++ b/coordinator/entry_parts.h
@@ -0,0 +1,68 @@
+#ifndef TARRAGON_COORDINATOR_ENTRY_PARTS_H_
+#define TARRAGON_COORDINATOR_ENTRY_PARTS_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tarragon/coordinator/entry.h"
+
+/// What the files of the coordinating entry share.
+
+namespace tarragon::coordinator {
+
+using Details = std::vector<std::pair<const char*, std::string>>;
+
+/// Notes a line for the log.
+void Tell(JobBoard* board, const char* sentence, std::string subject,
+          Details details);
+
+/// "12ms", for logs.
+std::string MillisText(core::Duration duration);
+
+/// Answers a call and forgets it.
+void Answer(JobBoard* board, CallId call, const ClientAnswer& answer);
+
+/// Ends a job: answers its calls, stops its runs and keeps its state. `why` is
+/// for the log.
+void EndJob(JobBoard* board, core::Time now, Job* job, JobState state,
+            const char* why);
+
+/// Refuses a job of which nothing has run.
+void RefuseJob(JobBoard* board, core::Time now, Job* job, Refusal refusal,
+               core::Duration retry_after);
+
+/// Gives up a job of which something has run: answers its calls and stops its
+/// runs. `why` is for the log.
+void GiveUpJob(JobBoard* board, core::Time now, Job* job, const char* why);
+
+/// Puts a task that may start into the queue.
+void Enqueue(JobBoard* board, core::Time now, Job* job, Task* task);
+
+/// Takes a task out of the queue.
+void Dequeue(JobBoard* board, const Job& job, const Task& task);
+
+/// Queues the tasks of all steps whose earlier steps are done.
+void Unblock(JobBoard* board, core::Time now, Job* job);
+
+/// What a task is expected to take.
+core::Duration ExpectedRun(const JobBoard& board, const Job& job,
+                           const Task& task);
+
+/// Places waiting tasks on free room, and gives up what has become useless.
+void PlaceWaiting(JobBoard* board, core::Time now);
+
+/// The run of a gate has ended, by word of the gate or by proof of time.
+void TakeEnd(JobBoard* board, core::Time now, GateLink* gate,
+             const RunEnded& ended);
+
+/// Asks a gate what has become of a run.
+void Ask(JobBoard* board, core::Time now, const GateLink& gate,
+         const RunRef& ref, Placed* placed);
+
+/// What every event ends with.
+void Settle(JobBoard* board, core::Time now);
+
+}  // namespace tarragon::coordinator
+
+#endif  // TARRAGON_COORDINATOR_ENTRY_PARTS_H_
--- /dev/null
+++ b/coordinator/gate_homes.cc
@@ -0,0 +1,242 @@
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "gate_parts.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+HomeLink& Heard(GateBoard* board, core::Time now, const core::NodeId& from) {
+  HomeLink& home = board->homes[from.address];
+  if (home.node != from) {
+    if (!home.node.address.value().empty()) {
+      StopRunsOf(board, now, home.node);
+    }
+    home = HomeLink{};
+    home.node = from;
+    home.confirmed = now;
+    home.report_due = true;
+    Tell(board, "An entry is there.", core::ToString(from), {});
+  } else if (!home.connected) {
+    home.report_due = true;
+    Tell(board, "An entry is reached again.", core::ToString(from), {});
+  }
+  home.connected = true;
+  home.heard = now;
+  return home;
+}
+
+bool TaskRuns(const GateBoard& board, const TaskRef& task) {
+  const auto at = board.runs.lower_bound(RunRef{task, 0});
+  return at != board.runs.end() && at->first.task == task;
+}
+
+RefusalReason CheckStart(const GateBoard& board, core::Time now,
+                         const StartRun& start) {
+  if (now > start.start_by) return RefusalReason::kStale;
+  if (board.past.contains(start.run)) return RefusalReason::kSealed;
+  if (TaskRuns(board, start.run.task)) return RefusalReason::kDuplicate;
+  if (board.operator_state.revision < start.operator_revision) {
+    return RefusalReason::kStale;
+  }
+  if (IsDrained(board.operator_state, board.domain)) {
+    return RefusalReason::kDomainOut;
+  }
+  if (!IsUsable(board, now)) return RefusalReason::kNoTarget;
+  const Announcement& said = board.target->said;
+  if (said.service != start.service) return RefusalReason::kWrongTarget;
+  const bool labelled = start.required.value().empty() ||
+                        std::find(said.labels.begin(), said.labels.end(),
+                                  start.required) != said.labels.end();
+  if (!labelled) return RefusalReason::kWrongTarget;
+  if (!Fits(start.room, FreeRoom(board))) return RefusalReason::kNoRoom;
+  return RefusalReason::kNone;
+}
+
+void Refuse(GateBoard* board, const core::NodeId& home, const RunRef& run,
+            RefusalReason reason) {
+  ++board->counts.refusals[reason];
+  Tell(board, "Refused a start.", ToString(run),
+       {{"reason", Name(reason)}, {"entry", core::ToString(home)}});
+  board->actions.push_back(SendTo<RunEnded>{
+      home, {run, RunEnd::kRefused, reason, core::Duration{0}}});
+}
+
+}  // namespace
+
+void MarkReports(GateBoard* board) {
+  for (auto& [address, home] : board->homes) home.report_due = true;
+}
+
+void SendReports(GateBoard* board, core::Time now) {
+  for (auto& [address, home] : board->homes) {
+    const core::Duration pause = now - home.report_sent;
+    const bool due = home.connected ? home.report_due ||
+                                          pause >= board->policy.notice_interval
+                                    : pause >= board->policy.reconnect_interval;
+    if (!due) continue;
+    home.report_due = false;
+    home.report_sent = now;
+    TargetReport report;
+    report.clock = now;
+    report.starts_seen = home.starts_seen;
+    report.usable = IsUsable(*board, now);
+    report.domain = board->domain;
+    report.operator_revision = board->operator_state.revision;
+    if (board->target.has_value()) {
+      report.runs_known = board->target->runs_known;
+      const Announcement& said = board->target->said;
+      report.target = said.target;
+      report.service = said.service;
+      report.labels = said.labels;
+      report.capacity = said.capacity;
+      report.free = FreeRoom(*board);
+    }
+    board->actions.push_back(
+        SendTo<TargetReport>{home.node, std::move(report)});
+  }
+}
+
+void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
+               const EntryNotice& notice) {
+  HomeLink& home = Heard(board, now, from);
+  home.operator_revision = notice.operator_revision;
+  if (notice.echo > home.confirmed) home.confirmed = notice.echo;
+  if (now - home.confirmed <= board->policy.home_silence && home.silenced) {
+    home.silenced = false;
+    Tell(board, "A silent entry is heard again.", core::ToString(from), {});
+  }
+  if (notice.operator_revision < board->operator_state.revision) {
+    board->actions.push_back(
+        SendTo<OperatorUpdate>{from, {board->operator_state}});
+  }
+  Settle(board, now);
+}
+
+void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
+               OperatorUpdate update) {
+  Heard(board, now, from);
+  if (update.state.revision <= board->operator_state.revision) return;
+  const bool was_drained = IsDrained(board->operator_state, board->domain);
+  Tell(board, "Took in a newer operator state.", core::ToString(from),
+       {{"revision", std::to_string(update.state.revision)},
+        {"old_revision", std::to_string(board->operator_state.revision)},
+        {"version", std::to_string(update.state.version)}});
+  board->operator_state = std::move(update.state);
+  const bool is_drained = IsDrained(board->operator_state, board->domain);
+  if (was_drained != is_drained) {
+    Tell(board, "The failure domain was taken out or back.",
+         board->domain.value(),
+         {{"out", is_drained ? "true" : "false"},
+          {"revision", std::to_string(board->operator_state.revision)}});
+  }
+  MarkReports(board);
+  Settle(board, now);
+}
+
+void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
+               StartRun start) {
+  HomeLink& home = Heard(board, now, from);
+  home.starts_seen = std::max(home.starts_seen, start.sequence);
+  home.report_due = true;
+  const RefusalReason reason = CheckStart(*board, now, start);
+  if (reason != RefusalReason::kNone) {
+    Refuse(board, from, start.run, reason);
+    return Settle(board, now);
+  }
+  Target& target = *board->target;
+  GateRun run;
+  run.room = start.room;
+  run.home = from;
+  run.ordered = now;
+  run.start_until = TargetClock(EstimateClock(target, now).value() +
+                                core::Millis(board->policy.lease_asked));
+  target.lease_until = std::max(target.lease_until, run.start_until);
+  board->runs[start.run] = run;
+  ++board->counts.starts;
+  MarkReports(board);
+  board->actions.push_back(OrderStart{target.said.address, target.said.target,
+                                      start.run, std::move(start.payload),
+                                      run.start_until});
+  Settle(board, now);
+}
+
+void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
+               const AskRun& ask) {
+  Heard(board, now, from);
+  // Nothing can be proved while the target's runs are not known: it may run
+  // there unseen. The entry asks again.
+  if (!board->target.has_value() || !board->target->runs_known) {
+    return Settle(board, now);
+  }
+  const auto past = board->past.find(ask.run);
+  if (past != board->past.end()) {
+    board->actions.push_back(SendTo<RunEnded>{from, past->second.ended});
+    return Settle(board, now);
+  }
+  const auto found = board->runs.find(ask.run);
+  if (found != board->runs.end()) {
+    GateRun& run = found->second;
+    run.home = from;
+    if (ask.stop) {
+      StopRun(board, now, ask.run, &run);
+    } else if (run.phase == RunPhase::kFound && !run.stop_wanted) {
+      run.phase = RunPhase::kRunning;
+      run.room = ask.room;
+      Tell(board, "An entry claimed a run that was found.", ToString(ask.run),
+           {{"entry", core::ToString(from)}});
+      MarkReports(board);
+    }
+    return Settle(board, now);
+  }
+  GateRun run;
+  run.phase = RunPhase::kSealing;
+  run.home = from;
+  run.ordered = now;
+  run.stop_wanted = true;
+  GateRun& sealing = board->runs[ask.run] = run;
+  SendStop(board, now, ask.run, &sealing);
+  Settle(board, now);
+}
+
+void OnEntryFound(GateBoard* board, core::Time now,
+                  const core::Address& address) {
+  if (board->homes.contains(address)) return;
+  HomeLink& home = board->homes[address];
+  home.node.address = address;
+  home.heard = now;
+  home.confirmed = now;
+  home.connected = false;
+  Tell(board, "Learned of an entry.", address.value(), {});
+  Settle(board, now);
+}
+
+void OnHomeLost(GateBoard* board, core::Time now, const core::NodeId& home) {
+  for (auto& [address, link] : board->homes) {
+    if (address != home.address) continue;
+    if (link.connected && link.node.incarnation.value() != 0) {
+      Tell(board, "Lost the connection to an entry.", core::ToString(link.node),
+           {{"silent", std::to_string(core::Millis(now - link.heard)) + "ms"}});
+    }
+    link.connected = false;
+  }
+}
+
+void OnHomeGone(GateBoard* board, core::Time now, const core::NodeId& home) {
+  StopRunsOf(board, now, home);
+  const auto found = board->homes.find(home.address);
+  if (found != board->homes.end() && found->second.node == home) {
+    Tell(board, "An entry is gone.", core::ToString(home), {});
+    board->homes.erase(found);
+  }
+  Settle(board, now);
+}
+
+void RequestStop(GateBoard* board, core::Time now) {
+  board->stopping = true;
+  MarkReports(board);
+  Settle(board, now);
+}
+
+}  // namespace tarragon::coordinator
--- /dev/null
+++ b/coordinator/gate_parts.h
@@ -0,0 +1,55 @@
+#ifndef TARRAGON_COORDINATOR_GATE_PARTS_H_
+#define TARRAGON_COORDINATOR_GATE_PARTS_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "tarragon/coordinator/gate.h"
+
+/// What the files of the gate share.
+
+namespace tarragon::coordinator {
+
+using Details = std::vector<std::pair<const char*, std::string>>;
+
+/// Notes a line for the log.
+void Tell(GateBoard* board, const char* sentence, std::string subject,
+          Details details);
+
+/// The target's clock now, as estimated. Never ahead of it by more than the
+/// difference of the clocks' rates.
+TargetClock EstimateClock(const Target& target, core::Time now);
+
+/// Removes the run, remembers its end and tells its entry.
+void EndRun(GateBoard* board, core::Time now, const RunRef& run, RunEnd end,
+            RefusalReason reason);
+
+/// Sends a stop of the run to the target unless one is under way.
+void SendStop(GateBoard* board, core::Time now, const RunRef& ref,
+              GateRun* run);
+
+/// Ends a run whose entry wants it no longer, or is gone.
+void StopRun(GateBoard* board, core::Time now, const RunRef& ref, GateRun* run);
+
+/// Ends all runs of an entry.
+void StopRunsOf(GateBoard* board, core::Time now, const core::NodeId& home);
+
+/// Begins a look at the target if one is due and none is under way.
+void LookIfDue(GateBoard* board, core::Time now);
+
+/// Tells all entries soon how the target stands.
+void MarkReports(GateBoard* board);
+
+/// Sends the reports that are due.
+void SendReports(GateBoard* board, core::Time now);
+
+/// True if the target takes starts now.
+bool IsUsable(const GateBoard& board, core::Time now);
+
+/// What every event ends with.
+void Settle(GateBoard* board, core::Time now);
+
+}  // namespace tarragon::coordinator
+
+#endif  // TARRAGON_COORDINATOR_GATE_PARTS_H_
--- /dev/null
+++ b/coordinator/gate_runs.cc
@@ -0,0 +1,124 @@
+#include <string>
+#include <utility>
+
+#include "gate_parts.h"
+
+namespace tarragon::coordinator {
+
+void Tell(GateBoard* board, const char* sentence, std::string subject,
+          Details details) {
+  board->remarks.push_back({sentence, std::move(subject), std::move(details)});
+}
+
+TargetClock EstimateClock(const Target& target, core::Time now) {
+  return TargetClock(target.clock.value() +
+                     core::Millis(now - target.clock_at));
+}
+
+Room FreeRoom(const GateBoard& board) {
+  if (!board.target.has_value()) return {};
+  Room free = board.target->said.capacity;
+  for (const auto& [ref, run] : board.runs) {
+    // The room of a run that was found is not known: nothing is free until its
+    // entry has claimed it or it has ended.
+    if (run.phase == RunPhase::kFound) return {};
+    free = free - run.room;
+  }
+  return free;
+}
+
+std::size_t OpenRuns(const GateBoard& board) { return board.runs.size(); }
+
+void EndRun(GateBoard* board, core::Time now, const RunRef& ref, RunEnd end,
+            RefusalReason reason) {
+  const auto found = board->runs.find(ref);
+  if (found == board->runs.end()) return;
+  const GateRun run = found->second;
+  board->runs.erase(found);
+  RunEnded ended{ref, end, reason, core::Duration{0}};
+  if (run.phase == RunPhase::kRunning) ended.run_time = now - run.started;
+  board->past[ref] = {ended, now};
+  ++board->counts.ends[end];
+  if (end == RunEnd::kRefused) ++board->counts.refusals[reason];
+  Tell(board, "A run ended.", ToString(ref),
+       {{"end", Name(end)},
+        {"reason", Name(reason)},
+        {"run_time", std::to_string(core::Millis(ended.run_time)) + "ms"},
+        {"entry", core::ToString(run.home)}});
+  if (!run.home.address.value().empty()) {
+    board->actions.push_back(SendTo<RunEnded>{run.home, ended});
+  }
+  MarkReports(board);
+}
+
+void SendStop(GateBoard* board, core::Time now, const RunRef& ref,
+              GateRun* run) {
+  if (run->stop_under_way || !board->target.has_value()) return;
+  run->stop_under_way = true;
+  run->stop_sent = now;
+  run->stop_answered.reset();
+  board->actions.push_back(
+      OrderStop{board->target->said.address, board->target->said.target, ref});
+}
+
+void StopRun(GateBoard* board, core::Time now, const RunRef& ref,
+             GateRun* run) {
+  if (run->stop_wanted) return;
+  run->stop_wanted = true;
+  // The target may carry out a stop before the start that is under way; it
+  // then refuses the start, which is as good.
+  SendStop(board, now, ref, run);
+}
+
+void StopRunsOf(GateBoard* board, core::Time now, const core::NodeId& home) {
+  for (auto& [ref, run] : board->runs) {
+    if (run.home == home) StopRun(board, now, ref, &run);
+  }
+}
+
+void OnStartAnswer(GateBoard* board, core::Time now, const RunRef& ref,
+                   OrderAnswer answer, std::optional<TargetClock> clock) {
+  if (board->target.has_value() && clock.has_value() &&
+      *clock > EstimateClock(*board->target, now)) {
+    board->target->clock = *clock;
+    board->target->clock_at = now;
+  }
+  const auto found = board->runs.find(ref);
+  if (found == board->runs.end()) return;
+  GateRun& run = found->second;
+  if (run.phase != RunPhase::kStarting) return Settle(board, now);
+  switch (answer) {
+    case OrderAnswer::kAccepted:
+      run.phase = RunPhase::kRunning;
+      run.started = now;
+      break;
+    case OrderAnswer::kRefused:
+      EndRun(board, now, ref, RunEnd::kRefused, RefusalReason::kTargetRefused);
+      break;
+    case OrderAnswer::kRefusedOld:
+      EndRun(board, now, ref, RunEnd::kRefused, RefusalReason::kOldRun);
+      break;
+    case OrderAnswer::kUnclear:
+      run.phase = RunPhase::kUnclear;
+      ++board->counts.unclear_starts;
+      Tell(board, "A start was not answered; it is settled by a stop.",
+           ToString(ref),
+           {{"waited", std::to_string(core::Millis(now - run.ordered)) + "ms"},
+            {"until", std::to_string(run.start_until.value())}});
+      SendStop(board, now, ref, &run);
+      break;
+  }
+  Settle(board, now);
+}
+
+void OnStopAnswer(GateBoard* board, core::Time now, const RunRef& ref,
+                  OrderAnswer answer) {
+  const auto found = board->runs.find(ref);
+  if (found == board->runs.end()) return;
+  GateRun& run = found->second;
+  run.stop_under_way = false;
+  if (answer == OrderAnswer::kAccepted) run.stop_answered = now;
+  Settle(board, now);
+}
+
+}  // namespace tarragon::coordinator
--- /dev/null
+++ b/coordinator/gate_target.cc
@@ -0,0 +1,322 @@
+#include <set>
+#include <string>
+
+#include "gate_parts.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+/// The target lists at most so many ends at once; with a full list nothing can
+/// be concluded from a run that is not on it.
+constexpr std::size_t kMaxListedEnds = 500;
+/// Entries may claim a run that was found at a target within this time: two
+/// notices.
+constexpr core::Duration kClaimTime = std::chrono::milliseconds(300);
+/// Pause after a look without an answer: several fit into `target_silence`.
+constexpr core::Duration kLookPause = std::chrono::milliseconds(60);
+/// After a stop is answered its run is over within 50 ms; what is still listed
+/// after this is stopped once more.
+constexpr core::Duration kStopRepeat = std::chrono::milliseconds(250);
+
+bool IsNewer(const Announcement& said, const Target& known) {
+  if (said.born != known.said.born) return said.born > known.said.born;
+  return said.sequence > known.said.sequence;
+}
+
+/// All runs of an earlier life are over.
+void EndAllRuns(GateBoard* board, core::Time now, RunEnd end) {
+  std::vector<RunRef> refs;
+  for (const auto& [ref, run] : board->runs) refs.push_back(ref);
+  for (const RunRef& ref : refs) {
+    EndRun(board, now, ref, end, RefusalReason::kNone);
+  }
+}
+
+void BeginLife(GateBoard* board, core::Time now, TargetBirth born) {
+  EndAllRuns(board, now, RunEnd::kLapsed);
+  Target& target = *board->target;
+  target.said.born = born;
+  target.runs_known = false;
+  target.last_end = 0;
+  target.lease_until = TargetClock(0);
+  target.silent_since.reset();
+  board->look_sent.reset();
+  ++board->look_number;
+}
+
+/// The run has not been stopped and a look does not list it.
+bool IsProvedOver(const GateRun& run, const Look& look, core::Time look_sent) {
+  const bool stopped =
+      run.stop_answered.has_value() && *run.stop_answered <= look_sent;
+  switch (run.phase) {
+    case RunPhase::kStarting:
+      return false;
+    case RunPhase::kRunning:
+      return run.started <= look_sent;
+    case RunPhase::kFound:
+      return true;
+    case RunPhase::kUnclear:
+      return stopped || look.clock > run.start_until;
+    case RunPhase::kSealing:
+      return stopped;
+  }
+  return false;
+}
+
+void TakeEnds(GateBoard* board, core::Time now, const Look& look) {
+  Target& target = *board->target;
+  for (const ListedEnd& each : look.ended) {
+    if (each.number <= target.last_end) continue;
+    target.last_end = each.number;
+    if (board->runs.contains(each.run)) {
+      EndRun(board, now, each.run, each.end, RefusalReason::kNone);
+    } else {
+      board->past[each.run] = {
+          {each.run, each.end, RefusalReason::kNone, core::Duration{0}}, now};
+    }
+  }
+}
+
+void TakeRunning(GateBoard* board, core::Time now, const Look& look,
+                 core::Time look_sent) {
+  std::set<RunRef> listed;
+  for (const ListedRun& each : look.running) {
+    listed.insert(each.run);
+    const auto found = board->runs.find(each.run);
+    if (found == board->runs.end()) {
+      // An end that was taken in already may overtake this list.
+      if (board->past.contains(each.run)) continue;
+      GateRun run;
+      run.phase = RunPhase::kFound;
+      run.ordered = now;
+      run.started = now;
+      board->runs[each.run] = run;
+      Tell(board, "Found a run that this gate did not order.",
+           ToString(each.run), {});
+    } else if (found->second.phase == RunPhase::kStarting) {
+      found->second.phase = RunPhase::kRunning;
+      found->second.started = now;
+    }
+  }
+  if (look.ended.size() >= kMaxListedEnds) return;
+  std::vector<RunRef> over;
+  for (const auto& [ref, run] : board->runs) {
+    if (!listed.contains(ref) && IsProvedOver(run, look, look_sent)) {
+      over.push_back(ref);
+    }
+  }
+  for (const RunRef& ref : over) {
+    const bool ran = board->runs[ref].phase == RunPhase::kRunning;
+    EndRun(board, now, ref, ran ? RunEnd::kLapsed : RunEnd::kStopped,
+           RefusalReason::kNone);
+  }
+}
+
+bool AwaitsProof(const GateBoard& board) {
+  for (const auto& [ref, run] : board.runs) {
+    if (run.phase == RunPhase::kUnclear || run.phase == RunPhase::kSealing ||
+        run.phase == RunPhase::kFound) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void RepeatStops(GateBoard* board, core::Time now) {
+  for (auto& [ref, run] : board->runs) {
+    if (run.phase == RunPhase::kFound && !run.stop_wanted &&
+        now - run.ordered > kClaimTime) {
+      StopRun(board, now, ref, &run);
+    }
+    const bool wants = run.stop_wanted || run.phase == RunPhase::kUnclear ||
+                       run.phase == RunPhase::kSealing;
+    if (!wants || run.stop_under_way) continue;
+    const core::Duration pause =
+        run.stop_answered.has_value() ? kStopRepeat : board->policy.stop_retry;
+    if (now - run.stop_sent >= pause) SendStop(board, now, ref, &run);
+  }
+}
+
+/// A target that does not answer runs nothing once the last lease is over.
+void EndLapsedRuns(GateBoard* board, core::Time now) {
+  Target& target = *board->target;
+  if (board->runs.empty() || !target.silent_since.has_value()) return;
+  const std::int64_t over =
+      target.lease_until.value() + core::Millis(board->policy.lease_slack);
+  if (EstimateClock(target, now).value() <= over) return;
+  EndAllRuns(board, now, RunEnd::kLapsed);
+  target.runs_known = false;
+}
+
+}  // namespace
+
+bool IsUsable(const GateBoard& board, core::Time now) {
+  if (!board.target.has_value() || board.stopping) return false;
+  const Target& target = *board.target;
+  if (target.said.draining || !target.runs_known) return false;
+  if (now - target.heard > board.policy.announcement_timeout) return false;
+  if (target.silent_since.has_value() &&
+      now - *target.silent_since > board.policy.target_silence) {
+    return false;
+  }
+  return !IsDrained(board.operator_state, board.domain) &&
+         !IsDrained(board.operator_state, target.said.domain);
+}
+
+void OnAnnouncement(GateBoard* board, core::Time now,
+                    const Announcement& said) {
+  if (board->target.has_value() && !IsNewer(said, *board->target)) {
+    Tell(board, "Ignored an old announcement of the target.",
+         said.target.value(),
+         {{"sequence", std::to_string(said.sequence)},
+          {"born", std::to_string(said.born.value())}});
+    return;
+  }
+  if (!board->target.has_value()) {
+    board->target.emplace();
+    board->target->said = said;
+    BeginLife(board, now, said.born);
+    Tell(board, "The target announced itself.", said.target.value(),
+         {{"address", said.address.value()},
+          {"service", said.service.value()},
+          {"born", std::to_string(said.born.value())}});
+  } else if (board->target->said.born != said.born ||
+             board->target->said.target != said.target) {
+    BeginLife(board, now, said.born);
+    Tell(board, "A new life of the target announced itself.",
+         said.target.value(), {{"born", std::to_string(said.born.value())}});
+  }
+  Target& target = *board->target;
+  if (target.said.draining != said.draining) {
+    Tell(board, "The target began or stopped to leave.", said.target.value(),
+         {{"leaving", said.draining ? "true" : "false"}});
+  }
+  target.said = said;
+  target.heard = now;
+  if (target.clock.value() == 0 || !target.runs_known) {
+    target.clock = said.clock;
+    target.clock_at = now;
+  }
+  MarkReports(board);
+  Settle(board, now);
+}
+
+void OnTargetLeft(GateBoard* board, core::Time now, const TargetId& target) {
+  if (!board->target.has_value() || board->target->said.target != target) {
+    return;
+  }
+  Tell(board, "The target says that it ends.", target.value(), {});
+  board->target->said.draining = true;
+  MarkReports(board);
+  Settle(board, now);
+}
+
+void LookIfDue(GateBoard* board, core::Time now) {
+  if (!board->target.has_value() || board->look_sent.has_value()) return;
+  Target& target = *board->target;
+  const bool ends_unconfirmed = target.last_end > target.confirmed_end;
+  if (board->runs.empty() && target.runs_known && !ends_unconfirmed) return;
+  if (target.silent_since.has_value() && now - target.last_look < kLookPause) {
+    return;
+  }
+  target.last_look = now;
+  board->look_sent = now;
+  OrderLook look;
+  look.address = target.said.address;
+  look.target = target.said.target;
+  look.last_end = target.last_end;
+  if (target.runs_known) {
+    look.until = TargetClock(EstimateClock(target, now).value() +
+                             core::Millis(board->policy.lease_asked));
+    target.lease_until = std::max(target.lease_until, *look.until);
+  }
+  if (target.runs_known && !AwaitsProof(*board) && !board->runs.empty()) {
+    look.wait = board->policy.hold_wait;
+  }
+  look.number = ++board->look_number;
+  board->actions.push_back(look);
+}
+
+void OnLookAnswer(GateBoard* board, core::Time now, std::uint64_t number,
+                  const std::optional<Look>& look) {
+  if (!board->target.has_value() || number != board->look_number ||
+      !board->look_sent.has_value()) {
+    return;
+  }
+  const core::Time sent = *board->look_sent;
+  board->look_sent.reset();
+  Target& target = *board->target;
+  if (!look.has_value()) {
+    ++board->counts.lost_looks;
+    if (!target.silent_since.has_value()) {
+      target.silent_since = sent;
+      Tell(board, "A look at the target was not answered.",
+           target.said.target.value(), {});
+    }
+    return Settle(board, now);
+  }
+  if (look->born != target.said.born) {
+    if (look->born < target.said.born) return Settle(board, now);
+    BeginLife(board, now, look->born);
+    Tell(board, "A look found a new life of the target.",
+         target.said.target.value(),
+         {{"born", std::to_string(look->born.value())}});
+  }
+  if (target.silent_since.has_value()) {
+    target.silent_since.reset();
+    Tell(board, "The target answers again.", target.said.target.value(), {});
+    MarkReports(board);
+  }
+  target.clock = look->clock;
+  target.clock_at = now;
+  if (!target.runs_known) MarkReports(board);
+  target.runs_known = true;
+  target.confirmed_end = target.last_end;
+  TakeEnds(board, now, *look);
+  TakeRunning(board, now, *look, sent);
+  Settle(board, now);
+}
+
+void OnTick(GateBoard* board, core::Time now) {
+  if (board->target.has_value()) {
+    RepeatStops(board, now);
+    EndLapsedRuns(board, now);
+  }
+  for (auto& [address, home] : board->homes) {
+    if (now - home.confirmed <= board->policy.home_silence) continue;
+    if (home.silenced) continue;
+    home.silenced = true;
+    ++board->counts.homes_silenced;
+    Tell(board, "An entry is silent; its runs are ended.",
+         core::ToString(home.node),
+         {{"silent",
+           std::to_string(core::Millis(now - home.confirmed)) + "ms"}});
+    StopRunsOf(board, now, home.node);
+  }
+  std::erase_if(board->homes, [board, now](const auto& entry) {
+    return now - entry.second.heard > board->policy.forget_peer;
+  });
+  std::erase_if(board->past, [board, now](const auto& entry) {
+    return now - entry.second.at > board->policy.end_memory;
+  });
+  Settle(board, now);
+}
+
+void Settle(GateBoard* board, core::Time now) {
+  const bool usable = IsUsable(*board, now);
+  if (usable != board->was_usable) {
+    board->was_usable = usable;
+    Tell(board,
+         usable ? "Tasks may start at the target."
+                : "No task may start at the target.",
+         board->target.has_value() ? board->target->said.target.value() : "",
+         {{"runs", std::to_string(board->runs.size())},
+          {"operator_revision",
+           std::to_string(board->operator_state.revision)}});
+    MarkReports(board);
+  }
+  LookIfDue(board, now);
+  SendReports(board, now);
+}
+
+}  // namespace tarragon::coordinator
--- /dev/null
+++ b/coordinator/gates.cc
@@ -0,0 +1,315 @@
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "entry_parts.h"
+#include "placing.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+/// The gate at an address, known by name from now on.
+GateLink& Heard(JobBoard* board, core::Time now, const core::NodeId& from) {
+  GateLink& gate = board->gates[from.address];
+  if (gate.node.incarnation != from.incarnation) {
+    for (auto& [ref, placed] : gate.runs) placed.doubtful = true;
+    gate.uncounted.clear();
+    gate.node = from;
+    gate.update_sent = false;
+    gate.notice_sent = core::Time{};
+    Tell(board, "A gate is there.", core::ToString(from),
+         {{"runs", std::to_string(gate.runs.size())}});
+  } else if (!gate.connected) {
+    gate.notice_sent = core::Time{};
+    Tell(board, "A gate is reached again.", core::ToString(from),
+         {{"runs", std::to_string(gate.runs.size())}});
+  }
+  gate.connected = true;
+  gate.heard = now;
+  return gate;
+}
+
+void Doubt(GateLink* gate) {
+  gate->connected = false;
+  gate->update_sent = false;
+  gate->uncounted.clear();
+  for (auto& [ref, placed] : gate->runs) placed.doubtful = true;
+}
+
+/// Asks about runs of which the gate may not know.
+void AskDoubtful(JobBoard* board, core::Time now, GateLink* gate) {
+  if (!gate->connected || !gate->report.has_value() ||
+      !gate->report->runs_known) {
+    return;
+  }
+  for (auto& [ref, placed] : gate->runs) {
+    if (!placed.doubtful && !placed.stop) continue;
+    if (now - placed.asked < board->policy.ask_interval) continue;
+    Ask(board, now, *gate, ref, &placed);
+  }
+}
+
+/// A run that stands still is ended, and its task placed elsewhere, while that
+/// can still be of use.
+void StopStalled(JobBoard* board, core::Time now, GateLink* gate) {
+  for (auto& [ref, placed] : gate->runs) {
+    if (placed.stop) continue;
+    const auto job = board->jobs.find(ref.task.job);
+    if (job == board->jobs.end()) continue;
+    const core::Duration limit =
+        std::chrono::duration_cast<core::Duration>(placed.expected *
+                                                   board->policy.stall_factor) +
+        board->policy.stall_floor;
+    if (now - placed.ordered <= limit) continue;
+    if (now + placed.expected > job->second->useful_until) continue;
+    placed.stop = true;
+    Tell(board, "A run stands still and is ended.", ToString(ref),
+         {{"ran", MillisText(now - placed.ordered)},
+          {"expected", MillisText(placed.expected)}});
+    Ask(board, now, *gate, ref, &placed);
+  }
+}
+
+/// Runs at a gate that has been silent for long are over: nobody renews their
+/// lease.
+void EndLostRuns(JobBoard* board, core::Time now, GateLink* gate) {
+  if (gate->runs.empty()) return;
+  if (now - gate->heard <= board->policy.runs_surely_over) return;
+  std::vector<RunRef> lost;
+  for (const auto& [ref, placed] : gate->runs) lost.push_back(ref);
+  Tell(board, "The runs of a silent gate are over.", core::ToString(gate->node),
+       {{"runs", std::to_string(lost.size())},
+        {"silent", MillisText(now - gate->heard)}});
+  for (const RunRef& ref : lost) {
+    TakeEnd(board, now, gate,
+            {ref, RunEnd::kLapsed, RefusalReason::kNone, core::Duration{0}});
+  }
+}
+
+void SendNotice(JobBoard* board, core::Time now, GateLink* gate) {
+  gate->notice_sent = now;
+  EntryNotice notice;
+  if (gate->report.has_value()) notice.echo = gate->report->clock;
+  notice.operator_revision = board->operator_state.revision;
+  core::NodeId to = gate->node;
+  // Whoever lives at the address now.
+  if (!gate->connected) to.incarnation = core::Incarnation(0);
+  board->actions.push_back(SendTo<EntryNotice>{to, notice});
+}
+
+void TickGate(JobBoard* board, core::Time now, GateLink* gate) {
+  if (gate->connected && now - gate->heard > board->policy.redial_after) {
+    Tell(board, "A gate is silent; it is dialled anew.",
+         core::ToString(gate->node),
+         {{"silent", MillisText(now - gate->heard)},
+          {"runs", std::to_string(gate->runs.size())}});
+    board->actions.push_back(DropGate{gate->node});
+    Doubt(gate);
+  }
+  const core::Duration pause = gate->connected
+                                   ? board->policy.notice_interval
+                                   : board->policy.reconnect_interval;
+  if (now - gate->notice_sent >= pause) SendNotice(board, now, gate);
+  AskDoubtful(board, now, gate);
+  StopStalled(board, now, gate);
+  RateOverdue(board, now, gate);
+  EndLostRuns(board, now, gate);
+}
+
+/// Takes in the end of a run of a job that goes on.
+void TakeTaskEnd(JobBoard* board, core::Time now, Job* job, Task* task,
+                 const RunEnded& ended) {
+  switch (ended.end) {
+    case RunEnd::kDone:
+      task->phase = TaskPhase::kDone;
+      --job->tasks_left;
+      if (ended.run_time.count() > 0) {
+        Learn(&board->run_times, job->queue.name,
+              job->request.steps[task->ref.step].declared_run, ended.run_time);
+      }
+      if (--job->step_left[task->ref.step] == 0 && job->tasks_left > 0) {
+        Unblock(board, now, job);
+      }
+      if (job->tasks_left == 0) {
+        EndJob(board, now, job, JobState::kCompleted, "all tasks are done");
+      }
+      return;
+    case RunEnd::kFailed:
+      if (++task->failures >= job->queue.max_attempts) {
+        EndJob(board, now, job, JobState::kFailed, "a task failed too often");
+        return;
+      }
+      task->avoid_gate = true;
+      break;
+    case RunEnd::kStopped:
+    case RunEnd::kLapsed:
+      task->avoid_gate = true;
+      break;
+    case RunEnd::kRefused:
+      --job->runs;
+      break;
+  }
+  Enqueue(board, now, job, task);
+}
+
+}  // namespace
+
+void Ask(JobBoard* board, core::Time now, const GateLink& gate,
+         const RunRef& ref, Placed* placed) {
+  placed->asked = now;
+  if (!gate.connected) {
+    placed->doubtful = true;
+    return;
+  }
+  placed->doubtful = false;
+  board->actions.push_back(
+      SendTo<AskRun>{gate.node, {ref, placed->stop, placed->room}});
+}
+
+void TakeEnd(JobBoard* board, core::Time now, GateLink* gate,
+             const RunEnded& ended) {
+  const auto at = gate->runs.find(ended.run);
+  if (at == gate->runs.end()) return;
+  const Placed placed = at->second;
+  gate->runs.erase(at);
+  Rate(board, now, gate, ended, placed.expected);
+  if (ended.end == RunEnd::kRefused && ended.reason != RefusalReason::kNoRoom) {
+    gate->health.avoid_until = now + board->policy.refusal_pause;
+  }
+  const auto found = board->jobs.find(ended.run.task.job);
+  if (found == board->jobs.end()) return;
+  Job* job = found->second.get();
+  for (Task& task : job->tasks) {
+    if (task.ref != ended.run.task) continue;
+    if (task.phase != TaskPhase::kPlaced || task.last_run != ended.run.number) {
+      return;
+    }
+    if (ended.end != RunEnd::kDone) {
+      Tell(board, "A run did not end well.", ToString(ended.run),
+           {{"end", Name(ended.end)},
+            {"reason", Name(ended.reason)},
+            {"ordered", MillisText(now - placed.ordered)},
+            {"gate", core::ToString(gate->node)}});
+    }
+    return TakeTaskEnd(board, now, job, &task, ended);
+  }
+}
+
+void OnGateFound(JobBoard* board, core::Time now,
+                 const core::Address& address) {
+  if (board->gates.contains(address)) return;
+  GateLink& gate = board->gates[address];
+  gate.node.address = address;
+  gate.heard = now;
+  Tell(board, "Learned of a gate.", address.value(), {});
+  SendNotice(board, now, &gate);
+}
+
+void OnOperatorState(JobBoard* board, core::Time now, OperatorState state,
+                     const std::string& source) {
+  if (state.revision <= board->operator_state.revision) return;
+  Tell(board, "Took in a newer operator state.", source,
+       {{"revision", std::to_string(state.revision)},
+        {"old_revision", std::to_string(board->operator_state.revision)},
+        {"version", std::to_string(state.version)},
+        {"queues", std::to_string(state.queues.size())},
+        {"domains_out", std::to_string(state.drained.size())}});
+  // The revision counts for all that the store holds; a version that falls
+  // would mean a stale copy.
+  state.version = std::max(state.version, board->operator_state.version);
+  board->operator_state = std::move(state);
+  for (auto& [address, gate] : board->gates) {
+    gate.update_sent = gate.connected;
+    if (!gate.connected) continue;
+    board->actions.push_back(
+        SendTo<OperatorUpdate>{gate.node, {board->operator_state}});
+  }
+  Settle(board, now);
+}
+
+void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
+               TargetReport report) {
+  GateLink& gate = Heard(board, now, from);
+  while (!gate.uncounted.empty() &&
+         gate.uncounted.front().sequence <= report.starts_seen) {
+    gate.uncounted.pop_front();
+  }
+  if (gate.report.has_value() && gate.report->target != report.target) {
+    gate.health = TargetHealth{};
+  }
+  const std::uint64_t known = report.operator_revision;
+  gate.report = std::move(report);
+  if (known < board->operator_state.revision && !gate.update_sent) {
+    gate.update_sent = true;
+    board->actions.push_back(
+        SendTo<OperatorUpdate>{from, {board->operator_state}});
+  }
+  if (known >= board->operator_state.revision) gate.update_sent = false;
+  if (known > board->operator_state.revision ||
+      now - gate.notice_sent >= board->policy.notice_interval) {
+    SendNotice(board, now, &gate);
+  }
+  AskDoubtful(board, now, &gate);
+  Settle(board, now);
+}
+
+void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
+               OperatorUpdate update) {
+  Heard(board, now, from);
+  OnOperatorState(board, now, std::move(update.state), core::ToString(from));
+}
+
+void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
+               const RunEnded& ended) {
+  GateLink& gate = Heard(board, now, from);
+  TakeEnd(board, now, &gate, ended);
+  Settle(board, now);
+}
+
+void OnGateLost(JobBoard* board, core::Time now, const core::NodeId& node) {
+  const auto found = board->gates.find(node.address);
+  if (found == board->gates.end()) return;
+  GateLink& gate = found->second;
+  if (gate.connected) {
+    Tell(board, "Lost the connection to a gate.", core::ToString(gate.node),
+         {{"silent", MillisText(now - gate.heard)},
+          {"runs", std::to_string(gate.runs.size())}});
+    // Reached at once if only the connection is gone.
+    gate.notice_sent = core::Time{};
+  }
+  Doubt(&gate);
+}
+
+void OnGateGone(JobBoard* board, core::Time now, const core::NodeId& node) {
+  OnGateLost(board, now, node);
+}
+
+void OnTick(JobBoard* board, core::Time now) {
+  for (auto& [address, gate] : board->gates) TickGate(board, now, &gate);
+  std::erase_if(board->gates, [board, now](const auto& entry) {
+    return now - entry.second.heard > board->policy.forget_peer;
+  });
+  Settle(board, now);
+}
+
+bool IsReady(const JobBoard& board, core::Time now) {
+  if (board.stopping || board.operator_state.version == 0) return false;
+  for (const auto& [address, gate] : board.gates) {
+    if (IsUsable(board, now, gate)) return true;
+  }
+  return false;
+}
+
+void Settle(JobBoard* board, core::Time now) {
+  PlaceWaiting(board, now);
+  const bool ready = IsReady(*board, now);
+  if (ready == board->was_ready) return;
+  board->was_ready = ready;
+  Tell(board, ready ? "Ready for clients." : "Not ready for clients.", "",
+       {{"version", std::to_string(board->operator_state.version)},
+        {"gates", std::to_string(board->gates.size())},
+        {"stopping", board->stopping ? "true" : "false"}});
+}
+
+}  // namespace tarragon::coordinator
--- /dev/null
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -0,0 +1,203 @@
+#ifndef TARRAGON_COORDINATOR_GATE_BOARD_H_
+#define TARRAGON_COORDINATOR_GATE_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tarragon/coordinator/message.h"
+#include "tarragon/coordinator/policy.h"
+#include "tarragon/core/clock.h"
+#include "tarragon/core/ids.h"
+
+/// What a gate knows, and what it asks the daemon to do. The gate beside a
+/// target is the only process that orders runs there.
+
+namespace tarragon::coordinator {
+
+/// A moment on the target's own clock, in milliseconds.
+using TargetClock = core::Strong<struct TargetClockTag, std::int64_t>;
+/// Start of one life of a target: Unix time in milliseconds.
+using TargetBirth = core::Strong<struct TargetBirthTag, std::int64_t>;
+
+/// What a target says of itself.
+struct Announcement {
+  TargetId target;
+  TargetBirth born;
+  /// Rises within one life.
+  std::int64_t sequence = 0;
+  /// "IP:port" for orders.
+  core::Address address;
+  core::ServiceId service;
+  core::DomainId domain;
+  std::vector<Label> labels;
+  Room capacity;
+  /// It leaves and takes no new work.
+  bool draining = false;
+  TargetClock clock;
+};
+
+/// How far an order has come.
+enum class RunPhase : std::uint8_t {
+  /// The start is sent and not answered.
+  kStarting,
+  kRunning,
+  /// Found on the target after a restart of the gate. Its room is not known.
+  kFound,
+  /// The start was not answered; it may still be carried out.
+  kUnclear,
+  /// Not known here; a stop is sent so that it can never start.
+  kSealing,
+};
+
+/// A run that takes room at the target, or may.
+struct GateRun {
+  RunPhase phase = RunPhase::kStarting;
+  Room room;
+  /// Who ordered it; empty for a run that was found.
+  core::NodeId home;
+  /// When the start was sent.
+  core::Time ordered;
+  /// When the start was answered.
+  core::Time started;
+  /// The start is refused by the target after this moment on its clock.
+  TargetClock start_until;
+  /// The run must end.
+  bool stop_wanted = false;
+  bool stop_under_way = false;
+  /// When the last stop was sent.
+  core::Time stop_sent;
+  /// When a stop was answered: the run is over soon, or will never start.
+  std::optional<core::Time> stop_answered;
+};
+
+/// The target and what is known of its present life.
+struct Target {
+  Announcement said;
+  core::Time heard;
+  /// Since when no look has been answered; nothing if the last one was.
+  std::optional<core::Time> silent_since;
+  /// Its runs are known: a look was answered in this life.
+  bool runs_known = false;
+  /// The target's clock when `clock_at` was the time here. Never ahead.
+  TargetClock clock;
+  core::Time clock_at;
+  /// Number of the last end that was taken in.
+  std::int64_t last_end = 0;
+  /// Number of the last end that the target knows to be taken in.
+  std::int64_t confirmed_end = 0;
+  /// When the last look was sent.
+  core::Time last_look;
+  /// Latest moment on the target's clock up to which runs may hold a lease.
+  TargetClock lease_until;
+};
+
+/// An entry whose orders the gate obeys.
+struct HomeLink {
+  core::NodeId node;
+  core::Time heard;
+  /// Clock of this gate in the last report that the entry confirmed.
+  core::Time confirmed;
+  /// Sequence of the last order read.
+  std::uint64_t starts_seen = 0;
+  std::uint64_t operator_revision = 0;
+  core::Time report_sent;
+  bool report_due = false;
+  bool connected = true;
+  /// Its runs were ended because it was silent.
+  bool silenced = false;
+};
+
+/// How a run ended, for entries that ask again.
+struct PastRun {
+  RunEnded ended;
+  core::Time at;
+};
+
+/// Ask the target to start a run. The answer goes to OnStartAnswer.
+struct OrderStart {
+  core::Address address;
+  TargetId target;
+  RunRef run;
+  std::string payload;
+  TargetClock until;
+};
+
+/// Ask the target to end a run. The answer goes to OnStopAnswer.
+struct OrderStop {
+  core::Address address;
+  TargetId target;
+  RunRef run;
+};
+
+/// Renew the lease and look at the runs. The answer goes to OnLookAnswer.
+struct OrderLook {
+  core::Address address;
+  TargetId target;
+  std::int64_t last_end = 0;
+  /// Nothing while the target's clock is not known.
+  std::optional<TargetClock> until;
+  core::Duration wait{0};
+  /// Repeated to OnLookAnswer, so that the answer to an older look is known.
+  std::uint64_t number = 0;
+};
+
+/// Send a message to an entry.
+template <typename Message>
+struct SendTo {
+  core::NodeId to;
+  Message message;
+};
+
+using GateAction =
+    std::variant<OrderStart, OrderStop, OrderLook, SendTo<TargetReport>,
+                 SendTo<RunEnded>, SendTo<OperatorUpdate>>;
+
+/// One line for the log: something that touches a run or changes what the
+/// process believes. `sentence` is constant.
+struct Remark {
+  const char* sentence = "";
+  /// The run, entry, target or queue; empty for none.
+  std::string subject;
+  /// More "name=value" texts.
+  std::vector<std::pair<const char*, std::string>> details;
+};
+
+/// Counters for the metrics page.
+struct GateCounts {
+  std::uint64_t starts = 0;
+  std::uint64_t unclear_starts = 0;
+  std::map<RefusalReason, std::uint64_t> refusals;
+  std::map<RunEnd, std::uint64_t> ends;
+  std::uint64_t lost_looks = 0;
+  std::uint64_t homes_silenced = 0;
+};
+
+/// The blackboard of a gate.
+struct GateBoard {
+  Policy policy;
+  /// Failure domain of this machine.
+  core::DomainId domain;
+  OperatorState operator_state;
+  std::optional<Target> target;
+  std::map<RunRef, GateRun> runs;
+  std::map<RunRef, PastRun> past;
+  /// By the entry's address: a new incarnation replaces the old one.
+  std::map<core::Address, HomeLink> homes;
+  /// When the look under way was sent; nothing if none is.
+  std::optional<core::Time> look_sent;
+  std::uint64_t look_number = 0;
+  bool stopping = false;
+  /// What was last told of the target.
+  bool was_usable = false;
+  std::vector<GateAction> actions;
+  std::vector<Remark> remarks;
+  GateCounts counts;
+};
+
+}  // namespace tarragon::coordinator
+
+#endif  // TARRAGON_COORDINATOR_GATE_BOARD_H_
--- /dev/null
+++ b/coordinator/include/tarragon/coordinator/job.h
@@ -0,0 +1,126 @@
+#ifndef TARRAGON_COORDINATOR_JOB_H_
+#define TARRAGON_COORDINATOR_JOB_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "tarragon/coordinator/room.h"
+#include "tarragon/core/clock.h"
+#include "tarragon/core/strong.h"
+
+/// Jobs as clients submit them to a coordinating entry, and the names of their
+/// tasks and runs.
+
+namespace tarragon::coordinator {
+
+/// Id of a job, chosen by its client.
+using JobId = core::Strong<struct JobIdTag, std::string>;
+/// Name of the queue that a job was submitted to.
+using QueueId = core::Strong<struct QueueIdTag, std::string>;
+/// Name of one target, as it announces itself.
+using TargetId = core::Strong<struct TargetIdTag, std::string>;
+/// A property of a target that tasks may ask for, such as its rack.
+using Label = core::Strong<struct LabelTag, std::string>;
+
+/// One task of a job.
+struct TaskRef {
+  JobId job;
+  /// Position of the step in the job, from zero.
+  std::uint32_t step = 0;
+  /// Position of the task in the step, from zero.
+  std::uint32_t index = 0;
+
+  bool operator==(const TaskRef&) const = default;
+  auto operator<=>(const TaskRef&) const = default;
+};
+
+/// One start of a task. Numbers begin at one and rise.
+struct RunRef {
+  TaskRef task;
+  std::uint32_t number = 0;
+
+  bool operator==(const RunRef&) const = default;
+  auto operator<=>(const RunRef&) const = default;
+};
+
+/// "JOB/STEP.INDEX#RUN", for logs.
+std::string ToString(const RunRef& run);
+
+/// How a run has ended.
+enum class RunEnd : std::uint8_t {
+  kDone = 0,
+  /// The task or its target failed.
+  kFailed,
+  /// Ended by an order, or proved never to start.
+  kStopped,
+  /// The target ended it because its lease ran out, or the target is gone.
+  kLapsed,
+  /// The gate or the target refused the start; the task has not run.
+  kRefused,
+};
+inline constexpr std::uint32_t kLastRunEnd =
+    static_cast<std::uint32_t>(RunEnd::kRefused);
+
+/// The end's name in logs and counters.
+const char* Name(RunEnd end);
+
+/// Why a start was refused.
+enum class RefusalReason : std::uint8_t {
+  kNone = 0,
+  /// The order came too late to be obeyed.
+  kStale,
+  /// There is no target, or it or its gate is leaving.
+  kNoTarget,
+  /// The failure domain is out of service.
+  kDomainOut,
+  /// The target serves something else.
+  kWrongTarget,
+  kNoRoom,
+  /// Another run of the task is there.
+  kDuplicate,
+  /// The run was stopped before it came.
+  kSealed,
+  /// The target itself refused the order.
+  kTargetRefused,
+  /// A run with this number or a higher one was there before.
+  kOldRun,
+};
+inline constexpr std::uint32_t kLastRefusalReason =
+    static_cast<std::uint32_t>(RefusalReason::kOldRun);
+
+/// The reason's name in logs and counters.
+const char* Name(RefusalReason reason);
+
+/// Tasks of a job that are alike.
+struct StepSpec {
+  std::uint32_t count = 0;
+  /// Of each task.
+  Room room;
+  /// What the client expects a task to take; often far off.
+  core::Duration declared_run{0};
+  /// Earlier steps that must be done first.
+  std::vector<std::uint32_t> after;
+  /// Label that the target must have; empty for none.
+  Label required;
+  /// Label of the targets on which the tasks run fastest; empty for none.
+  Label preferred;
+  /// Most tasks of the step on one target; zero for no limit.
+  std::uint32_t max_per_target = 0;
+
+  bool operator==(const StepSpec&) const = default;
+};
+
+/// A job as submitted.
+struct JobRequest {
+  JobId id;
+  /// Handed to the target with each task.
+  std::string payload;
+  std::vector<StepSpec> steps;
+
+  bool operator==(const JobRequest&) const = default;
+};
+
+}  // namespace tarragon::coordinator
+
+#endif  // TARRAGON_COORDINATOR_JOB_H_
--- /dev/null
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -0,0 +1,103 @@
+#ifndef TARRAGON_COORDINATOR_MESSAGE_H_
+#define TARRAGON_COORDINATOR_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "tarragon/coordinator/job.h"
+#include "tarragon/coordinator/operator_state.h"
+#include "tarragon/coordinator/room.h"
+#include "tarragon/core/clock.h"
+#include "tarragon/core/ids.h"
+
+/// Messages between a coordinating entry and the gates beside the targets.
+
+namespace tarragon::coordinator {
+
+/// Entry to gate, every few hundred milliseconds: the entry lives. A gate ends
+/// the runs of an entry from which it hears nothing.
+struct EntryNotice {
+  /// Clock of the gate in the last report that the entry has; zero for none.
+  core::Time echo;
+  /// Revision of the operator state that the entry has.
+  std::uint64_t operator_revision = 0;
+
+  bool operator==(const EntryNotice&) const = default;
+};
+
+/// Either way: a newer copy of what the operators have decided.
+struct OperatorUpdate {
+  OperatorState state;
+
+  bool operator==(const OperatorUpdate&) const = default;
+};
+
+/// Gate to entry: the target and its free room, on each change and every few
+/// hundred milliseconds.
+struct TargetReport {
+  /// Clock of the gate.
+  core::Time clock;
+  /// The last StartRun of the receiving entry that `free` counts.
+  std::uint64_t starts_seen = 0;
+  /// Tasks may start.
+  bool usable = false;
+  /// The gate knows which runs are at the target and can answer AskRun. The
+  /// target's fields below mean nothing otherwise.
+  bool runs_known = false;
+  TargetId target;
+  core::ServiceId service;
+  core::DomainId domain;
+  std::vector<Label> labels;
+  Room capacity;
+  Room free;
+  /// Revision of the operator state that the gate has.
+  std::uint64_t operator_revision = 0;
+
+  bool operator==(const TargetReport&) const = default;
+};
+
+/// Entry to gate: start a task, or refuse it. Answered by RunEnded in the end.
+struct StartRun {
+  RunRef run;
+  /// Rises with each StartRun of one entry.
+  std::uint64_t sequence = 0;
+  core::ServiceId service;
+  Room room;
+  std::string payload;
+  Label required;
+  /// On the gate's clock; an order that is read later is refused.
+  core::Time start_by;
+  /// The operator state by which the entry decided.
+  std::uint64_t operator_revision = 0;
+
+  bool operator==(const StartRun&) const = default;
+};
+
+/// Entry to gate: what has become of a run? Answered by RunEnded, unless the
+/// run goes on. A run that the gate does not know is proved never to start
+/// before the answer.
+struct AskRun {
+  RunRef run;
+  /// End the run if it goes on.
+  bool stop = false;
+  /// Room that the run takes, for a gate that has found it after a restart.
+  Room room;
+
+  bool operator==(const AskRun&) const = default;
+};
+
+/// Gate to entry: a run has ended, or will never start.
+struct RunEnded {
+  RunRef run;
+  RunEnd end = RunEnd::kDone;
+  RefusalReason reason = RefusalReason::kNone;
+  /// From the target's answer to the start until the end was seen.
+  core::Duration run_time{0};
+
+  bool operator==(const RunEnded&) const = default;
+};
+
+}  // namespace tarragon::coordinator
+
+#endif  // TARRAGON_COORDINATOR_MESSAGE_H_
--- /dev/null
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -0,0 +1,101 @@
+#ifndef TARRAGON_COORDINATOR_POLICY_H_
+#define TARRAGON_COORDINATOR_POLICY_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "tarragon/core/clock.h"
+
+namespace tarragon::coordinator {
+
+/// Times, limits and weights of the decisions. The defaults are for targets
+/// that limit a lease to one second and clients that submit again 1.3 s after a
+/// broken connection.
+struct Policy {
+  /// Between two notices to a gate, and between two reports without a change.
+  /// A quarter of `home_silence`, so that three may be lost.
+  core::Duration notice_interval{std::chrono::milliseconds(150)};
+  /// A gate ends the runs of an entry that has not shown for so long that it
+  /// hears the gate. With a stop of 50 ms and a lease of 1 s a lost run is over
+  /// well before the client's second attempt at 1.3 s after this.
+  core::Duration home_silence{std::chrono::milliseconds(700)};
+  /// An entry places nothing at a gate that it has not heard for so long.
+  core::Duration gate_silence{std::chrono::milliseconds(500)};
+  /// A gate that is not heard for so long is dialled anew: the connection may
+  /// be silent for good.
+  core::Duration redial_after{std::chrono::milliseconds(800)};
+  /// Between two attempts to reach a gate or entry that does not answer.
+  core::Duration reconnect_interval{std::chrono::milliseconds(400)};
+  /// An entry that has been silent for so long is forgotten by gates, and the
+  /// other way round.
+  core::Duration forget_peer{std::chrono::seconds(60)};
+  /// Runs at a gate that is silent are surely over after `home_silence`, a stop
+  /// that was lost and a lease of 1 s on a clock that is 2 % slow.
+  core::Duration runs_surely_over{std::chrono::milliseconds(1900)};
+  /// A start that the gate reads later than this after it was ordered is
+  /// refused. Covers a link with a queue, not a suspended machine.
+  core::Duration start_window{std::chrono::milliseconds(400)};
+
+  /// Longest lease that targets grant.
+  core::Duration lease{std::chrono::milliseconds(1000)};
+  /// Part of the lease that is asked for; the rest covers the estimate of the
+  /// target's clock.
+  core::Duration lease_asked{std::chrono::milliseconds(950)};
+  /// What a lease may last beyond its end on a clock that is 2 % slow, and the
+  /// error of the estimate of that clock.
+  core::Duration lease_slack{std::chrono::milliseconds(80)};
+  /// How long a look at a target's runs waits for an end.
+  core::Duration hold_wait{std::chrono::milliseconds(100)};
+  /// Added to `hold_wait` before a look is given up: three of them fit a lease.
+  core::Duration hold_grace{std::chrono::milliseconds(130)};
+  /// An order on the local machine takes a few milliseconds. One without an
+  /// answer for so long is settled by a stop.
+  core::Duration order_timeout{std::chrono::milliseconds(120)};
+  /// Pause before a stop without an answer is sent again.
+  core::Duration stop_retry{std::chrono::milliseconds(60)};
+  /// Looks at a target fail for so long until no task is placed there.
+  core::Duration target_silence{std::chrono::milliseconds(500)};
+  /// Three missed announcements at the usual 1.5 s.
+  core::Duration announcement_timeout{std::chrono::milliseconds(5000)};
+  /// How long a gate remembers how a run ended, for entries that ask again.
+  core::Duration end_memory{std::chrono::seconds(5)};
+
+  /// Failed runs in a row that make a target suspect. One run in five hundred
+  /// fails on a sound target.
+  std::uint32_t suspect_failures = 3;
+  /// Runs that take this multiple of what is expected make a target suspect.
+  /// Declared times are off by some 40 %, and run times vary by as much.
+  double suspect_slowness = 2.2;
+  /// Fewer runs than this say nothing about a target's speed.
+  std::uint32_t suspect_samples = 5;
+  /// Between two trials of a suspect target.
+  core::Duration trial_interval{std::chrono::milliseconds(400)};
+  /// Most suspect targets, in thousandths of all; beyond it the cause is likely
+  /// to lie elsewhere.
+  std::uint32_t max_suspects_permille = 340;
+  /// A run that takes this multiple of what is expected, and `stall_floor`
+  /// more, stands still; the longest tasks of a kind take four times the mean.
+  double stall_factor = 4.0;
+  core::Duration stall_floor{std::chrono::milliseconds(100)};
+  /// After a gate refused a start for another reason than room.
+  core::Duration refusal_pause{std::chrono::milliseconds(40)};
+  /// Between two questions about one run.
+  core::Duration ask_interval{std::chrono::milliseconds(150)};
+  /// Left for the way of an answer to its client.
+  core::Duration answer_margin{std::chrono::milliseconds(40)};
+  /// After a stop signal new jobs are taken for so long: the balancer goes on
+  /// sending clients for two misses of its check, once a second.
+  core::Duration stop_accepting_after{std::chrono::milliseconds(2500)};
+  /// Shortest time after which a refused client should come back.
+  core::Duration retry_floor{std::chrono::seconds(1)};
+  /// A job whose objective is past is still of some use up to this multiple.
+  std::uint32_t useful_factor = 3;
+  /// How many waiting tasks are tried for a place behind one that fits nowhere.
+  std::size_t place_lookahead = 12;
+  /// Ended jobs whose state is kept for later questions.
+  std::size_t kept_states = 512;
+};
+
+}  // namespace tarragon::coordinator
+
+#endif  // TARRAGON_COORDINATOR_POLICY_H_
--- /dev/null
+++ b/coordinator/job_end.cc
@@ -0,0 +1,135 @@
+#include <algorithm>
+#include <string>
+
+#include "entry_parts.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+void Keep(JobBoard* board, const JobId& id, JobState state) {
+  if (!board->kept.emplace(id, state).second) {
+    board->kept[id] = state;
+    return;
+  }
+  board->kept_order.push_back(id);
+  if (board->kept_order.size() <= board->policy.kept_states) return;
+  board->kept.erase(board->kept_order.front());
+  board->kept_order.pop_front();
+}
+
+void StopRunsOf(JobBoard* board, core::Time now, const JobId& id) {
+  for (auto& [address, gate] : board->gates) {
+    const RunRef first{{id, 0, 0}, 0};
+    for (auto at = gate.runs.lower_bound(first);
+         at != gate.runs.end() && at->first.task.job == id; ++at) {
+      at->second.stop = true;
+      Ask(board, now, gate, at->first, &at->second);
+    }
+  }
+}
+
+/// Takes the job out of the board. Destroys it.
+void Remove(JobBoard* board, core::Time now, Job* job) {
+  const JobId id = job->request.id;
+  for (const Task& task : job->tasks) {
+    if (task.phase == TaskPhase::kQueued) Dequeue(board, *job, task);
+  }
+  StopRunsOf(board, now, id);
+  board->jobs.erase(id);
+}
+
+}  // namespace
+
+const char* Name(JobState state) {
+  switch (state) {
+    case JobState::kPending:
+      return "pending";
+    case JobState::kRunning:
+      return "running";
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "invalid";
+}
+
+const char* Name(Refusal refusal) {
+  switch (refusal) {
+    case Refusal::kNone:
+      return "none";
+    case Refusal::kGivenUp:
+      return "given_up";
+    case Refusal::kNoConfiguration:
+      return "no_configuration";
+    case Refusal::kNoQueue:
+      return "no_queue";
+    case Refusal::kBadJob:
+      return "bad_job";
+    case Refusal::kUnsupported:
+      return "unsupported";
+    case Refusal::kNeverFits:
+      return "never_fits";
+    case Refusal::kNoTarget:
+      return "no_target";
+    case Refusal::kOverload:
+      return "overload";
+    case Refusal::kExpired:
+      return "expired";
+    case Refusal::kStopping:
+      return "stopping";
+    case Refusal::kUnknownJob:
+      return "unknown_job";
+  }
+  return "invalid";
+}
+
+void EndJob(JobBoard* board, core::Time now, Job* job, JobState state,
+            const char* why) {
+  Tell(board, "A job ended.", job->request.id.value(),
+       {{"state", Name(state)},
+        {"why", why},
+        {"took", MillisText(now - job->arrived)},
+        {"objective", MillisText(job->objective - job->arrived)},
+        {"runs", std::to_string(job->runs)},
+        {"tasks_left", std::to_string(job->tasks_left)}});
+  ++board->counts.ended[state];
+  board->ended.push_back({job->queue.name, state, now - job->arrived});
+  for (const CallId& call : job->calls) {
+    Answer(board, call, {Refusal::kNone, state, {}, {}});
+  }
+  Keep(board, job->request.id, state);
+  Remove(board, now, job);
+}
+
+void GiveUpJob(JobBoard* board, core::Time now, Job* job, const char* why) {
+  Tell(board, "Gave up a job that has run in part.", job->request.id.value(),
+       {{"why", why},
+        {"took", MillisText(now - job->arrived)},
+        {"objective", MillisText(job->objective - job->arrived)},
+        {"runs", std::to_string(job->runs)},
+        {"tasks_left", std::to_string(job->tasks_left)}});
+  ++board->counts.refused[Refusal::kGivenUp];
+  for (const CallId& call : job->calls) {
+    Answer(board, call, {Refusal::kGivenUp, JobState::kFailed, {}, {}});
+  }
+  Remove(board, now, job);
+}
+
+void RefuseJob(JobBoard* board, core::Time now, Job* job, Refusal refusal,
+               core::Duration retry_after) {
+  Tell(board, "Gave up a job that has not run.", job->request.id.value(),
+       {{"reason", Name(refusal)},
+        {"waited", MillisText(now - job->arrived)},
+        {"retry_after", MillisText(retry_after)},
+        {"waiting", std::to_string(board->waiting.size())}});
+  ++board->counts.refused[refusal];
+  for (const CallId& call : job->calls) {
+    Answer(board, call, {refusal, JobState::kPending, retry_after, {}});
+  }
+  Remove(board, now, job);
+}
+
+}  // namespace tarragon::coordinator
--- /dev/null
+++ b/coordinator/jobs.cc
@@ -0,0 +1,212 @@
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "admission.h"
+#include "entry_parts.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+constexpr std::int64_t kPermille = 1000;
+
+bool HasValidSteps(const JobRequest& request) {
+  if (request.steps.empty()) return false;
+  for (std::size_t i = 0; i < request.steps.size(); ++i) {
+    const StepSpec& step = request.steps[i];
+    if (step.count == 0) return false;
+    for (const std::uint32_t earlier : step.after) {
+      if (earlier >= i) return false;
+    }
+  }
+  return true;
+}
+
+/// Expected time of the longest chain of steps that wait for each other.
+core::Duration LongestChain(const JobBoard& board, const Queue& queue,
+                            const JobRequest& request) {
+  std::vector<core::Duration> ends;
+  core::Duration longest{0};
+  for (const StepSpec& step : request.steps) {
+    core::Duration begin{0};
+    for (const std::uint32_t earlier : step.after) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    ends.push_back(begin +
+                   ExpectedRun(board.run_times, queue.name, step.declared_run));
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+Job MakeJob(JobBoard* board, core::Time now, const Queue& queue,
+            JobRequest request, std::optional<core::Time> deadline) {
+  Job job;
+  const core::Duration chain = LongestChain(*board, queue, request);
+  const core::Duration allowed =
+      chain * queue.stretch_permille / kPermille + queue.latency_target;
+  job.queue = queue;
+  job.arrived = now;
+  job.objective = now + allowed;
+  job.useful_until = now + allowed * board->policy.useful_factor;
+  if (deadline.has_value()) {
+    job.useful_until =
+        std::min(job.useful_until, *deadline - board->policy.answer_margin);
+  }
+  job.serial = ++board->last_serial;
+  for (std::uint32_t step = 0; step < request.steps.size(); ++step) {
+    job.step_left.push_back(request.steps[step].count);
+    for (std::uint32_t index = 0; index < request.steps[step].count; ++index) {
+      Task task;
+      task.ref = {request.id, step, index};
+      job.tasks.push_back(std::move(task));
+    }
+  }
+  job.tasks_left = static_cast<std::uint32_t>(job.tasks.size());
+  job.request = std::move(request);
+  return job;
+}
+
+void RefuseCall(JobBoard* board, CallId call, const JobId& job,
+                const Verdict& verdict) {
+  ++board->counts.refused[verdict.refusal];
+  Tell(board, "Refused a job.", job.value(),
+       {{"reason", Name(verdict.refusal)},
+        {"predicted_wait", MillisText(verdict.wait)},
+        {"retry_after", MillisText(verdict.retry_after)},
+        {"waiting", std::to_string(board->waiting.size())}});
+  ClientAnswer answer;
+  answer.refusal = verdict.refusal;
+  answer.retry_after = verdict.retry_after;
+  Answer(board, call, answer);
+}
+
+}  // namespace
+
+void Tell(JobBoard* board, const char* sentence, std::string subject,
+          Details details) {
+  board->remarks.push_back({sentence, std::move(subject), std::move(details)});
+}
+
+std::string MillisText(core::Duration duration) {
+  return std::to_string(core::Millis(duration)) + "ms";
+}
+
+void Answer(JobBoard* board, CallId call, const ClientAnswer& answer) {
+  board->actions.push_back(AnswerCall{call, answer});
+}
+
+core::Duration ExpectedRun(const JobBoard& board, const Job& job,
+                           const Task& task) {
+  return ExpectedRun(board.run_times, job.queue.name,
+                     job.request.steps[task.ref.step].declared_run);
+}
+
+void OnSubmit(JobBoard* board, core::Time now, CallId call, const Queue& queue,
+              JobRequest request, std::optional<core::Time> deadline) {
+  const JobId id = request.id;
+  const auto known = board->jobs.find(id);
+  if (known != board->jobs.end()) {
+    ++board->counts.attached;
+    known->second->calls.push_back(call);
+    Tell(board, "Attached a client to its job.", id.value(),
+         {{"age", MillisText(now - known->second->arrived)}});
+    return;
+  }
+  const auto kept = board->kept.find(id);
+  if (kept != board->kept.end() && kept->second == JobState::kCompleted) {
+    Tell(board, "Repeated the answer of an ended job.", id.value(), {});
+    return Answer(board, call, {Refusal::kNone, kept->second, {}, {}});
+  }
+  if (!HasValidSteps(request)) {
+    return RefuseCall(board, call, id, {Refusal::kBadJob, {}, {}});
+  }
+  Job made = MakeJob(board, now, queue, std::move(request), deadline);
+  const Verdict verdict = Judge(*board, now, made);
+  if (verdict.refusal != Refusal::kNone) {
+    return RefuseCall(board, call, id, verdict);
+  }
+  made.calls.push_back(call);
+  Job* job = (board->jobs[id] = std::make_unique<Job>(std::move(made))).get();
+  ++board->counts.accepted;
+  Tell(board, "Took in a job.", id.value(),
+       {{"queue", queue.name.value()},
+        {"version", std::to_string(board->operator_state.version)},
+        {"tasks", std::to_string(job->tasks.size())},
+        {"objective", MillisText(job->objective - now)},
+        {"useful", MillisText(job->useful_until - now)},
+        {"client_waits",
+         deadline.has_value() ? MillisText(*deadline - now) : "not told"},
+        {"predicted_wait", MillisText(verdict.wait)}});
+  Unblock(board, now, job);
+  Settle(board, now);
+}
+
+void OnQuery(JobBoard* board, core::Time /*now*/, CallId call,
+             const JobId& job) {
+  const auto known = board->jobs.find(job);
+  if (known != board->jobs.end()) {
+    const JobState state =
+        known->second->runs > 0 ? JobState::kRunning : JobState::kPending;
+    return Answer(board, call, {Refusal::kNone, state, {}, {}});
+  }
+  const auto kept = board->kept.find(job);
+  if (kept != board->kept.end()) {
+    return Answer(board, call, {Refusal::kNone, kept->second, {}, {}});
+  }
+  Answer(board, call, {Refusal::kUnknownJob, {}, {}, {}});
+}
+
+void OnCancel(JobBoard* board, core::Time now, CallId call, const JobId& job) {
+  const auto known = board->jobs.find(job);
+  if (known != board->jobs.end()) {
+    EndJob(board, now, known->second.get(), JobState::kCancelled,
+           "cancelled by its client");
+    Answer(board, call, {Refusal::kNone, JobState::kCancelled, {}, {}});
+    return Settle(board, now);
+  }
+  const auto kept = board->kept.find(job);
+  if (kept != board->kept.end()) {
+    return Answer(board, call, {Refusal::kNone, kept->second, {}, {}});
+  }
+  Answer(board, call, {Refusal::kUnknownJob, {}, {}, {}});
+}
+
+void OnCount(JobBoard* board, core::Time /*now*/, CallId call,
+             const Queue& queue) {
+  std::uint64_t pending = 0;
+  for (const auto& [id, job] : board->jobs) {
+    if (job->queue.name == queue.name && job->runs == 0) ++pending;
+  }
+  Answer(board, call, {Refusal::kNone, JobState::kPending, {}, pending});
+}
+
+void OnCallGone(JobBoard* board, core::Time now, CallId call) {
+  for (auto& [id, job] : board->jobs) {
+    const auto at = std::find(job->calls.begin(), job->calls.end(), call);
+    if (at == job->calls.end()) continue;
+    job->calls.erase(at);
+    if (job->calls.empty()) {
+      EndJob(board, now, job.get(), JobState::kCancelled, "its client is gone");
+    }
+    return Settle(board, now);
+  }
+}
+
+void EndAllJobs(JobBoard* board, core::Time now, const char* why) {
+  while (!board->jobs.empty()) {
+    Job* job = board->jobs.begin()->second.get();
+    if (job->runs == 0) {
+      RefuseJob(board, now, job, Refusal::kStopping, board->policy.retry_floor);
+    } else {
+      GiveUpJob(board, now, job, why);
+    }
+  }
+}
+
+void RequestStop(JobBoard* board, core::Time now) {
+  board->stopping = true;
+  board->stop_requested = now;
+}
+
+}  // namespace tarragon::coordinator
--- /dev/null
+++ b/coordinator/placing.cc
@@ -0,0 +1,168 @@
+#include "placing.h"
+
+#include <algorithm>
+
+#include "entry_parts.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+/// Weights of a choice, in shares of a target's room. Data on another rack
+/// makes a task half as long again, so that the rack outweighs much free room.
+constexpr double kPreferredWeight = 0.5;
+/// A hop between failure domains is small beside any task; bytes cost a little.
+constexpr double kSameDomainWeight = 0.03;
+/// Keeps entries that see the same room from choosing the same target.
+constexpr double kRandomWeight = 0.15;
+/// Weight of the latest run in a target's slowness.
+constexpr double kSlownessWeight = 0.2;
+/// Overdue runs that make a target suspect.
+constexpr std::uint32_t kSuspectOverdue = 2;
+
+double NextRandom(JobBoard* board) {
+  // xorshift64: cheap, and good enough to spread choices.
+  board->random ^= board->random << 13;
+  board->random ^= board->random >> 7;
+  board->random ^= board->random << 17;
+  return static_cast<double>(board->random >> 11) / 9007199254740992.0;
+}
+
+bool MaySuspect(const JobBoard& board) {
+  std::uint64_t suspects = 1;
+  std::uint64_t all = 0;
+  for (const auto& [address, gate] : board.gates) {
+    if (!gate.report.has_value()) continue;
+    ++all;
+    if (gate.health.suspect) ++suspects;
+  }
+  return suspects * 1000 <= all * board.policy.max_suspects_permille;
+}
+
+void Suspect(JobBoard* board, core::Time now, GateLink* gate, const char* why) {
+  TargetHealth& health = gate->health;
+  if (health.suspect || !MaySuspect(*board)) return;
+  health.suspect = true;
+  health.last_trial = now;
+  Tell(board, "A target is suspect; it gets single trials.",
+       gate->report.has_value() ? gate->report->target.value() : "",
+       {{"why", why},
+        {"failures", std::to_string(health.failures)},
+        {"slowness", std::to_string(health.slowness)},
+        {"samples", std::to_string(health.samples)}});
+}
+
+std::uint32_t RunsOfStep(const GateLink& gate, const TaskRef& task) {
+  std::uint32_t count = 0;
+  const RunRef first{{task.job, task.step, 0}, 0};
+  for (auto at = gate.runs.lower_bound(first);
+       at != gate.runs.end() && at->first.task.job == task.job &&
+       at->first.task.step == task.step;
+       ++at) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace
+
+bool IsUsable(const JobBoard& board, core::Time now, const GateLink& gate) {
+  return gate.connected && gate.report.has_value() && gate.report->usable &&
+         now - gate.heard <= board.policy.gate_silence &&
+         !IsDrained(board.operator_state, gate.report->domain);
+}
+
+bool HasLabel(const TargetReport& report, const Label& label) {
+  return label.value().empty() ||
+         std::find(report.labels.begin(), report.labels.end(), label) !=
+             report.labels.end();
+}
+
+Room BelievedFree(const GateLink& gate) {
+  Room free = gate.report->free;
+  for (const UncountedStart& start : gate.uncounted) free = free - start.room;
+  return free;
+}
+
+GateLink* ChooseGate(JobBoard* board, core::Time now, const Job& job,
+                     const Task& task) {
+  const StepSpec& step = job.request.steps[task.ref.step];
+  GateLink* best = nullptr;
+  double best_score = 0;
+  for (auto& [address, gate] : board->gates) {
+    if (!IsUsable(*board, now, gate) || now < gate.health.avoid_until) continue;
+    const TargetReport& report = *gate.report;
+    if (report.service != job.queue.service) continue;
+    if (!HasLabel(report, step.required)) continue;
+    const Room free = BelievedFree(gate);
+    if (!Fits(step.room, free)) continue;
+    if (step.max_per_target > 0 &&
+        RunsOfStep(gate, task.ref) >= step.max_per_target) {
+      continue;
+    }
+    const bool trial = gate.health.suspect;
+    if (trial && (now - gate.health.last_trial < board->policy.trial_interval ||
+                  task.last_run > 0)) {
+      continue;
+    }
+    double score = static_cast<double>(free.millicores - step.room.millicores) /
+                   static_cast<double>(
+                       std::max<std::int64_t>(report.capacity.millicores, 1));
+    if (!step.preferred.value().empty() && HasLabel(report, step.preferred)) {
+      score += kPreferredWeight;
+    }
+    if (report.domain == board->domain) score += kSameDomainWeight;
+    if (task.avoid_gate && address == task.gate) score -= 1;
+    if (trial) score -= 0.5;
+    score += kRandomWeight * NextRandom(board);
+    if (best != nullptr && score <= best_score) continue;
+    best = &gate;
+    best_score = score;
+  }
+  return best;
+}
+
+void Rate(JobBoard* board, core::Time now, GateLink* gate,
+          const RunEnded& ended, core::Duration expected) {
+  TargetHealth& health = gate->health;
+  if (ended.end == RunEnd::kFailed ||
+      ended.reason == RefusalReason::kTargetRefused) {
+    ++health.failures;
+    if (health.failures >= board->policy.suspect_failures) {
+      Suspect(board, now, gate, "failures");
+    }
+    return;
+  }
+  if (ended.end != RunEnd::kDone || ended.run_time.count() <= 0) return;
+  health.failures = 0;
+  const double ratio =
+      static_cast<double>(ended.run_time.count()) /
+      static_cast<double>(std::max<std::int64_t>(expected.count(), 1));
+  if (health.suspect) {
+    if (ratio > board->policy.suspect_slowness) return;
+    health = TargetHealth{};
+    Tell(board, "A target did well on trial and is used again.",
+         gate->report.has_value() ? gate->report->target.value() : "", {});
+    return;
+  }
+  ++health.samples;
+  health.slowness += kSlownessWeight * (ratio - health.slowness);
+  if (health.samples >= board->policy.suspect_samples &&
+      health.slowness > board->policy.suspect_slowness) {
+    Suspect(board, now, gate, "slow");
+  }
+}
+
+void RateOverdue(JobBoard* board, core::Time now, GateLink* gate) {
+  if (gate->health.suspect) return;
+  std::uint32_t overdue = 0;
+  for (const auto& [ref, placed] : gate->runs) {
+    const core::Duration limit =
+        std::chrono::duration_cast<core::Duration>(placed.expected *
+                                                   board->policy.stall_factor) +
+        board->policy.stall_floor;
+    if (now - placed.ordered > limit) ++overdue;
+  }
+  if (overdue >= kSuspectOverdue) Suspect(board, now, gate, "overdue runs");
+}
+
+}  // namespace tarragon::coordinator
--- /dev/null
+++ b/coordinator/placing.h
@@ -0,0 +1,34 @@
+#ifndef TARRAGON_COORDINATOR_PLACING_H_
+#define TARRAGON_COORDINATOR_PLACING_H_
+
+#include "tarragon/coordinator/job_board.h"
+
+/// Where a task is placed. Made for targets of unequal size, of which some are
+/// slow or fail, and for several entries that place at once.
+
+namespace tarragon::coordinator {
+
+/// True if tasks may be placed at the gate now.
+bool IsUsable(const JobBoard& board, core::Time now, const GateLink& gate);
+
+/// True if the target has the label, or none is asked for.
+bool HasLabel(const TargetReport& report, const Label& label);
+
+/// Room at the gate as this entry believes: the last report, less what it has
+/// ordered since.
+Room BelievedFree(const GateLink& gate);
+
+/// The best gate for a task; null if there is none now.
+GateLink* ChooseGate(JobBoard* board, core::Time now, const Job& job,
+                     const Task& task);
+
+/// Takes in how a run went at the gate's target.
+void Rate(JobBoard* board, core::Time now, GateLink* gate,
+          const RunEnded& ended, core::Duration expected);
+
+/// Counts runs that take far too long against their target.
+void RateOverdue(JobBoard* board, core::Time now, GateLink* gate);
+
+}  // namespace tarragon::coordinator
+
+#endif  // TARRAGON_COORDINATOR_PLACING_H_
--- /dev/null
+++ b/coordinator/queue.cc
@@ -0,0 +1,135 @@
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "admission.h"
+#include "entry_parts.h"
+#include "placing.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+std::uint32_t PositionOf(const Job& job, const Task& task) {
+  return static_cast<std::uint32_t>(&task - job.tasks.data());
+}
+
+Waiting KeyOf(const Job& job, const Task& task) {
+  return {task.late, task.latest_start, job.serial, PositionOf(job, task),
+          job.request.id};
+}
+
+/// Marks tasks that can no longer be in time, so that others come first. A job
+/// that has begun keeps its rank: its other tasks hold room already.
+void MarkLate(JobBoard* board, core::Time now) {
+  std::vector<Waiting> passed;
+  for (const Waiting& each : board->waiting) {
+    if (each.late || each.latest_start >= now) break;
+    if (board->jobs.at(each.job)->runs == 0) passed.push_back(each);
+  }
+  for (const Waiting& each : passed) {
+    Job& job = *board->jobs.at(each.job);
+    Task& task = job.tasks[each.task];
+    board->waiting.erase(each);
+    task.late = true;
+    board->waiting.insert(KeyOf(job, task));
+  }
+}
+
+/// Gives up jobs that wait in vain.
+void GiveUp(JobBoard* board, core::Time now) {
+  std::vector<JobId> over;
+  for (const auto& [id, job] : board->jobs) {
+    const bool hopeless = job->runs == 0 ? IsHopeless(*board, now, *job)
+                                         : now > job->useful_until;
+    if (hopeless) over.push_back(id);
+  }
+  for (const JobId& id : over) {
+    Job* job = board->jobs.at(id).get();
+    ++board->counts.given_up;
+    if (job->runs == 0) {
+      RefuseJob(board, now, job, Refusal::kExpired,
+                RetryAfter(*board, core::Duration(0)));
+    } else {
+      GiveUpJob(board, now, job, "its time is over");
+    }
+  }
+}
+
+void Place(JobBoard* board, core::Time now, Job* job, Task* task,
+           GateLink* gate) {
+  Dequeue(board, *job, *task);
+  const StepSpec& step = job->request.steps[task->ref.step];
+  task->phase = TaskPhase::kPlaced;
+  task->gate = gate->node.address;
+  if (task->last_run > 0) ++board->counts.replaced;
+  StartRun start;
+  start.run = {task->ref, ++task->last_run};
+  start.sequence = ++board->last_start;
+  start.service = job->queue.service;
+  start.room = step.room;
+  start.payload = job->request.payload;
+  start.required = step.required;
+  start.start_by =
+      gate->report->clock + (now - gate->heard) + board->policy.start_window;
+  start.operator_revision = board->operator_state.revision;
+  ++job->runs;
+  ++board->counts.starts;
+  if (gate->health.suspect) gate->health.last_trial = now;
+  gate->uncounted.push_back({start.sequence, step.room});
+  gate->runs[start.run] = {step.room, now,   ExpectedRun(*board, *job, *task),
+                           now,       false, false};
+  Tell(board, "Placed a task.", ToString(start.run),
+       {{"target", gate->report->target.value()},
+        {"waited", MillisText(now - job->arrived)},
+        {"report_age", MillisText(now - gate->heard)},
+        {"free", std::to_string(gate->report->free.millicores)}});
+  board->actions.push_back(SendTo<StartRun>{gate->node, std::move(start)});
+}
+
+}  // namespace
+
+void Enqueue(JobBoard* board, core::Time now, Job* job, Task* task) {
+  task->phase = TaskPhase::kQueued;
+  task->latest_start = job->objective - ExpectedRun(*board, *job, *task);
+  task->late = task->latest_start < now && job->runs == 0;
+  board->waiting.insert(KeyOf(*job, *task));
+}
+
+void Dequeue(JobBoard* board, const Job& job, const Task& task) {
+  board->waiting.erase(KeyOf(job, task));
+}
+
+void Unblock(JobBoard* board, core::Time now, Job* job) {
+  for (Task& task : job->tasks) {
+    if (task.phase != TaskPhase::kBlocked) continue;
+    const StepSpec& step = job->request.steps[task.ref.step];
+    const bool due = std::all_of(
+        step.after.begin(), step.after.end(),
+        [job](std::uint32_t earlier) { return job->step_left[earlier] == 0; });
+    if (due) Enqueue(board, now, job, &task);
+  }
+}
+
+void PlaceWaiting(JobBoard* board, core::Time now) {
+  MarkLate(board, now);
+  std::size_t skipped = 0;
+  auto at = board->waiting.begin();
+  while (at != board->waiting.end() &&
+         skipped <= board->policy.place_lookahead) {
+    const Waiting next = *at;
+    Job* job = board->jobs.at(next.job).get();
+    Task* task = &job->tasks[next.task];
+    GateLink* gate = ChooseGate(board, now, *job, *task);
+    if (gate == nullptr) {
+      ++skipped;
+      ++at;
+      continue;
+    }
+    Place(board, now, job, task, gate);
+    at = board->waiting.upper_bound(next);
+  }
+  GiveUp(board, now);
+}
+
+}  // namespace tarragon::coordinator
--- /dev/null
+++ b/coordinator/run_times.cc
@@ -0,0 +1,47 @@
+#include "tarragon/coordinator/run_times.h"
+
+#include <algorithm>
+
+namespace tarragon::coordinator {
+namespace {
+
+/// Weight of a new run: a memory of some sixty runs follows a change of the
+/// kind within seconds.
+constexpr double kWeight = 1.0 / 64;
+/// Fewer runs than this say less than what clients declare.
+constexpr std::uint64_t kMinSamples = 8;
+/// Share of the queue's mean in an estimate; the rest is what was declared.
+constexpr double kMeanShare = 0.5;
+
+double Ms(core::Duration duration) {
+  return static_cast<double>(duration.count()) / 1000.0;
+}
+
+}  // namespace
+
+void Learn(RunTimes* times, const QueueId& queue, core::Duration declared,
+           core::Duration took) {
+  UsualRun& usual = times->queues[queue];
+  ++usual.samples;
+  const double weight =
+      std::max(kWeight, 1.0 / static_cast<double>(usual.samples));
+  usual.mean_ms += weight * (Ms(took) - usual.mean_ms);
+  usual.mean_declared_ms += weight * (Ms(declared) - usual.mean_declared_ms);
+}
+
+core::Duration ExpectedRun(const RunTimes& times, const QueueId& queue,
+                           core::Duration declared) {
+  const auto found = times.queues.find(queue);
+  if (found == times.queues.end()) return declared;
+  const UsualRun& usual = found->second;
+  if (usual.samples < kMinSamples || usual.mean_declared_ms <= 0) {
+    return declared;
+  }
+  const double corrected =
+      Ms(declared) * usual.mean_ms / usual.mean_declared_ms;
+  const double expected =
+      kMeanShare * usual.mean_ms + (1 - kMeanShare) * corrected;
+  return core::Duration(static_cast<std::int64_t>(expected * 1000));
+}
+
+}  // namespace tarragon::coordinator
--- a/core/include/tarragon/core/log.h
+++ b/core/include/tarragon/core/log.h
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,7 +43,7 @@
 /// State of one part of a program, shared by its Log objects.
 struct LogPart;
 
-/// Writes the lines of one part to standard error:
+/// Writes the lines of one part to standard error, or see LogToStandardOutput:
 ///   2026-12-04T00:20:45.123Z info  agent/gate: Refused a task. key=H.1
 /// One sentence of one part is written at most kMaxLinesPerSecond times in a
 /// second; a later line says how many were left out. The sentence is to be
@@ -61,13 +62,15 @@
             std::initializer_list<Field> fields = {}) const;
   void Error(std::string_view sentence,
              std::initializer_list<Field> fields = {}) const;
+  /// As Info, with fields that are made while the program runs.
+  void Info(std::string_view sentence, const std::vector<Field>& fields) const;
 
   /// True if lines of `level` are written. Spares costly fields.
   bool Enabled(LogLevel level) const;
 
  private:
   void Write(LogLevel level, std::string_view sentence,
-             std::initializer_list<Field> fields) const;
+             std::span<const Field> fields) const;
 
   LogPart* part_;
 };
@@ -95,6 +98,11 @@
 /// `text` is neither.
 bool ParseLogLevels(const std::string& text, std::vector<LogLevelRule>* rules);
 
+/// Writes the log to standard output from now on, in place of standard error,
+/// without ever waiting for a reader: lines that find no room are dropped, and
+/// a later line tells how many.
+void LogToStandardOutput();
+
 /// Writes the counts of left-out lines that are due. Daemons call it every few
 /// seconds and before they end.
 void FlushLog();
--- a/core/log.cc
+++ b/core/log.cc
@@ -137,8 +137,13 @@
 
 bool Log::Enabled(LogLevel level) const { return level >= part_->level; }
 
+void Log::Info(std::string_view sentence,
+               const std::vector<Field>& fields) const {
+  Write(LogLevel::kInfo, sentence, fields);
+}
+
 void Log::Write(LogLevel level, std::string_view sentence,
-                std::initializer_list<Field> fields) const {
+                std::span<const Field> fields) const {
   if (!Enabled(level)) return;
   LogState& state = State();
   const std::lock_guard<std::mutex> lock(state.mutex);
--- a/core/log_line.cc
+++ b/core/log_line.cc
@@ -92,7 +92,7 @@
 
 std::string LogLine(std::chrono::system_clock::time_point when, LogLevel level,
                     std::string_view part, std::string_view sentence,
-                    std::initializer_list<Field> fields) {
+                    std::span<const Field> fields) {
   std::string line = UtcTime(when);
   line += ' ';
   line += PaddedName(level);
--- a/core/log_line.h
+++ b/core/log_line.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -13,7 +14,14 @@
 /// The text of one line, without the newline.
 std::string LogLine(std::chrono::system_clock::time_point when, LogLevel level,
                     std::string_view part, std::string_view sentence,
-                    std::initializer_list<Field> fields);
+                    std::span<const Field> fields);
+inline std::string LogLine(std::chrono::system_clock::time_point when,
+                           LogLevel level, std::string_view part,
+                           std::string_view sentence,
+                           std::initializer_list<Field> fields) {
+  return LogLine(when, level, part, sentence,
+                 std::span<const Field>(fields.begin(), fields.size()));
+}
 
 }  // namespace tarragon::core
 
--- /dev/null
+++ b/daemons/coordinator_main.cc
@@ -0,0 +1,9 @@
+#include "coordinator_daemon.h"
+#include "site_main.h"
+
+int main(int argc, char* argv[]) {
+  namespace daemons = tarragon::daemons;
+  return daemons::RunSiteDaemon<daemons::CoordinatorDaemon>(
+      argc, argv,
+      {"tarragon-coordinator", "Takes jobs of clients and coordinates them."});
+}
--- a/daemons/entry_daemon.cc
+++ b/daemons/entry_daemon.cc
@@ -17,7 +17,7 @@
 #include "tarragon/daemons/policy_settings.h"
 #include "tarragon/dispatch/entry.h"
 #include "tarragon/http/server.h"
-#include "tarragon/platform/http_table.h"
+#include "tarragon/notes/http_table.h"
 #include "tarragon/wire/transport.h"
 
 namespace tarragon::daemons {
@@ -185,8 +185,8 @@
     return limits;
   }
 
-  platform::HttpTableSettings TableSettings() const {
-    platform::HttpTableSettings table;
+  notes::HttpTableSettings TableSettings() const {
+    notes::HttpTableSettings table;
     table.address = settings_.Address("platform", "table");
     table.timeout = settings_.Duration("platform", "timeout");
     return table;
@@ -301,7 +301,7 @@
   dispatch::EntryBoard board_;
   EntryMetrics metrics_;
   wire::Transport transport_;
-  platform::HttpTable table_;
+  notes::HttpTable table_;
   ClientApi clients_;
   OperatorApi operators_;
   http::Server client_server_;
--- /dev/null
+++ b/daemons/gate_main.cc
@@ -0,0 +1,9 @@
+#include "gate_daemon.h"
+#include "site_main.h"
+
+int main(int argc, char* argv[]) {
+  namespace daemons = tarragon::daemons;
+  return daemons::RunSiteDaemon<daemons::GateDaemon>(
+      argc, argv,
+      {"tarragon-gate", "Starts and holds the tasks at the target beside it."});
+}
--- a/daemons/operator_api.cc
+++ b/daemons/operator_api.cc
@@ -9,7 +9,7 @@
 #include "tarragon/core/log.h"
 #include "tarragon/dispatch/entry.h"
 #include "tarragon/http/status.h"
-#include "tarragon/platform/note_parser.h"
+#include "tarragon/notes/note_parser.h"
 
 namespace tarragon::daemons {
 namespace {
@@ -149,7 +149,7 @@
                             const http::Responder& respond) {
   std::vector<std::string> errors;
   std::optional<dispatch::ReleaseNote> note =
-      platform::ParseNote(request.body, &errors);
+      notes::ParseNote(request.body, &errors);
   if (!note.has_value()) {
     dispatch::NoteAnswer answer;
     answer.state = dispatch::NoteState::kInvalid;
--- /dev/null
+++ b/daemons/site_main.h
@@ -0,0 +1,48 @@
+#ifndef TARRAGON_DAEMONS_SITE_MAIN_H_
+#define TARRAGON_DAEMONS_SITE_MAIN_H_
+
+#include <boost/asio/io_context.hpp>
+#include <optional>
+#include <string>
+
+#include "site_settings.h"
+#include "tarragon/core/command_line.h"
+#include "tarragon/core/exit_code.h"
+#include "tarragon/core/log.h"
+
+namespace tarragon::daemons {
+
+/// Reads the command line and the settings, runs a `Daemon` until it ends, and
+/// returns the exit code of the process.
+template <typename Daemon>
+int RunSiteDaemon(int argc, char* argv[], const core::ProgramInfo& program) {
+  int exit_code = core::kExitOk;
+  const std::optional<core::CommandLine> command =
+      core::ParseCommandLine(argc, argv, program, &exit_code);
+  if (!command.has_value()) return exit_code;
+  const std::optional<core::Settings> settings =
+      core::LoadSettings(*command, SiteSpecs(), &exit_code);
+  if (!settings.has_value()) return exit_code;
+  core::LogToStandardOutput();
+  ApplyLogSettings(*settings);
+
+  boost::asio::io_context io(1);
+  const auto reload = [&command]() {
+    int ignored = core::kExitOk;
+    return core::LoadSettings(*command, SiteSpecs(), &ignored);
+  };
+  Daemon daemon(io, *settings, reload);
+  std::string reason;
+  if (!daemon.Start(&reason)) {
+    core::Log("main").Error("Cannot start.", {{"why", reason}});
+    return core::kExitFailure;
+  }
+  core::Log("main").Info("Started.", {{"listens", daemon.ReadyLine()}});
+  io.run();
+  core::FlushLog();
+  return daemon.exit_code();
+}
+
+}  // namespace tarragon::daemons
+
+#endif  // TARRAGON_DAEMONS_SITE_MAIN_H_
--- /dev/null
+++ b/daemons/site_pages.cc
@@ -0,0 +1,65 @@
+#include "site_pages.h"
+
+#include <string>
+#include <utility>
+
+#include "tarragon/core/log.h"
+#include "tarragon/http/status.h"
+
+namespace tarragon::daemons {
+namespace {
+
+constexpr std::size_t kMaxConnections = 16;
+
+http::ServerLimits Limits() {
+  http::ServerLimits limits;
+  limits.max_connections = kMaxConnections;
+  return limits;
+}
+
+}  // namespace
+
+SitePages::SitePages(boost::asio::io_context& io, metrics::Registry* registry,
+                     std::function<void()> refresh)
+    : registry_(registry),
+      refresh_(std::move(refresh)),
+      server_(
+          io, Limits(),
+          [this](const http::Request& request, const http::Responder& answer) {
+            Handle(request, answer);
+          }) {}
+
+void SitePages::Listen(const core::Address& peers, std::uint16_t port) {
+  if (port == 0) return;
+  const std::string host =
+      peers.value().substr(0, peers.value().rfind(':') + 1);
+  http::HttpError reason;
+  if (!server_.Listen(core::Address(host + std::to_string(port)), &reason)) {
+    core::Log("metrics").Warn("Cannot serve the metrics page.",
+                              {{"port", port}, {"why", reason.text}});
+  }
+}
+
+void SitePages::Close() { server_.Close(); }
+
+void SitePages::Handle(const http::Request& request,
+                       const http::Responder& answer) {
+  http::Response response;
+  if (request.method != "GET" || request.path != "/metrics") {
+    response.status = http::kStatusNotFound;
+    return answer(response);
+  }
+  refresh_();
+  response.content_type = "text/plain; version=0.0.4";
+  response.body = registry_->Exposition();
+  answer(response);
+}
+
+void MirrorCount(metrics::Registry* registry, const char* name,
+                 const metrics::Labels& labels, std::uint64_t value) {
+  const double known = registry->Value(name, labels);
+  const std::uint64_t counted = static_cast<std::uint64_t>(known);
+  if (value > counted) registry->Count(name, labels, value - counted);
+}
+
+}  // namespace tarragon::daemons
--- /dev/null
+++ b/daemons/site_settings.cc
@@ -0,0 +1,127 @@
+#include "site_settings.h"
+
+#include <string>
+
+#include "tarragon/core/log.h"
+
+namespace tarragon::daemons {
+namespace {
+
+using coordinator::Policy;
+
+constexpr char kPolicy[] = "policy";
+constexpr char kLog[] = "log";
+constexpr char kMetrics[] = "metrics";
+
+struct PolicyDuration {
+  const char* key;
+  core::Duration Policy::*member;
+  const char* minimum;
+  const char* maximum;
+  const char* help;
+};
+
+constexpr PolicyDuration kDurations[] = {
+    {"notice_interval", &Policy::notice_interval, "10ms", "5s",
+     "Pause between two signs of life of an entry or gate."},
+    {"home_silence", &Policy::home_silence, "100ms", "10s",
+     "A gate ends the runs of an entry that is silent for so long."},
+    {"gate_silence", &Policy::gate_silence, "100ms", "10s",
+     "Nothing is placed at a gate that is silent for so long."},
+    {"redial_after", &Policy::redial_after, "100ms", "30s",
+     "A silent connection to a gate is made anew after this time."},
+    {"reconnect_interval", &Policy::reconnect_interval, "20ms", "30s",
+     "Pause between two attempts to reach a peer."},
+    {"runs_surely_over", &Policy::runs_surely_over, "100ms", "1min",
+     "Runs at a gate that is silent for so long are over."},
+    {"start_window", &Policy::start_window, "10ms", "10s",
+     "A start that reaches its gate later than this is refused."},
+    {"hold_wait", &Policy::hold_wait, "10ms", "2s",
+     "How long a look at a target waits for a run to end."},
+    {"order_timeout", &Policy::order_timeout, "5ms", "5s",
+     "An order to a target without an answer for so long is settled."},
+    {"trial_interval", &Policy::trial_interval, "10ms", "1min",
+     "Pause between two trials of a suspect target."},
+    {"stop_accepting_after", &Policy::stop_accepting_after, "0s", "1min",
+     "New jobs are taken for so long after a stop signal."},
+    {"retry_floor", &Policy::retry_floor, "100ms", "1min",
+     "Shortest time after which a refused client comes back."},
+};
+
+core::SettingSpec LogLevelSpec() {
+  core::SettingSpec spec;
+  spec.section = kLog;
+  spec.key = "level";
+  spec.default_value = "info";
+  spec.reloadable = true;
+  spec.help = "Least level that is written: debug, info, warn or error.";
+  return spec;
+}
+
+core::SettingSpec NumberSpec(const char* section, const char* key,
+                             const char* value, const char* minimum,
+                             const char* maximum, const char* help) {
+  core::SettingSpec spec;
+  spec.section = section;
+  spec.key = key;
+  spec.type = core::SettingType::kInteger;
+  spec.default_value = value;
+  spec.minimum = minimum;
+  spec.maximum = maximum;
+  spec.help = help;
+  return spec;
+}
+
+}  // namespace
+
+std::vector<core::SettingSpec> SiteSpecs() {
+  std::vector<core::SettingSpec> specs;
+  specs.push_back(LogLevelSpec());
+  specs.push_back(NumberSpec(kLog, "lines_per_second", "400", "1", "100000",
+                             "Most lines of one sentence in a second."));
+  specs.back().reloadable = true;
+  specs.push_back(NumberSpec(kMetrics, "port", "9464", "0", "65535",
+                             "Port of the metrics page; 0 for none."));
+  const Policy defaults;
+  for (const PolicyDuration& each : kDurations) {
+    core::SettingSpec spec;
+    spec.section = kPolicy;
+    spec.key = each.key;
+    spec.type = core::SettingType::kDuration;
+    spec.default_value =
+        std::to_string(core::Millis(defaults.*each.member)) + "ms";
+    spec.minimum = each.minimum;
+    spec.maximum = each.maximum;
+    spec.reloadable = true;
+    spec.help = each.help;
+    specs.push_back(spec);
+  }
+  return specs;
+}
+
+coordinator::Policy SitePolicy(const core::Settings& settings) {
+  Policy policy;
+  for (const PolicyDuration& each : kDurations) {
+    policy.*each.member = settings.Duration(kPolicy, each.key);
+  }
+  return policy;
+}
+
+std::uint16_t MetricsPort(const core::Settings& settings) {
+  return static_cast<std::uint16_t>(settings.Integer(kMetrics, "port"));
+}
+
+void ApplyLogSettings(const core::Settings& settings) {
+  core::SetLogLimit(
+      static_cast<int>(settings.Integer(kLog, "lines_per_second")));
+  std::vector<core::LogLevelRule> rules;
+  if (!core::ParseLogLevels(settings.Text(kLog, "level"), &rules)) {
+    core::Log("settings").Warn("The log level cannot be read.");
+    return;
+  }
+  for (const core::LogLevelRule& rule : rules) {
+    core::SetLogLevel(rule.part, rule.level);
+  }
+}
+
+}  // namespace tarragon::daemons
--- a/daemons/table_gateway.cc
+++ b/daemons/table_gateway.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "tarragon/core/log.h"
-#include "tarragon/platform/world_codec.h"
+#include "tarragon/notes/world_codec.h"
 
 namespace tarragon::daemons {
 namespace {
@@ -42,28 +42,28 @@
 std::string ValueOf(const TableCall& call) {
   switch (call.row) {
     case TableRow::kWorld:
-      return platform::EncodeWorld(call.world);
+      return notes::EncodeWorld(call.world);
     case TableRow::kEntries:
-      return platform::EncodeEntries(call.entries);
+      return notes::EncodeEntries(call.entries);
     case TableRow::kKey:
       return call.text;
   }
   return {};
 }
 
-TableStatus StatusOf(platform::TableStatus status) {
+TableStatus StatusOf(notes::TableStatus status) {
   switch (status) {
-    case platform::TableStatus::kOk:
+    case notes::TableStatus::kOk:
       return TableStatus::kOk;
-    case platform::TableStatus::kUnchanged:
+    case notes::TableStatus::kUnchanged:
       return TableStatus::kUnchanged;
-    case platform::TableStatus::kMissing:
+    case notes::TableStatus::kMissing:
       return TableStatus::kMissing;
-    case platform::TableStatus::kConflict:
+    case notes::TableStatus::kConflict:
       return TableStatus::kConflict;
-    case platform::TableStatus::kUnavailable:
+    case notes::TableStatus::kUnavailable:
       return TableStatus::kUnavailable;
-    case platform::TableStatus::kUnknown:
+    case notes::TableStatus::kUnknown:
       return TableStatus::kUnknown;
   }
   return TableStatus::kUnknown;
@@ -71,9 +71,9 @@
 
 /// Decodes the value read into `reply`. False when it cannot be read.
 bool DecodeValue(TableRow row, const std::string& value, TableReply* reply) {
-  platform::PlatformError error;
+  notes::TableError error;
   if (row == TableRow::kWorld) {
-    std::optional<dispatch::World> world = platform::DecodeWorld(value, &error);
+    std::optional<dispatch::World> world = notes::DecodeWorld(value, &error);
     if (world.has_value())
       reply->world = std::move(*world);
     else
@@ -82,7 +82,7 @@
   }
   if (row == TableRow::kEntries) {
     std::optional<dispatch::EntryList> entries =
-        platform::DecodeEntries(value, &error);
+        notes::DecodeEntries(value, &error);
     if (entries.has_value())
       reply->entries = std::move(*entries);
     else
@@ -95,11 +95,11 @@
 
 }  // namespace
 
-void CallTable(platform::Table* table, TableCall call,
+void CallTable(notes::Table* table, TableCall call,
                std::function<void(TableReply)> done) {
   const bool is_read = call.operation == TableOperation::kRead;
   const auto answered = [number = call.number, row = call.row, is_read,
-                         done = std::move(done)](platform::TableReply answer) {
+                         done = std::move(done)](notes::TableReply answer) {
     TableReply reply;
     reply.number = number;
     reply.status = StatusOf(answer.status);
--- a/dispatch/include/tarragon/dispatch/message.h
+++ b/dispatch/include/tarragon/dispatch/message.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "tarragon/coordinator/message.h"
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
 #include "tarragon/dispatch/job.h"
@@ -368,7 +369,10 @@
     std::variant<Heartbeat, Permit, Submit, Query, Cancel, Answer, Explain,
                  Explanation, Assign, Refused, Started, Finished, FinishedAck,
                  Seal, Want, Pull, PullEmpty, PullTask, LoadHint, EntryPing,
-                 EntryPong, Leaving, Handover, HandoverAck, Inherited>;
+                 EntryPong, Leaving, Handover, HandoverAck, Inherited,
+                 coordinator::EntryNotice, coordinator::OperatorUpdate,
+                 coordinator::TargetReport, coordinator::StartRun,
+                 coordinator::AskRun, coordinator::RunEnded>;
 
 /// The message's name in logs and counters, such as "assign".
 const char* Name(const Message& message);
--- a/dispatch/names.cc
+++ b/dispatch/names.cc
@@ -74,13 +74,17 @@
 
 const char* Name(const Message& message) {
   static constexpr std::array<const char*, std::variant_size_v<Message>>
-      kNames = {"heartbeat",    "permit",    "submit",    "query",
-                "cancel",       "answer",    "explain",   "explanation",
-                "assign",       "refused",   "started",   "finished",
-                "finished_ack", "seal",      "want",      "pull",
-                "pull_empty",   "pull_task", "load_hint", "entry_ping",
-                "entry_pong",   "leaving",   "handover",  "handover_ack",
-                "inherited"};
+      kNames = {"heartbeat",     "permit",       "submit",
+                "query",         "cancel",       "answer",
+                "explain",       "explanation",  "assign",
+                "refused",       "started",      "finished",
+                "finished_ack",  "seal",         "want",
+                "pull",          "pull_empty",   "pull_task",
+                "load_hint",     "entry_ping",   "entry_pong",
+                "leaving",       "handover",     "handover_ack",
+                "inherited",     "entry_notice", "operator_update",
+                "target_report", "start_run",    "ask_run",
+                "run_ended"};
   return kNames[message.index()];
 }
 
--- a/http/include/tarragon/http/message.h
+++ b/http/include/tarragon/http/message.h
@@ -20,6 +20,8 @@
   std::string body;
   /// "IP:port" of the peer; set on requests that a server received.
   std::string peer;
+  /// Names the request among all of its server; set by the server.
+  std::uint64_t id = 0;
 };
 
 /// One HTTP response.
--- a/http/include/tarragon/http/server.h
+++ b/http/include/tarragon/http/server.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,6 +23,10 @@
 /// Called for each whole request. Must not throw.
 using Handler = std::function<void(Request, Responder)>;
 
+/// Called when the client of a request closes its connection before the answer.
+/// `id` is Request::id; its Responder has no effect any more.
+using GoneHandler = std::function<void(std::uint64_t id)>;
+
 /// Bounds of a server. All durations must be positive.
 struct ServerLimits {
   /// Connections beyond this are answered 503 and closed.
@@ -39,6 +44,9 @@
   core::Duration idle_timeout{std::chrono::seconds(60)};
   /// How long the writing of one response may take.
   core::Duration write_timeout{std::chrono::seconds(10)};
+  /// A peer that closes its sending side while its request is handled is gone;
+  /// else it still gets its answer.
+  bool half_close_is_gone = false;
 };
 
 /// HTTP/1.1 server with keep-alive. Requests of one connection are handled one
@@ -51,7 +59,8 @@
 /// All calls belong on the thread of the io_context.
 class Server {
  public:
-  Server(boost::asio::io_context& io, ServerLimits limits, Handler handler);
+  Server(boost::asio::io_context& io, ServerLimits limits, Handler handler,
+         GoneHandler gone = {});
   /// Closes everything, as Close() does.
   ~Server();
   Server(const Server&) = delete;
--- a/http/server.cc
+++ b/http/server.cc
@@ -26,13 +26,15 @@
 
 class Server::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& io, ServerLimits limits, Handler handler)
+  Impl(asio::io_context& io, ServerLimits limits, Handler handler,
+       GoneHandler gone)
       : state_(std::make_shared<ServerState>()),
         acceptor_(io.get_executor()),
         pause_(io.get_executor()) {
     state_->io = &io;
     state_->limits = limits;
     state_->handler = std::move(handler);
+    state_->gone = std::move(gone);
   }
 
   std::optional<core::Address> Listen(const core::Address& address,
@@ -143,8 +145,10 @@
   for (const std::shared_ptr<Session>& session : Sessions()) session->Close();
 }
 
-Server::Server(asio::io_context& io, ServerLimits limits, Handler handler)
-    : impl_(std::make_shared<Impl>(io, limits, std::move(handler))) {}
+Server::Server(boost::asio::io_context& io, ServerLimits limits,
+               Handler handler, GoneHandler gone)
+    : impl_(std::make_shared<Impl>(io, limits, std::move(handler),
+                                   std::move(gone))) {}
 
 Server::~Server() { Close(); }
 
--- a/http/server_state.h
+++ b/http/server_state.h
@@ -2,6 +2,7 @@
 #define TARRAGON_HTTP_SERVER_STATE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <unordered_set>
 
@@ -17,6 +18,9 @@
   asio::io_context* io = nullptr;
   ServerLimits limits;
   Handler handler;
+  /// Told of clients that leave; may be empty.
+  GoneHandler gone;
+  std::uint64_t last_request = 0;
   /// A planned stop has begun: each answer closes its connection.
   bool stopping = false;
   /// Open sessions. A session removes itself when it closes.
--- a/http/session.cc
+++ b/http/session.cc
@@ -214,25 +214,47 @@
     return AnswerError(400, "bad_request", "The path is malformed.");
   }
   phase_ = Phase::kHandling;
+  request_id_ = ++server_->last_request;
+  request->id = request_id_;
   // The handler may close the server, and with it this session.
   const std::shared_ptr<Session> self = shared_from_this();
   server_->handler(std::move(*request), MakeResponder(self, request_));
-  if (!closed_ && phase_ == Phase::kHandling) WatchForReset();
+  if (!closed_ && phase_ == Phase::kHandling) WatchForLeave();
 }
 
-/// A peer that only closed its sending side still waits for its answer, but a
-/// reset ends both directions. One wait serves all requests of the connection.
-void Session::WatchForReset() {
-  if (watching_reset_) return;
-  watching_reset_ = true;
-  socket_.async_wait(Socket::wait_error,
+/// A peer that only closed its sending side may still wait for its answer, but
+/// a reset ends both directions. One wait serves all requests of the
+/// connection.
+void Session::WatchForLeave() {
+  if (watching_leave_) return;
+  watching_leave_ = true;
+  const bool half_close = server_->limits.half_close_is_gone;
+  socket_.async_wait(half_close ? Socket::wait_read : Socket::wait_error,
                      [self = shared_from_this()](ErrorCode error) {
-                       self->watching_reset_ = false;
+                       self->watching_leave_ = false;
                        if (error || self->closed_) return;
-                       if (self->phase_ == Phase::kHandling) self->Close();
+                       if (self->phase_ != Phase::kHandling) return;
+                       if (self->PeerHasLeft()) self->Leave();
                      });
 }
 
+bool Session::PeerHasLeft() {
+  if (!server_->limits.half_close_is_gone) return true;
+  ErrorCode error;
+  char next = 0;
+  socket_.non_blocking(true, error);
+  socket_.receive(asio::buffer(&next, 1), Socket::message_peek, error);
+  // A pipelined request may have come instead.
+  return error && error != asio::error::would_block;
+}
+
+void Session::Leave() {
+  const std::uint64_t id = request_id_;
+  const std::shared_ptr<ServerState> server = server_;
+  Close();
+  if (server->gone) server->gone(id);
+}
+
 void Session::Answer(std::uint64_t number, Response response) {
   if (closed_ || number != request_ || phase_ != Phase::kHandling) return;
   if (response.status == 0) return Close();
--- a/http/session.h
+++ b/http/session.h
@@ -51,7 +51,9 @@
   void OnBody(ErrorCode error);
   void OnReadError(ErrorCode error);
   void Dispatch();
-  void WatchForReset();
+  void WatchForLeave();
+  bool PeerHasLeft();
+  void Leave();
   void AnswerError(int status, const char* reason, const char* detail);
   void Write(Response response);
   void OnWritten(ErrorCode error);
@@ -80,7 +82,9 @@
   bool read_timed_out_ = false;
   bool keep_alive_ = false;
   bool head_ = false;
-  bool watching_reset_ = false;
+  bool watching_leave_ = false;
+  /// Request::id of the present request.
+  std::uint64_t request_id_ = 0;
 };
 
 }  // namespace tarragon::http
--- a/platform/http_table.cc
+++ b/notes/http_table.cc
@@ -1,13 +1,13 @@
-#include "tarragon/platform/http_table.h"
+#include "tarragon/notes/http_table.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
 #include "table_http.h"
-#include "tarragon/platform/world_codec.h"
+#include "tarragon/notes/world_codec.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 namespace {
 
 http::ClientLimits LimitsFor(const HttpTableSettings& settings) {
@@ -104,4 +104,4 @@
   });
 }
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/include/tarragon/platform/error.h
+++ b/notes/include/tarragon/notes/error.h
@@ -1,12 +1,12 @@
-#ifndef TARRAGON_PLATFORM_ERROR_H_
-#define TARRAGON_PLATFORM_ERROR_H_
+#ifndef TARRAGON_NOTES_ERROR_H_
+#define TARRAGON_NOTES_ERROR_H_
 
 #include <string>
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 /// Why a value of the platform's table cannot be used.
-struct PlatformError {
+struct TableError {
   enum class Code {
     /// Larger than any value that this system writes.
     kTooLarge,
@@ -22,6 +22,6 @@
   std::string detail;
 };
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
 
-#endif  // TARRAGON_PLATFORM_ERROR_H_
+#endif  // TARRAGON_NOTES_ERROR_H_
--- a/platform/include/tarragon/platform/http_table.h
+++ b/notes/include/tarragon/notes/http_table.h
@@ -1,5 +1,5 @@
-#ifndef TARRAGON_PLATFORM_HTTP_TABLE_H_
-#define TARRAGON_PLATFORM_HTTP_TABLE_H_
+#ifndef TARRAGON_NOTES_HTTP_TABLE_H_
+#define TARRAGON_NOTES_HTTP_TABLE_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
@@ -13,9 +13,9 @@
 #include "tarragon/core/ids.h"
 #include "tarragon/http/client.h"
 #include "tarragon/http/message.h"
-#include "tarragon/platform/table.h"
+#include "tarragon/notes/table.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 /// Where the platform's table is and how much may be asked of it.
 struct HttpTableSettings {
@@ -65,6 +65,6 @@
   http::Client client_;
 };
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
 
-#endif  // TARRAGON_PLATFORM_HTTP_TABLE_H_
+#endif  // TARRAGON_NOTES_HTTP_TABLE_H_
--- a/platform/include/tarragon/platform/note_parser.h
+++ b/notes/include/tarragon/notes/note_parser.h
@@ -1,5 +1,5 @@
-#ifndef TARRAGON_PLATFORM_NOTE_PARSER_H_
-#define TARRAGON_PLATFORM_NOTE_PARSER_H_
+#ifndef TARRAGON_NOTES_NOTE_PARSER_H_
+#define TARRAGON_NOTES_NOTE_PARSER_H_
 
 #include <cstddef>
 #include <optional>
@@ -8,7 +8,7 @@
 
 #include "tarragon/dispatch/note.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 /// Largest release note, in bytes.
 inline constexpr std::size_t kMaxNoteBytes = std::size_t{256} * 1024;
@@ -23,6 +23,6 @@
 std::optional<dispatch::ReleaseNote> ParseNote(
     const std::string& ini_text, std::vector<std::string>* errors);
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
 
-#endif  // TARRAGON_PLATFORM_NOTE_PARSER_H_
+#endif  // TARRAGON_NOTES_NOTE_PARSER_H_
--- a/platform/include/tarragon/platform/table.h
+++ b/notes/include/tarragon/notes/table.h
@@ -1,11 +1,11 @@
-#ifndef TARRAGON_PLATFORM_TABLE_H_
-#define TARRAGON_PLATFORM_TABLE_H_
+#ifndef TARRAGON_NOTES_TABLE_H_
+#define TARRAGON_NOTES_TABLE_H_
 
 #include <cstdint>
 #include <functional>
 #include <string>
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 /// How a call to the platform's table ended.
 enum class TableStatus : std::uint8_t {
@@ -64,6 +64,6 @@
                       std::uint64_t expected_version, Callback done) = 0;
 };
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
 
-#endif  // TARRAGON_PLATFORM_TABLE_H_
+#endif  // TARRAGON_NOTES_TABLE_H_
--- a/platform/include/tarragon/platform/world_codec.h
+++ b/notes/include/tarragon/notes/world_codec.h
@@ -1,5 +1,5 @@
-#ifndef TARRAGON_PLATFORM_WORLD_CODEC_H_
-#define TARRAGON_PLATFORM_WORLD_CODEC_H_
+#ifndef TARRAGON_NOTES_WORLD_CODEC_H_
+#define TARRAGON_NOTES_WORLD_CODEC_H_
 
 #include <cstddef>
 #include <optional>
@@ -7,11 +7,11 @@
 #include <string_view>
 
 #include "tarragon/dispatch/world.h"
-#include "tarragon/platform/error.h"
+#include "tarragon/notes/error.h"
 
 /// The values of the platform's table as JSON. Equal values give equal text.
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 /// Largest value that is read, in bytes.
 inline constexpr std::size_t kMaxValueBytes = std::size_t{8} * 1024 * 1024;
@@ -22,15 +22,15 @@
 /// Reads what EncodeWorld wrote. Fields that this release does not know are
 /// ignored. Empty, with the reason, for anything else. `reason` may be null.
 std::optional<dispatch::World> DecodeWorld(std::string_view text,
-                                           PlatformError* reason);
+                                           TableError* reason);
 
 /// The registered entries as one JSON object; node ids in their text form.
 std::string EncodeEntries(const dispatch::EntryList& entries);
 
 /// Reads what EncodeEntries wrote, as DecodeWorld does.
 std::optional<dispatch::EntryList> DecodeEntries(std::string_view text,
-                                                 PlatformError* reason);
+                                                 TableError* reason);
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
 
-#endif  // TARRAGON_PLATFORM_WORLD_CODEC_H_
+#endif  // TARRAGON_NOTES_WORLD_CODEC_H_
--- a/platform/ini_sections.cc
+++ b/notes/ini_sections.cc
@@ -6,7 +6,7 @@
 #include <sstream>
 #include <string_view>
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 namespace {
 
 namespace ptree = boost::property_tree;
@@ -149,4 +149,4 @@
   return "line " + std::to_string(line) + ": " + quoted + " ";
 }
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/ini_sections.h
+++ b/notes/ini_sections.h
@@ -1,12 +1,12 @@
-#ifndef TARRAGON_PLATFORM_INI_SECTIONS_H_
-#define TARRAGON_PLATFORM_INI_SECTIONS_H_
+#ifndef TARRAGON_NOTES_INI_SECTIONS_H_
+#define TARRAGON_NOTES_INI_SECTIONS_H_
 
 #include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 /// One key of a section with its value and the line that it stands on.
 struct IniValue {
@@ -36,6 +36,6 @@
 /// The start of an error text: "line 7: [section] ".
 std::string At(std::size_t line, const std::string& section);
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
 
-#endif  // TARRAGON_PLATFORM_INI_SECTIONS_H_
+#endif  // TARRAGON_NOTES_INI_SECTIONS_H_
--- a/platform/note_parser.cc
+++ b/notes/note_parser.cc
@@ -1,4 +1,4 @@
-#include "tarragon/platform/note_parser.h"
+#include "tarragon/notes/note_parser.h"
 
 #include <limits>
 #include <sstream>
@@ -7,7 +7,7 @@
 #include "ini_sections.h"
 #include "section_reader.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 namespace {
 
 using dispatch::ReleaseNote;
@@ -189,4 +189,4 @@
   return std::nullopt;
 }
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/section_reader.cc
+++ b/notes/section_reader.cc
@@ -5,7 +5,7 @@
 
 #include "tarragon/dispatch/note.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 std::optional<bool> SectionReader::Flag(const std::string& key) {
   const IniValue* value = Find(key);
@@ -92,4 +92,4 @@
                      Quote(value.text) + ", allowed are " + allowed);
 }
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/section_reader.h
+++ b/notes/section_reader.h
@@ -1,5 +1,5 @@
-#ifndef TARRAGON_PLATFORM_SECTION_READER_H_
-#define TARRAGON_PLATFORM_SECTION_READER_H_
+#ifndef TARRAGON_NOTES_SECTION_READER_H_
+#define TARRAGON_NOTES_SECTION_READER_H_
 
 #include <cstdint>
 #include <optional>
@@ -9,7 +9,7 @@
 #include "ini_sections.h"
 #include "tarragon/core/clock.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 /// Reads the keys of one section of a release note. Each value that does not
 /// fit adds one sentence to the errors. Keys that are not there leave their
@@ -52,6 +52,6 @@
   std::vector<std::string> known_;
 };
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
 
-#endif  // TARRAGON_PLATFORM_SECTION_READER_H_
+#endif  // TARRAGON_NOTES_SECTION_READER_H_
--- a/platform/table.cc
+++ b/notes/table.cc
@@ -1,6 +1,6 @@
-#include "tarragon/platform/table.h"
+#include "tarragon/notes/table.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 const char* Name(TableStatus status) {
   switch (status) {
@@ -20,4 +20,4 @@
   return "invalid";
 }
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/table_http.cc
+++ b/notes/table_http.cc
@@ -6,7 +6,7 @@
 
 #include "tarragon/http/status.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 namespace {
 
 constexpr std::string_view kHexDigits = "0123456789ABCDEF";
@@ -137,4 +137,4 @@
   return {TableStatus::kOk, "", 0, ""};
 }
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/table_http.h
+++ b/notes/table_http.h
@@ -1,16 +1,16 @@
-#ifndef TARRAGON_PLATFORM_TABLE_HTTP_H_
-#define TARRAGON_PLATFORM_TABLE_HTTP_H_
+#ifndef TARRAGON_NOTES_TABLE_HTTP_H_
+#define TARRAGON_NOTES_TABLE_HTTP_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
 #include "tarragon/http/message.h"
-#include "tarragon/platform/table.h"
+#include "tarragon/notes/table.h"
 
 /// The calls of the platform's table as HTTP messages, without any sending.
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 
 /// The path of one row. Names stay one segment of the path: a slash, a tilde
 /// and a leading dot become a tilde and two hex digits, because proxies may
@@ -34,6 +34,6 @@
 TableReply DeleteReply(const std::optional<http::Response>& response,
                        const http::HttpError& error);
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
 
-#endif  // TARRAGON_PLATFORM_TABLE_HTTP_H_
+#endif  // TARRAGON_NOTES_TABLE_HTTP_H_
--- a/platform/tests/http_table_test.cc
+++ b/notes/tests/http_table_test.cc
@@ -1,4 +1,4 @@
-#include "tarragon/platform/http_table.h"
+#include "tarragon/notes/http_table.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -10,7 +10,7 @@
 #include "platform_standin_table.h"
 #include "tarragon/http/server.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 namespace {
 
 using standins::Fault;
@@ -352,4 +352,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpTableTest);
 
 }  // namespace
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/tests/note_parser_test.cc
+++ b/notes/tests/note_parser_test.cc
@@ -1,11 +1,11 @@
-#include "tarragon/platform/note_parser.h"
+#include "tarragon/notes/note_parser.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
 #include <random>
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 namespace {
 
 using dispatch::ReleaseNote;
@@ -323,4 +323,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(NoteParserTest);
 
 }  // namespace
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/tests/table_http_test.cc
+++ b/notes/tests/table_http_test.cc
@@ -2,7 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 namespace {
 
 using http::HttpErrorKind;
@@ -114,4 +114,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(TableHttpTest);
 
 }  // namespace
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/tests/world_codec_test.cc
+++ b/notes/tests/world_codec_test.cc
@@ -1,4 +1,4 @@
-#include "tarragon/platform/world_codec.h"
+#include "tarragon/notes/world_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -6,10 +6,10 @@
 
 #include "tarragon/dispatch/note.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 namespace {
 
-using Code = PlatformError::Code;
+using Code = TableError::Code;
 using dispatch::EntryList;
 using dispatch::World;
 
@@ -39,7 +39,7 @@
 }
 
 void AssertRefused(Code code, const std::string& text) {
-  PlatformError reason;
+  TableError reason;
   CPPUNIT_ASSERT_MESSAGE(text, !DecodeWorld(text, &reason).has_value());
   CPPUNIT_ASSERT_MESSAGE(reason.detail, reason.code == code);
   CPPUNIT_ASSERT(!reason.detail.empty());
@@ -191,7 +191,7 @@
           Replaced(text, R"("domain":"szeged")", R"("domain":5)"),
           Replaced(text, R"("version":3,)", ""),
           std::string(R"({"format":1,"version":1,"members":[5]})")}) {
-      PlatformError reason;
+      TableError reason;
       CPPUNIT_ASSERT_MESSAGE(bad, !DecodeEntries(bad, &reason).has_value());
       CPPUNIT_ASSERT(reason.code == Code::kMalformed);
     }
@@ -231,4 +231,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(WorldCodecTest);
 
 }  // namespace
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/platform/world_codec.cc
+++ b/notes/world_codec.cc
@@ -1,4 +1,4 @@
-#include "tarragon/platform/world_codec.h"
+#include "tarragon/notes/world_codec.h"
 
 #include <boost/json.hpp>
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include "tarragon/core/ids.h"
 #include "tarragon/dispatch/note.h"
 
-namespace tarragon::platform {
+namespace tarragon::notes {
 namespace {
 
 namespace json = boost::json;
@@ -195,22 +195,21 @@
   }
 }
 
-void SetReason(PlatformError::Code code, std::string detail,
-               PlatformError* reason) {
+void SetReason(TableError::Code code, std::string detail, TableError* reason) {
   if (reason != nullptr) *reason = {code, std::move(detail)};
 }
 
 /// The JSON object of a value in the known format.
 std::optional<json::object> ParseValue(std::string_view text,
-                                       PlatformError* reason) {
+                                       TableError* reason) {
   if (text.size() > kMaxValueBytes) {
-    SetReason(PlatformError::Code::kTooLarge, "the value is too large", reason);
+    SetReason(TableError::Code::kTooLarge, "the value is too large", reason);
     return std::nullopt;
   }
   boost::system::error_code failure;
   json::value value = json::parse({text.data(), text.size()}, failure);
   if (failure || !value.is_object()) {
-    SetReason(PlatformError::Code::kMalformed,
+    SetReason(TableError::Code::kMalformed,
               failure ? "the value is not JSON: " + failure.message()
                       : "the value is not a JSON object",
               reason);
@@ -221,8 +220,8 @@
   std::uint64_t format = 0;
   ObjectReader(object, "", &problem).Read("format", &format);
   if (problem.empty() && format == kFormat) return object;
-  SetReason(problem.empty() ? PlatformError::Code::kUnknownFormat
-                            : PlatformError::Code::kMalformed,
+  SetReason(problem.empty() ? TableError::Code::kUnknownFormat
+                            : TableError::Code::kMalformed,
             problem.empty()
                 ? "the value has the format " + std::to_string(format)
                 : problem,
@@ -247,7 +246,7 @@
 }
 
 std::optional<dispatch::World> DecodeWorld(std::string_view text,
-                                           PlatformError* reason) {
+                                           TableError* reason) {
   const std::optional<json::object> object = ParseValue(text, reason);
   if (!object) return std::nullopt;
   std::string problem;
@@ -261,12 +260,12 @@
   ReadItems(&reader, "domains", &problem, &world.domains);
   ReadItems(&reader, "tenants", &problem, &world.tenants);
   if (!problem.empty()) {
-    SetReason(PlatformError::Code::kMalformed, problem, reason);
+    SetReason(TableError::Code::kMalformed, problem, reason);
     return std::nullopt;
   }
   const std::vector<std::string> out_of_range = dispatch::CheckWorld(world);
   if (!out_of_range.empty()) {
-    SetReason(PlatformError::Code::kOutOfRange, out_of_range[0], reason);
+    SetReason(TableError::Code::kOutOfRange, out_of_range[0], reason);
     return std::nullopt;
   }
   return world;
@@ -285,7 +284,7 @@
 }
 
 std::optional<dispatch::EntryList> DecodeEntries(std::string_view text,
-                                                 PlatformError* reason) {
+                                                 TableError* reason) {
   const std::optional<json::object> object = ParseValue(text, reason);
   if (!object) return std::nullopt;
   std::string problem;
@@ -294,10 +293,10 @@
   reader.Read("version", &entries.version);
   ReadMembers(&reader, &problem, &entries.members);
   if (!problem.empty()) {
-    SetReason(PlatformError::Code::kMalformed, problem, reason);
+    SetReason(TableError::Code::kMalformed, problem, reason);
     return std::nullopt;
   }
   return entries;
 }
 
-}  // namespace tarragon::platform
+}  // namespace tarragon::notes
--- a/wire/codec.cc
+++ b/wire/codec.cc
@@ -73,6 +73,20 @@
       return Read<dispatch::HandoverAck>(in->mutable_handover_ack(), reason);
     case Envelope::kInherited:
       return Read<dispatch::Inherited>(in->mutable_inherited(), reason);
+    case Envelope::kEntryNotice:
+      return Read<coordinator::EntryNotice>(in->mutable_entry_notice(), reason);
+    case Envelope::kOperatorUpdate:
+      return Read<coordinator::OperatorUpdate>(in->mutable_operator_update(),
+                                               reason);
+    case Envelope::kTargetReport:
+      return Read<coordinator::TargetReport>(in->mutable_target_report(),
+                                             reason);
+    case Envelope::kStartRun:
+      return Read<coordinator::StartRun>(in->mutable_start_run(), reason);
+    case Envelope::kAskRun:
+      return Read<coordinator::AskRun>(in->mutable_ask_run(), reason);
+    case Envelope::kRunEnded:
+      return Read<coordinator::RunEnded>(in->mutable_run_ended(), reason);
     case Envelope::MESSAGE_NOT_SET:
       break;
   }
--- a/wire/hello.cc
+++ b/wire/hello.cc
@@ -50,6 +50,18 @@
   Channel operator()(const dispatch::Handover&) { return Channel::kWork; }
   Channel operator()(const dispatch::HandoverAck&) { return Channel::kControl; }
   Channel operator()(const dispatch::Inherited&) { return Channel::kControl; }
+  Channel operator()(const coordinator::EntryNotice&) {
+    return Channel::kControl;
+  }
+  Channel operator()(const coordinator::OperatorUpdate&) {
+    return Channel::kWork;
+  }
+  Channel operator()(const coordinator::TargetReport&) {
+    return Channel::kWork;
+  }
+  Channel operator()(const coordinator::StartRun&) { return Channel::kWork; }
+  Channel operator()(const coordinator::AskRun&) { return Channel::kWork; }
+  Channel operator()(const coordinator::RunEnded&) { return Channel::kWork; }
 };
 
 }  // namespace
--- a/wire/proto_messages.h
+++ b/wire/proto_messages.h
@@ -77,6 +77,24 @@
 bool FromProto(PullEmpty* in, dispatch::PullEmpty* out, WireError* reason);
 bool FromProto(PullTask* in, dispatch::PullTask* out, WireError* reason);
 
+// Runs, between coordinating entries and gates (proto_runs.cc).
+void ToProto(const coordinator::EntryNotice& message, Envelope* out);
+void ToProto(const coordinator::OperatorUpdate& message, Envelope* out);
+void ToProto(const coordinator::TargetReport& message, Envelope* out);
+void ToProto(const coordinator::StartRun& message, Envelope* out);
+void ToProto(const coordinator::AskRun& message, Envelope* out);
+void ToProto(const coordinator::RunEnded& message, Envelope* out);
+
+bool FromProto(EntryNotice* in, coordinator::EntryNotice* out,
+               WireError* reason);
+bool FromProto(OperatorUpdate* in, coordinator::OperatorUpdate* out,
+               WireError* reason);
+bool FromProto(TargetReport* in, coordinator::TargetReport* out,
+               WireError* reason);
+bool FromProto(StartRun* in, coordinator::StartRun* out, WireError* reason);
+bool FromProto(AskRun* in, coordinator::AskRun* out, WireError* reason);
+bool FromProto(RunEnded* in, coordinator::RunEnded* out, WireError* reason);
+
 }  // namespace tarragon::wire
 
 #endif  // TARRAGON_WIRE_PROTO_MESSAGES_H_
--- /dev/null
+++ b/wire/proto_runs.cc
@@ -0,0 +1,219 @@
+#include <utility>
+
+#include "proto_messages.h"
+#include "proto_state.h"
+
+// The structured bindings name every field of a struct, so that a field which
+// is added there does not compile here until it is encoded.
+
+namespace tarragon::wire {
+namespace {
+
+void ToProto(const coordinator::Room& room, Room* out) {
+  const auto& [millicores, memory_mb, accelerators] = room;
+  out->set_millicores(millicores);
+  out->set_memory_mb(memory_mb);
+  out->set_accelerators(accelerators);
+}
+
+coordinator::Room ReadRoom(const Room& in) {
+  return {in.millicores(), in.memory_mb(), in.accelerators()};
+}
+
+void ToProto(const coordinator::RunRef& run, RunRef* out) {
+  const auto& [task, number] = run;
+  const auto& [job, step, index] = task;
+  out->set_job(job.value());
+  out->set_step(step);
+  out->set_index(index);
+  out->set_number(number);
+}
+
+bool ReadRun(bool present, RunRef* in, coordinator::RunRef* out,
+             WireError* reason) {
+  if (!Require(present, "run", reason)) return false;
+  out->task.job = TakeId<coordinator::JobId>(in->mutable_job());
+  out->task.step = in->step();
+  out->task.index = in->index();
+  out->number = in->number();
+  return true;
+}
+
+void ToProto(const coordinator::Queue& queue, Queue* out) {
+  const auto& [name, host, path_prefix, service, priority, max_attempts,
+               stretch_permille, latency_target, timeout, needs_advice] = queue;
+  out->set_name(name.value());
+  out->set_host(host);
+  out->set_path_prefix(path_prefix);
+  out->set_service(service.value());
+  out->set_priority(priority);
+  out->set_max_attempts(max_attempts);
+  out->set_stretch_permille(stretch_permille);
+  out->set_latency_target_us(ToMicros(latency_target));
+  out->set_timeout_us(ToMicros(timeout));
+  out->set_needs_advice(needs_advice);
+}
+
+bool ReadQueue(Queue* in, coordinator::Queue* out, WireError* reason) {
+  out->name = TakeId<coordinator::QueueId>(in->mutable_name());
+  out->host = std::move(*in->mutable_host());
+  out->path_prefix = std::move(*in->mutable_path_prefix());
+  out->service = TakeId<core::ServiceId>(in->mutable_service());
+  out->priority = in->priority();
+  out->max_attempts = in->max_attempts();
+  out->stretch_permille = in->stretch_permille();
+  out->needs_advice = in->needs_advice();
+  return FromMicros(in->latency_target_us(), &out->latency_target, reason) &&
+         FromMicros(in->timeout_us(), &out->timeout, reason);
+}
+
+std::int64_t ClockMicros(core::Time time) { return time.since_start.count(); }
+
+bool ReadClock(std::int64_t micros, core::Time* out, WireError* reason) {
+  return FromMicros(micros, &out->since_start, reason);
+}
+
+}  // namespace
+
+void ToProto(const coordinator::EntryNotice& message, Envelope* out) {
+  const auto& [echo, operator_revision] = message;
+  EntryNotice* notice = out->mutable_entry_notice();
+  notice->set_echo_us(ClockMicros(echo));
+  notice->set_operator_revision(operator_revision);
+}
+
+bool FromProto(EntryNotice* in, coordinator::EntryNotice* out,
+               WireError* reason) {
+  out->operator_revision = in->operator_revision();
+  return ReadClock(in->echo_us(), &out->echo, reason);
+}
+
+void ToProto(const coordinator::OperatorUpdate& message, Envelope* out) {
+  const auto& [revision, version, queues, drained] = message.state;
+  OperatorState* state = out->mutable_operator_update()->mutable_state();
+  state->set_revision(revision);
+  state->set_version(version);
+  for (const coordinator::Queue& queue : queues) {
+    ToProto(queue, state->add_queues());
+  }
+  for (const core::DomainId& domain : drained) {
+    state->add_drained(domain.value());
+  }
+}
+
+bool FromProto(OperatorUpdate* in, coordinator::OperatorUpdate* out,
+               WireError* reason) {
+  if (!Require(in->has_state(), "state", reason)) return false;
+  OperatorState* state = in->mutable_state();
+  out->state.revision = state->revision();
+  out->state.version = state->version();
+  for (Queue& queue : *state->mutable_queues()) {
+    if (!ReadQueue(&queue, &out->state.queues.emplace_back(), reason)) {
+      return false;
+    }
+  }
+  for (std::string& domain : *state->mutable_drained()) {
+    out->state.drained.push_back(TakeId<core::DomainId>(&domain));
+  }
+  return true;
+}
+
+void ToProto(const coordinator::TargetReport& message, Envelope* out) {
+  const auto& [clock, starts_seen, usable, runs_known, target, service, domain,
+               labels, capacity, free, operator_revision] = message;
+  TargetReport* report = out->mutable_target_report();
+  report->set_clock_us(ClockMicros(clock));
+  report->set_starts_seen(starts_seen);
+  report->set_usable(usable);
+  report->set_runs_known(runs_known);
+  report->set_target(target.value());
+  report->set_service(service.value());
+  report->set_domain(domain.value());
+  for (const coordinator::Label& label : labels) {
+    report->add_labels(label.value());
+  }
+  ToProto(capacity, report->mutable_capacity());
+  ToProto(free, report->mutable_free());
+  report->set_operator_revision(operator_revision);
+}
+
+bool FromProto(TargetReport* in, coordinator::TargetReport* out,
+               WireError* reason) {
+  out->starts_seen = in->starts_seen();
+  out->usable = in->usable();
+  out->runs_known = in->runs_known();
+  out->target = TakeId<coordinator::TargetId>(in->mutable_target());
+  out->service = TakeId<core::ServiceId>(in->mutable_service());
+  out->domain = TakeId<core::DomainId>(in->mutable_domain());
+  for (std::string& label : *in->mutable_labels()) {
+    out->labels.push_back(TakeId<coordinator::Label>(&label));
+  }
+  out->capacity = ReadRoom(in->capacity());
+  out->free = ReadRoom(in->free());
+  out->operator_revision = in->operator_revision();
+  return ReadClock(in->clock_us(), &out->clock, reason);
+}
+
+void ToProto(const coordinator::StartRun& message, Envelope* out) {
+  const auto& [run, sequence, service, room, payload, required, start_by,
+               operator_revision] = message;
+  StartRun* start = out->mutable_start_run();
+  ToProto(run, start->mutable_run());
+  start->set_sequence(sequence);
+  start->set_service(service.value());
+  ToProto(room, start->mutable_room());
+  start->set_payload(payload);
+  start->set_required(required.value());
+  start->set_start_by_us(ClockMicros(start_by));
+  start->set_operator_revision(operator_revision);
+}
+
+bool FromProto(StartRun* in, coordinator::StartRun* out, WireError* reason) {
+  if (!ReadRun(in->has_run(), in->mutable_run(), &out->run, reason)) {
+    return false;
+  }
+  out->sequence = in->sequence();
+  out->service = TakeId<core::ServiceId>(in->mutable_service());
+  out->room = ReadRoom(in->room());
+  out->payload = std::move(*in->mutable_payload());
+  out->required = TakeId<coordinator::Label>(in->mutable_required());
+  out->operator_revision = in->operator_revision();
+  return ReadClock(in->start_by_us(), &out->start_by, reason);
+}
+
+void ToProto(const coordinator::AskRun& message, Envelope* out) {
+  const auto& [run, stop, room] = message;
+  AskRun* ask = out->mutable_ask_run();
+  ToProto(run, ask->mutable_run());
+  ask->set_stop(stop);
+  ToProto(room, ask->mutable_room());
+}
+
+bool FromProto(AskRun* in, coordinator::AskRun* out, WireError* reason) {
+  out->stop = in->stop();
+  out->room = ReadRoom(in->room());
+  return ReadRun(in->has_run(), in->mutable_run(), &out->run, reason);
+}
+
+void ToProto(const coordinator::RunEnded& message, Envelope* out) {
+  const auto& [run, end, why, run_time] = message;
+  RunEnded* ended = out->mutable_run_ended();
+  ToProto(run, ended->mutable_run());
+  ended->set_end(static_cast<std::uint32_t>(end));
+  ended->set_reason(static_cast<std::uint32_t>(why));
+  ended->set_run_time_us(ToMicros(run_time));
+}
+
+bool FromProto(RunEnded* in, coordinator::RunEnded* out, WireError* reason) {
+  if (in->end() > coordinator::kLastRunEnd ||
+      in->reason() > coordinator::kLastRefusalReason) {
+    return Fail(WireErrorCode::kMalformed, "The end of a run is unknown.",
+                reason);
+  }
+  out->end = static_cast<coordinator::RunEnd>(in->end());
+  out->reason = static_cast<coordinator::RefusalReason>(in->reason());
+  return ReadRun(in->has_run(), in->mutable_run(), &out->run, reason) &&
+         FromMicros(in->run_time_us(), &out->run_time, reason);
+}
+
+}  // namespace tarragon::wire
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -147,6 +147,41 @@
   return handover;
 }
 
+coordinator::RunRef SampleRun() {
+  return {{coordinator::JobId("5c0e7a21d94b36f8"), 1, 2}, 3};
+}
+
+coordinator::OperatorUpdate SampleOperatorUpdate() {
+  coordinator::Queue queue;
+  queue.name = coordinator::QueueId("carving");
+  queue.host = "queue.example";
+  queue.path_prefix = "/carve/";
+  queue.service = core::ServiceId("carve");
+  queue.priority = 2;
+  queue.max_attempts = 3;
+  queue.stretch_permille = 1600;
+  queue.latency_target = microseconds(60000);
+  queue.timeout = microseconds(1500000);
+  queue.needs_advice = true;
+  return {{7, 8, {queue}, {core::DomainId("szeged")}}};
+}
+
+coordinator::TargetReport SampleTargetReport() {
+  coordinator::TargetReport report;
+  report.clock = core::Time{microseconds(32)};
+  report.starts_seen = 33;
+  report.usable = true;
+  report.runs_known = true;
+  report.target = coordinator::TargetId("t-1");
+  report.service = core::ServiceId("carve");
+  report.domain = core::DomainId("szeged");
+  report.labels = {coordinator::Label("a"), coordinator::Label("r1")};
+  report.capacity = {16000, 65536, 2};
+  report.free = {1600, 64, 1};
+  report.operator_revision = 34;
+  return report;
+}
+
 }  // namespace
 
 dispatch::Assign SampleAssign(std::uint32_t task, std::size_t bytes) {
@@ -197,6 +232,21 @@
       SampleHandover(),
       dispatch::HandoverAck{SampleNode(22), 23, true},
       dispatch::Inherited{SampleNode(24), {SampleNode(25), SampleNode(26)}},
+      coordinator::EntryNotice{core::Time{microseconds(27)}, 28},
+      SampleOperatorUpdate(),
+      SampleTargetReport(),
+      coordinator::StartRun{SampleRun(),
+                            29,
+                            service,
+                            {1600, 64, 1},
+                            kBinaryText,
+                            coordinator::Label("r1"),
+                            core::Time{microseconds(30)},
+                            31},
+      coordinator::AskRun{SampleRun(), true, {1600, 64, 1}},
+      coordinator::RunEnded{SampleRun(), coordinator::RunEnd::kRefused,
+                            coordinator::RefusalReason::kNoRoom,
+                            microseconds(61000)},
   };
 }
 
