--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -47,12 +47,12 @@
 /// The run has not been stopped and a look does not list it.
 bool IsProvedOver(const GateRun& run, const Look& look, core::Time look_sent) {
   const bool stopped =
-      run.stop_answered.has_value() && *run.stop_answered <= look_sent;
+      run.stop_answered.has_value() && *run.stop_answered < look_sent;
   switch (run.phase) {
     case RunPhase::kStarting:
       return false;
     case RunPhase::kRunning:
-      return run.started <= look_sent;
+      return run.started < look_sent;
     case RunPhase::kFound:
       return true;
     case RunPhase::kUnclear:
--- /dev/null
+++ b/coordinator/tests/gate_fixture.h
@@ -0,0 +1,163 @@
+#ifndef TARRAGON_COORDINATOR_TESTS_GATE_FIXTURE_H_
+#define TARRAGON_COORDINATOR_TESTS_GATE_FIXTURE_H_
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "tarragon/coordinator/gate.h"
+
+namespace tarragon::coordinator {
+
+inline const core::NodeId kEntry{core::Address("10.0.0.1:7000"),
+                                 core::Incarnation(1)};
+inline const core::NodeId kEntryAgain{core::Address("10.0.0.1:7000"),
+                                      core::Incarnation(2)};
+inline const core::NodeId kOtherEntry{core::Address("10.0.0.2:7000"),
+                                      core::Incarnation(3)};
+
+/// A gate with a ready target of 16 cores whose runs are known, and two
+/// entries. Tests hand in events and look at what the gate asks for.
+class GateFixture : public CppUnit::TestFixture {
+ public:
+  void setUp() override {
+    board_ = GateBoard{};
+    board_.domain = core::DomainId("szeged");
+    now_ = core::Time{std::chrono::seconds(100)};
+    Announce(1, 1);
+    AnswerLook({}, {});
+    OnMessage(&board_, now_, kEntry, EntryNotice{});
+    OnMessage(&board_, now_, kOtherEntry, EntryNotice{});
+    Take<OrderLook>();
+    board_.actions.clear();
+  }
+
+ protected:
+  void Announce(std::int64_t born, std::int64_t sequence,
+                bool draining = false) {
+    Announcement said;
+    said.target = TargetId("t-1");
+    said.born = TargetBirth(born);
+    said.sequence = sequence;
+    said.address = core::Address("10.0.0.9:80");
+    said.service = core::ServiceId("carve");
+    said.domain = core::DomainId("szeged");
+    said.labels = {Label("a")};
+    said.capacity = {16000, 1000, 0};
+    said.draining = draining;
+    said.clock = TargetClock(core::Millis(now_.since_start));
+    OnAnnouncement(&board_, now_, said);
+  }
+
+  /// Moves the clock on in steps of a tick. Entries are heard unless silent.
+  void Advance(core::Duration time, bool entries_heard = true) {
+    constexpr core::Duration kStep = std::chrono::milliseconds(20);
+    const core::Time end = now_ + time;
+    while (now_ < end) {
+      now_ = std::min(now_ + kStep, end);
+      if (entries_heard) {
+        OnMessage(&board_, now_, kEntry, EntryNotice{now_, 0});
+        OnMessage(&board_, now_, kOtherEntry, EntryNotice{now_, 0});
+      }
+      OnTick(&board_, now_);
+    }
+  }
+
+  static RunRef Run(std::uint32_t index, std::uint32_t number = 1) {
+    return {{JobId("job"), 0, index}, number};
+  }
+
+  void Start(const RunRef& run, std::int64_t millicores = 1600,
+             const core::NodeId& from = kEntry) {
+    StartRun start;
+    start.run = run;
+    start.sequence = ++sequence_;
+    start.service = core::ServiceId("carve");
+    start.room = {millicores, 10, 0};
+    start.payload = "scan";
+    start.start_by = now_ + std::chrono::milliseconds(400);
+    OnMessage(&board_, now_, from, start);
+  }
+
+  /// Starts a run that the target takes.
+  void StartAndAccept(const RunRef& run) {
+    Start(run);
+    OnStartAnswer(&board_, now_, run, OrderAnswer::kAccepted, std::nullopt);
+    now_ = now_ + std::chrono::milliseconds(1);
+  }
+
+  TargetClock Clock() const {
+    return TargetClock(core::Millis(now_.since_start));
+  }
+
+  /// Answers the look under way.
+  void AnswerLook(const std::vector<RunRef>& running,
+                  const std::vector<ListedEnd>& ended, std::int64_t born = 1) {
+    Look look;
+    look.born = TargetBirth(born);
+    look.clock = Clock();
+    for (const RunRef& run : running) look.running.push_back({run});
+    look.ended = ended;
+    OnLookAnswer(&board_, now_, board_.look_number, look);
+  }
+
+  /// Gives the look under way no answer, and the next one this answer.
+  void AnswerNextLook(const std::vector<RunRef>& running,
+                      const std::vector<ListedEnd>& ended) {
+    OnLookAnswer(&board_, now_, board_.look_number, std::nullopt);
+    Advance(std::chrono::milliseconds(80));
+    AnswerLook(running, ended);
+  }
+
+  /// Takes all actions of one kind out of the board.
+  template <typename Action>
+  std::vector<Action> Take() {
+    std::vector<Action> taken;
+    std::vector<GateAction> rest;
+    for (GateAction& action : board_.actions) {
+      if (auto* found = std::get_if<Action>(&action)) {
+        taken.push_back(std::move(*found));
+      } else {
+        rest.push_back(std::move(action));
+      }
+    }
+    board_.actions = std::move(rest);
+    return taken;
+  }
+
+  /// The end that the entry was told for `run`, if it was.
+  std::optional<RunEnded> Ended(const RunRef& run) {
+    std::optional<RunEnded> found;
+    for (const SendTo<RunEnded>& sent : Take<SendTo<RunEnded>>()) {
+      if (sent.message.run == run) found = sent.message;
+    }
+    return found;
+  }
+
+  void AssertEnded(const RunRef& run, RunEnd end) {
+    const std::optional<RunEnded> ended = Ended(run);
+    CPPUNIT_ASSERT(ended.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string(Name(end)), std::string(Name(ended->end)));
+  }
+
+  void AssertRefused(const RunRef& run, RefusalReason reason) {
+    const std::optional<RunEnded> ended = Ended(run);
+    CPPUNIT_ASSERT(ended.has_value());
+    CPPUNIT_ASSERT(ended->end == RunEnd::kRefused);
+    CPPUNIT_ASSERT_EQUAL(std::string(Name(reason)),
+                         std::string(Name(ended->reason)));
+    CPPUNIT_ASSERT(Take<OrderStart>().empty());
+  }
+
+  GateBoard board_;
+  core::Time now_;
+  std::uint64_t sequence_ = 0;
+};
+
+}  // namespace tarragon::coordinator
+
+#endif  // TARRAGON_COORDINATOR_TESTS_GATE_FIXTURE_H_
--- /dev/null
+++ b/coordinator/tests/gate_proof_test.cc
@@ -0,0 +1,268 @@
+#include "gate_fixture.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+/// How a gate proves that a run is over, or will never start.
+class GateProofTest : public GateFixture {
+  CPPUNIT_TEST_SUITE(GateProofTest);
+  CPPUNIT_TEST(TellsTheEndThatIsListed);
+  CPPUNIT_TEST(TellsAnEndOnce);
+  CPPUNIT_TEST(EndsARunThatIsNotListedAnyMore);
+  CPPUNIT_TEST(DoesNotTakeAnOlderLookForProof);
+  CPPUNIT_TEST(KeepsTheRoomOfAnUnansweredStart);
+  CPPUNIT_TEST(SettlesAnUnansweredStartByAStop);
+  CPPUNIT_TEST(SettlesAnUnansweredStartByTime);
+  CPPUNIT_TEST(KeepsAnUnansweredStartThatIsListed);
+  CPPUNIT_TEST(RepeatsAStopWithoutAnswer);
+  CPPUNIT_TEST(ProvesAnUnknownRunBeforeItAnswers);
+  CPPUNIT_TEST(RepeatsAnEndThatIsAskedFor);
+  CPPUNIT_TEST(AnswersNothingBeforeTheRunsAreKnown);
+  CPPUNIT_TEST(EndsAllRunsOfAnEarlierLife);
+  CPPUNIT_TEST(EndsRunsOfASilentTargetWhenTheLeaseIsOver);
+  CPPUNIT_TEST(ConfirmsTheLastEnd);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TellsTheEndThatIsListed() {
+    StartAndAccept(Run(0));
+    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
+    AssertEnded(Run(0), RunEnd::kDone);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{16000}, FreeRoom(board_).millicores);
+  }
+
+  void TellsAnEndOnce() {
+    StartAndAccept(Run(0));
+    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
+    AssertEnded(Run(0), RunEnd::kDone);
+    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
+    CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
+  }
+
+  void EndsARunThatIsNotListedAnyMore() {
+    StartAndAccept(Run(0));
+    AnswerNextLook({}, {});
+    AssertEnded(Run(0), RunEnd::kLapsed);
+  }
+
+  void DoesNotTakeAnOlderLookForProof() {
+    Start(Run(0));  // A look is sent beside it.
+    now_ = now_ + std::chrono::milliseconds(5);
+    OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kAccepted, std::nullopt);
+    AnswerLook({}, {});
+    CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, OpenRuns(board_));
+  }
+
+  void KeepsTheRoomOfAnUnansweredStart() {
+    Start(Run(0), 16000);
+    OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear, std::nullopt);
+    Take<OrderStart>();
+    AnswerLook({}, {});
+    Start(Run(1));
+    AssertRefused(Run(1), RefusalReason::kNoRoom);
+  }
+
+  void SettlesAnUnansweredStartByAStop() {
+    Start(Run(0));
+    OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear, std::nullopt);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+    OnStopAnswer(&board_, now_, Run(0), OrderAnswer::kAccepted);
+    // This look was sent before the stop was answered.
+    AnswerLook({}, {});
+    CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
+    AnswerNextLook({}, {});
+    AssertEnded(Run(0), RunEnd::kStopped);
+  }
+
+  void SettlesAnUnansweredStartByTime() {
+    Start(Run(0));
+    OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear, std::nullopt);
+    OnStopAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear);
+    AnswerNextLook({}, {});
+    CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
+    Advance(std::chrono::milliseconds(1000));
+    AnswerNextLook({}, {});
+    AssertEnded(Run(0), RunEnd::kStopped);
+  }
+
+  void KeepsAnUnansweredStartThatIsListed() {
+    Start(Run(0));
+    AnswerLook({Run(0)}, {});
+    OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear, std::nullopt);
+    CPPUNIT_ASSERT(Take<OrderStop>().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, OpenRuns(board_));
+  }
+
+  void RepeatsAStopWithoutAnswer() {
+    StartAndAccept(Run(0));
+    OnMessage(&board_, now_, kEntry, AskRun{Run(0), true, {}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+    OnStopAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear);
+    Advance(std::chrono::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+  }
+
+  void ProvesAnUnknownRunBeforeItAnswers() {
+    OnMessage(&board_, now_, kEntry, AskRun{Run(0), false, {1600, 0, 0}});
+    CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+    OnStopAnswer(&board_, now_, Run(0), OrderAnswer::kAccepted);
+    AnswerNextLook({}, {});
+    AssertEnded(Run(0), RunEnd::kStopped);
+    // A copy of its start that comes late is refused.
+    Take<OrderStart>();
+    Start(Run(0));
+    AssertRefused(Run(0), RefusalReason::kSealed);
+  }
+
+  void RepeatsAnEndThatIsAskedFor() {
+    StartAndAccept(Run(0));
+    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
+    AssertEnded(Run(0), RunEnd::kDone);
+    OnMessage(&board_, now_, kEntry, AskRun{Run(0), true, {}});
+    AssertEnded(Run(0), RunEnd::kDone);
+  }
+
+  void AnswersNothingBeforeTheRunsAreKnown() {
+    board_ = GateBoard{};
+    OnMessage(&board_, now_, kEntry, AskRun{Run(0), true, {}});
+    CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
+  }
+
+  void EndsAllRunsOfAnEarlierLife() {
+    StartAndAccept(Run(0));
+    Announce(2, 1);
+    AssertEnded(Run(0), RunEnd::kLapsed);
+  }
+
+  void EndsRunsOfASilentTargetWhenTheLeaseIsOver() {
+    StartAndAccept(Run(0));
+    AnswerLook({Run(0)}, {});
+    OnLookAnswer(&board_, now_, board_.look_number, std::nullopt);
+    for (int i = 0; i < 45; ++i) {
+      Advance(std::chrono::milliseconds(20));
+      if (board_.look_sent.has_value()) {
+        OnLookAnswer(&board_, now_, board_.look_number, std::nullopt);
+      }
+    }
+    // Each look that may have arrived has renewed the lease.
+    CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
+    board_.look_sent = now_;  // No further look is sent.
+    Advance(std::chrono::milliseconds(1100));
+    AssertEnded(Run(0), RunEnd::kLapsed);
+  }
+
+  void ConfirmsTheLastEnd() {
+    StartAndAccept(Run(0));
+    Take<OrderLook>();
+    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
+    const std::vector<OrderLook> looks = Take<OrderLook>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, looks.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, looks[0].last_end);
+    AnswerLook({}, {});
+    CPPUNIT_ASSERT(Take<OrderLook>().empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GateProofTest);
+
+/// What a gate does about entries that are lost, silent or replaced, and after
+/// a restart of its own.
+class GateHomeTest : public GateFixture {
+  CPPUNIT_TEST_SUITE(GateHomeTest);
+  CPPUNIT_TEST(EndsTheRunsOfASilentEntry);
+  CPPUNIT_TEST(EndsRunsWhenItsReportsAreNotHeard);
+  CPPUNIT_TEST(KeepsRunsOverALostConnection);
+  CPPUNIT_TEST(EndsTheRunsOfAnEntryThatIsGone);
+  CPPUNIT_TEST(EndsTheRunsOfAReplacedEntry);
+  CPPUNIT_TEST(HasNoRoomWhileFoundRunsAreUnclaimed);
+  CPPUNIT_TEST(GivesFoundRunsToTheEntryThatClaimsThem);
+  CPPUNIT_TEST(EndsFoundRunsThatNobodyClaims);
+  CPPUNIT_TEST(ReachesForAnEntryThatItHasLost);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void EndsTheRunsOfASilentEntry() {
+    StartAndAccept(Run(0));
+    Advance(std::chrono::milliseconds(680), false);
+    CPPUNIT_ASSERT(Take<OrderStop>().empty());
+    Advance(std::chrono::milliseconds(60), false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+  }
+
+  void EndsRunsWhenItsReportsAreNotHeard() {
+    StartAndAccept(Run(0));
+    const core::Time heard = now_;
+    for (int i = 0; i < 40; ++i) {
+      Advance(std::chrono::milliseconds(20), false);
+      OnMessage(&board_, now_, kEntry, EntryNotice{heard, 0});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+  }
+
+  void KeepsRunsOverALostConnection() {
+    StartAndAccept(Run(0));
+    OnHomeLost(&board_, now_, kEntry);
+    Advance(std::chrono::milliseconds(200));
+    CPPUNIT_ASSERT(Take<OrderStop>().empty());
+  }
+
+  void EndsTheRunsOfAnEntryThatIsGone() {
+    StartAndAccept(Run(0));
+    OnHomeGone(&board_, now_, kEntry);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+  }
+
+  void EndsTheRunsOfAReplacedEntry() {
+    StartAndAccept(Run(0));
+    OnMessage(&board_, now_, kEntryAgain, EntryNotice{});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+  }
+
+  void Restart(const std::vector<RunRef>& running) {
+    board_ = GateBoard{};
+    board_.domain = core::DomainId("szeged");
+    Announce(1, 5);
+    AnswerLook(running, {});
+    board_.actions.clear();
+  }
+
+  void HasNoRoomWhileFoundRunsAreUnclaimed() {
+    Restart({Run(0)});
+    Start(Run(1));
+    AssertRefused(Run(1), RefusalReason::kNoRoom);
+  }
+
+  void GivesFoundRunsToTheEntryThatClaimsThem() {
+    Restart({Run(0)});
+    OnMessage(&board_, now_, kEntry, AskRun{Run(0), false, {1600, 10, 0}});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{14400}, FreeRoom(board_).millicores);
+    Advance(std::chrono::milliseconds(400));
+    CPPUNIT_ASSERT(Take<OrderStop>().empty());
+    AnswerLook({}, {{3, Run(0), RunEnd::kDone}});
+    AssertEnded(Run(0), RunEnd::kDone);
+  }
+
+  void EndsFoundRunsThatNobodyClaims() {
+    Restart({Run(0)});
+    Advance(std::chrono::milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+  }
+
+  void ReachesForAnEntryThatItHasLost() {
+    OnHomeLost(&board_, now_, kEntry);
+    board_.actions.clear();
+    Advance(std::chrono::milliseconds(450), false);
+    bool reached = false;
+    for (const auto& sent : Take<SendTo<TargetReport>>()) {
+      reached = reached || sent.to == kEntry;
+    }
+    CPPUNIT_ASSERT(reached);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GateHomeTest);
+
+}  // namespace
+}  // namespace tarragon::coordinator
