Coordinator, Simulate: judge targets at their gates; looks that survive lost answers

Cause: each entry learned for itself that a target was slow or stood still, and spent its own trials; ends were seen late while answers of a target got lost.

Change: a gate reports how its runs went against what was expected, runs that are overdue included; entries compare with the median, share the trials, and end runs on a slow target that would end sooner elsewhere. A job that has not begun is refused as soon as it cannot be in time. Further looks beside one that is overdue; two while answers get lost; an answered order is a sign of life. Order timeout 120 -> 60 ms. tarragon-rooms plays entries, gates and targets with room in virtual time.

--- a/coordinator/admission.cc
+++ b/coordinator/admission.cc
@@ -13,6 +13,10 @@
 /// back at once.
 constexpr core::Duration kRetrySpread = std::chrono::seconds(2);
 
+double Seconds(core::Duration duration) {
+  return static_cast<double>(duration.count()) / 1e6;
+}
+
 struct RoomSeen {
   /// Of usable targets that serve the service.
   double capacity = 0;
@@ -50,10 +54,6 @@
   return false;
 }
 
-double Seconds(core::Duration duration) {
-  return static_cast<double>(duration.count()) / 1e6;
-}
-
 /// Millicore-seconds of the waiting tasks that come before `latest_start`.
 double WorkAhead(const JobBoard& board, core::Time latest_start) {
   double work = 0;
@@ -95,7 +95,6 @@
     verdict.refusal = Refusal::kNeverFits;
     return verdict;
   }
-  if (board.waiting.empty()) return verdict;
   const core::Duration chain = (job.objective - now) - job.queue.latency_target;
   const core::Duration slack =
       job.objective - now - chain * 1000 / job.queue.stretch_permille;
@@ -109,15 +108,12 @@
 }
 
 bool IsHopeless(const JobBoard& board, core::Time now, const Job& job) {
-  // Half of the time that a late answer has; the other half is for its run.
-  const core::Time limit =
-      job.objective + (job.useful_until - job.objective) / 2;
   core::Duration longest{0};
   for (const StepSpec& step : job.request.steps) {
     longest = std::max(longest, ExpectedRun(board.run_times, job.queue.name,
                                             step.declared_run));
   }
-  return now + longest > std::min(limit, job.useful_until);
+  return now + longest > std::min(job.objective, job.useful_until);
 }
 
 }  // namespace tarragon::coordinator
--- a/coordinator/admission.h
+++ b/coordinator/admission.h
@@ -20,8 +20,8 @@
 /// Judges a job that has just arrived.
 Verdict Judge(const JobBoard& board, core::Time now, const Job& job);
 
-/// True if a job of which nothing has run should be given up: the work ahead of
-/// it leaves no use for it.
+/// True if a job of which nothing has run should be given up: it cannot end in
+/// time any more, and would take room from jobs that can.
 bool IsHopeless(const JobBoard& board, core::Time now, const Job& job);
 
 /// When a client that is refused now finds room, spread over clients.
--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -7,6 +7,28 @@
 namespace tarragon::coordinator {
 namespace {
 
+constexpr double kPermille = 1000;
+/// Weight of each run that is overdue: with ten of them the target is judged by
+/// them alone.
+constexpr double kOverdueWeight = 0.1;
+/// Beyond this a target is simply too slow.
+constexpr double kMaxSlowness = 100;
+
+/// The history, with the runs that are overdue already.
+std::uint32_t SlownessPermille(const GateBoard& board, core::Time now) {
+  double slowness = board.target->history.slowness;
+  for (const auto& [ref, run] : board.runs) {
+    if (run.phase != RunPhase::kRunning || run.expected.count() <= 0) continue;
+    const double ratio = static_cast<double>((now - run.started).count()) /
+                         static_cast<double>(run.expected.count());
+    if (ratio > slowness) {
+      slowness += kOverdueWeight * (ratio - slowness);
+    }
+  }
+  return static_cast<std::uint32_t>(std::min(slowness, kMaxSlowness) *
+                                    kPermille);
+}
+
 HomeLink& Heard(GateBoard* board, core::Time now, const core::NodeId& from) {
   HomeLink& home = board->homes[from.address];
   if (home.node != from) {
@@ -54,8 +76,8 @@
   return RefusalReason::kNone;
 }
 
-void Refuse(GateBoard* board, const core::NodeId& home, const RunRef& run,
-            RefusalReason reason) {
+void RefuseStart(GateBoard* board, const core::NodeId& home, const RunRef& run,
+                 RefusalReason reason) {
   ++board->counts.refusals[reason];
   Tell(board, "Refused a start.", ToString(run),
        {{"reason", Name(reason)}, {"entry", core::ToString(home)}});
@@ -63,6 +85,25 @@
       home, {run, RunEnd::kRefused, reason, core::Duration{0}}});
 }
 
+void Begin(GateBoard* board, core::Time now, const core::NodeId& home,
+           StartRun start) {
+  Target& target = *board->target;
+  GateRun run;
+  run.room = start.room;
+  run.home = home;
+  run.ordered = now;
+  run.expected = start.expected_run;
+  run.start_until = TargetClock(EstimateClock(target, now).value() +
+                                core::Millis(board->policy.lease_asked));
+  target.lease_until = std::max(target.lease_until, run.start_until);
+  board->runs[start.run] = run;
+  ++board->counts.starts;
+  MarkReports(board);
+  board->actions.push_back(OrderStart{target.said.address, target.said.target,
+                                      start.run, std::move(start.payload),
+                                      run.start_until});
+}
+
 }  // namespace
 
 void MarkReports(GateBoard* board) {
@@ -86,12 +127,16 @@
     report.operator_revision = board->operator_state.revision;
     if (board->target.has_value()) {
       report.runs_known = board->target->runs_known;
+      report.entries = static_cast<std::uint32_t>(board->homes.size());
       const Announcement& said = board->target->said;
       report.target = said.target;
       report.service = said.service;
       report.labels = said.labels;
       report.capacity = said.capacity;
       report.free = FreeRoom(*board);
+      report.slowness_permille = SlownessPermille(*board, now);
+      report.failed_permille =
+          static_cast<std::uint32_t>(board->target->history.failed * kPermille);
     }
     board->actions.push_back(
         SendTo<TargetReport>{home.node, std::move(report)});
@@ -141,24 +186,11 @@
   home.starts_seen = std::max(home.starts_seen, start.sequence);
   home.report_due = true;
   const RefusalReason reason = CheckStart(*board, now, start);
-  if (reason != RefusalReason::kNone) {
-    Refuse(board, from, start.run, reason);
-    return Settle(board, now);
+  if (reason == RefusalReason::kNone) {
+    Begin(board, now, from, std::move(start));
+  } else {
+    RefuseStart(board, from, start.run, reason);
   }
-  Target& target = *board->target;
-  GateRun run;
-  run.room = start.room;
-  run.home = from;
-  run.ordered = now;
-  run.start_until = TargetClock(EstimateClock(target, now).value() +
-                                core::Millis(board->policy.lease_asked));
-  target.lease_until = std::max(target.lease_until, run.start_until);
-  board->runs[start.run] = run;
-  ++board->counts.starts;
-  MarkReports(board);
-  board->actions.push_back(OrderStart{target.said.address, target.said.target,
-                                      start.run, std::move(start.payload),
-                                      run.start_until});
   Settle(board, now);
 }
 
--- a/coordinator/gate_parts.h
+++ b/coordinator/gate_parts.h
@@ -35,7 +35,10 @@
 /// Ends all runs of an entry.
 void StopRunsOf(GateBoard* board, core::Time now, const core::NodeId& home);
 
-/// Begins a look at the target if one is due and none is under way.
+/// The target has answered an order or a look.
+void TakeSign(GateBoard* board, core::Time now);
+
+/// Begins a look at the target if one is due.
 void LookIfDue(GateBoard* board, core::Time now);
 
 /// Tells all entries soon how the target stands.
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -1,3 +1,4 @@
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -29,6 +30,32 @@
 
 std::size_t OpenRuns(const GateBoard& board) { return board.runs.size(); }
 
+/// Takes a run that has ended into the target's history. A run that was stopped
+/// tells only that it was not quicker than so far.
+void NoteRun(GateBoard* board, core::Time now, const GateRun& run, RunEnd end) {
+  if (!board->target.has_value()) return;
+  TargetHistory& history = board->target->history;
+  const double ratio = run.expected.count() > 0
+                           ? static_cast<double>((now - run.started).count()) /
+                                 static_cast<double>(run.expected.count())
+                           : 1;
+  const bool stopped = run.stop_wanted || end == RunEnd::kStopped;
+  if (stopped && ratio <= history.slowness) return;
+  // The longer nothing was seen, the more one run counts: a trial after a pause
+  // speaks for itself.
+  const double pause = static_cast<double>((now - history.noted).count());
+  const double memory =
+      static_cast<double>(board->policy.history_memory.count());
+  const double weight = 1 - std::exp(-pause / memory);
+  history.noted = now;
+  if (stopped || end == RunEnd::kDone) {
+    history.slowness += weight * (ratio - history.slowness);
+  }
+  if (stopped) return;
+  const double failed = end == RunEnd::kFailed ? 1 : 0;
+  history.failed += weight * (failed - history.failed);
+}
+
 void EndRun(GateBoard* board, core::Time now, const RunRef& ref, RunEnd end,
             RefusalReason reason) {
   const auto found = board->runs.find(ref);
@@ -36,7 +63,10 @@
   const GateRun run = found->second;
   board->runs.erase(found);
   RunEnded ended{ref, end, reason, core::Duration{0}};
-  if (run.phase == RunPhase::kRunning) ended.run_time = now - run.started;
+  if (run.phase == RunPhase::kRunning) {
+    ended.run_time = now - run.started;
+    NoteRun(board, now, run, end);
+  }
   board->past[ref] = {ended, now};
   ++board->counts.ends[end];
   if (end == RunEnd::kRefused) ++board->counts.refusals[reason];
@@ -83,6 +113,7 @@
     board->target->clock = *clock;
     board->target->clock_at = now;
   }
+  if (answer == OrderAnswer::kAccepted) TakeSign(board, now);
   const auto found = board->runs.find(ref);
   if (found == board->runs.end()) return;
   GateRun& run = found->second;
@@ -117,7 +148,10 @@
   if (found == board->runs.end()) return;
   GateRun& run = found->second;
   run.stop_under_way = false;
-  if (answer == OrderAnswer::kAccepted) run.stop_answered = now;
+  if (answer == OrderAnswer::kAccepted) {
+    run.stop_answered = now;
+    TakeSign(board, now);
+  }
   Settle(board, now);
 }
 
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -12,6 +12,18 @@
 /// Entries may claim a run that was found at a target within this time: two
 /// notices.
 constexpr core::Duration kClaimTime = std::chrono::milliseconds(300);
+/// A look that is not answered so long after its wait is likely lost: the next
+/// is sent beside it.
+constexpr core::Duration kLookOverdue = std::chrono::milliseconds(40);
+/// Looks under way at once.
+constexpr std::size_t kMaxLooks = 4;
+/// While answers get lost so many looks are kept under way, so that an end is
+/// seen at once.
+constexpr std::size_t kLooksWhenLossy = 2;
+/// Between two of them, so that one of them has time left when the other ends.
+constexpr core::Duration kLookSpacing = std::chrono::milliseconds(20);
+/// Answers count as getting lost for so long after one was.
+constexpr core::Duration kLossMemory = std::chrono::seconds(2);
 /// Pause after a look without an answer: several fit into `target_silence`.
 constexpr core::Duration kLookPause = std::chrono::milliseconds(60);
 /// After a stop is answered its run is over within 50 ms; what is still listed
@@ -39,9 +51,9 @@
   target.runs_known = false;
   target.last_end = 0;
   target.lease_until = TargetClock(0);
+  target.history = TargetHistory{};
   target.silent_since.reset();
-  board->look_sent.reset();
-  ++board->look_number;
+  board->looks.clear();
 }
 
 /// The run has not been stopped and a look does not list it.
@@ -112,6 +124,37 @@
   }
 }
 
+/// True if a run whose stop was answered waits for a look sent later than that.
+bool NeedsLaterLook(const GateBoard& board) {
+  const core::Time newest = board.looks.rbegin()->second.sent;
+  for (const auto& [ref, run] : board.runs) {
+    const bool unproved =
+        run.phase == RunPhase::kUnclear || run.phase == RunPhase::kSealing;
+    if (unproved && run.stop_answered.has_value() &&
+        *run.stop_answered >= newest) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Whether one more look may be sent now.
+bool MayLook(const GateBoard& board, core::Time now) {
+  const Target& target = *board.target;
+  if (board.looks.empty()) {
+    return !target.silent_since.has_value() ||
+           now - target.look_failed >= kLookPause;
+  }
+  if (board.looks.size() >= kMaxLooks) return false;
+  const core::Duration under_way = now - board.looks.rbegin()->second.sent;
+  if (under_way >= board.policy.hold_wait + kLookOverdue) return true;
+  const bool lossy = now - target.look_failed < kLossMemory;
+  if (lossy && board.looks.size() < kLooksWhenLossy) {
+    return under_way >= kLookSpacing;
+  }
+  return now > board.looks.rbegin()->second.sent && NeedsLaterLook(board);
+}
+
 bool AwaitsProof(const GateBoard& board) {
   for (const auto& [ref, run] : board.runs) {
     if (run.phase == RunPhase::kUnclear || run.phase == RunPhase::kSealing ||
@@ -211,16 +254,22 @@
   Settle(board, now);
 }
 
+void TakeSign(GateBoard* board, core::Time now) {
+  if (!board->target.has_value()) return;
+  Target& target = *board->target;
+  target.answered = now;
+  if (!target.silent_since.has_value()) return;
+  target.silent_since.reset();
+  Tell(board, "The target answers again.", target.said.target.value(), {});
+  MarkReports(board);
+}
+
 void LookIfDue(GateBoard* board, core::Time now) {
-  if (!board->target.has_value() || board->look_sent.has_value()) return;
+  if (!board->target.has_value()) return;
   Target& target = *board->target;
   const bool ends_unconfirmed = target.last_end > target.confirmed_end;
   if (board->runs.empty() && target.runs_known && !ends_unconfirmed) return;
-  if (target.silent_since.has_value() && now - target.last_look < kLookPause) {
-    return;
-  }
-  target.last_look = now;
-  board->look_sent = now;
+  if (!MayLook(*board, now)) return;
   OrderLook look;
   look.address = target.said.address;
   look.target = target.said.target;
@@ -233,23 +282,23 @@
   if (target.runs_known && !AwaitsProof(*board) && !board->runs.empty()) {
     look.wait = board->policy.hold_wait;
   }
-  look.number = ++board->look_number;
+  look.number = ++board->last_look;
+  board->looks[look.number] = {now, look.last_end};
   board->actions.push_back(look);
 }
 
 void OnLookAnswer(GateBoard* board, core::Time now, std::uint64_t number,
                   const std::optional<Look>& look) {
-  if (!board->target.has_value() || number != board->look_number ||
-      !board->look_sent.has_value()) {
-    return;
-  }
-  const core::Time sent = *board->look_sent;
-  board->look_sent.reset();
+  const auto open = board->looks.find(number);
+  if (!board->target.has_value() || open == board->looks.end()) return;
+  const OpenLook asked = open->second;
+  board->looks.erase(open);
   Target& target = *board->target;
   if (!look.has_value()) {
     ++board->counts.lost_looks;
-    if (!target.silent_since.has_value()) {
-      target.silent_since = sent;
+    target.look_failed = now;
+    if (!target.silent_since.has_value() && target.answered < asked.sent) {
+      target.silent_since = asked.sent;
       Tell(board, "A look at the target was not answered.",
            target.said.target.value(), {});
     }
@@ -262,18 +311,16 @@
          target.said.target.value(),
          {{"born", std::to_string(look->born.value())}});
   }
-  if (target.silent_since.has_value()) {
-    target.silent_since.reset();
-    Tell(board, "The target answers again.", target.said.target.value(), {});
-    MarkReports(board);
+  TakeSign(board, now);
+  if (look->clock > target.clock) {
+    target.clock = look->clock;
+    target.clock_at = now;
   }
-  target.clock = look->clock;
-  target.clock_at = now;
   if (!target.runs_known) MarkReports(board);
   target.runs_known = true;
-  target.confirmed_end = target.last_end;
+  target.confirmed_end = std::max(target.confirmed_end, asked.last_end);
   TakeEnds(board, now, *look);
-  TakeRunning(board, now, *look, sent);
+  TakeRunning(board, now, *look, asked.sent);
   Settle(board, now);
 }
 
--- a/coordinator/gates.cc
+++ b/coordinator/gates.cc
@@ -9,6 +9,12 @@
 namespace tarragon::coordinator {
 namespace {
 
+constexpr double kPermille = 1000;
+
+core::Duration Scaled(core::Duration duration, double factor) {
+  return std::chrono::duration_cast<core::Duration>(duration * factor);
+}
+
 /// The gate at an address, known by name from now on.
 GateLink& Heard(JobBoard* board, core::Time now, const core::NodeId& from) {
   GateLink& gate = board->gates[from.address];
@@ -50,6 +56,21 @@
   }
 }
 
+/// True if the run would end sooner if it were begun anew at another target.
+bool StandsStill(const JobBoard& board, core::Time now, const GateLink& gate,
+                 const Placed& placed) {
+  const Policy& policy = board.policy;
+  const core::Duration ran = now - placed.ordered;
+  if (ran > Scaled(placed.expected, policy.stall_factor) + policy.stall_floor) {
+    return true;
+  }
+  if (!gate.health.suspect || !gate.report.has_value()) return false;
+  const core::Duration here =
+      Scaled(placed.expected, gate.report->slowness_permille / kPermille);
+  return here - ran > placed.expected + policy.stall_floor &&
+         ran > placed.expected;
+}
+
 /// A run that stands still is ended, and its task placed elsewhere, while that
 /// can still be of use.
 void StopStalled(JobBoard* board, core::Time now, GateLink* gate) {
@@ -57,11 +78,7 @@
     if (placed.stop) continue;
     const auto job = board->jobs.find(ref.task.job);
     if (job == board->jobs.end()) continue;
-    const core::Duration limit =
-        std::chrono::duration_cast<core::Duration>(placed.expected *
-                                                   board->policy.stall_factor) +
-        board->policy.stall_floor;
-    if (now - placed.ordered <= limit) continue;
+    if (!StandsStill(*board, now, *gate, placed)) continue;
     if (now + placed.expected > job->second->useful_until) continue;
     placed.stop = true;
     Tell(board, "A run stands still and is ended.", ToString(ref),
@@ -113,7 +130,6 @@
   if (now - gate->notice_sent >= pause) SendNotice(board, now, gate);
   AskDoubtful(board, now, gate);
   StopStalled(board, now, gate);
-  RateOverdue(board, now, gate);
   EndLostRuns(board, now, gate);
 }
 
@@ -173,7 +189,6 @@
   if (at == gate->runs.end()) return;
   const Placed placed = at->second;
   gate->runs.erase(at);
-  Rate(board, now, gate, ended, placed.expected);
   if (ended.end == RunEnd::kRefused && ended.reason != RefusalReason::kNoRoom) {
     gate->health.avoid_until = now + board->policy.refusal_pause;
   }
@@ -240,6 +255,7 @@
   }
   const std::uint64_t known = report.operator_revision;
   gate.report = std::move(report);
+  Rate(board, now, &gate);
   if (known < board->operator_state.revision && !gate.update_sent) {
     gate.update_sent = true;
     board->actions.push_back(
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -63,6 +63,7 @@
   core::Time ordered;
   /// When the start was answered.
   core::Time started;
+  core::Duration expected{0};
   /// The start is refused by the target after this moment on its clock.
   TargetClock start_until;
   /// The run must end.
@@ -74,10 +75,24 @@
   std::optional<core::Time> stop_answered;
 };
 
+/// How the runs at a target have gone lately.
+struct TargetHistory {
+  /// Run times over the expected ones.
+  double slowness = 1;
+  /// Share of runs that failed.
+  double failed = 0;
+  /// When the last run was taken in.
+  core::Time noted;
+};
+
 /// The target and what is known of its present life.
 struct Target {
   Announcement said;
   core::Time heard;
+  /// When the last order or look was answered.
+  core::Time answered;
+  /// When a look last got no answer.
+  core::Time look_failed{-std::chrono::hours(1)};
   /// Since when no look has been answered; nothing if the last one was.
   std::optional<core::Time> silent_since;
   /// Its runs are known: a look was answered in this life.
@@ -89,10 +104,9 @@
   std::int64_t last_end = 0;
   /// Number of the last end that the target knows to be taken in.
   std::int64_t confirmed_end = 0;
-  /// When the last look was sent.
-  core::Time last_look;
   /// Latest moment on the target's clock up to which runs may hold a lease.
   TargetClock lease_until;
+  TargetHistory history;
 };
 
 /// An entry whose orders the gate obeys.
@@ -111,6 +125,13 @@
   bool silenced = false;
 };
 
+/// A look that is not answered yet.
+struct OpenLook {
+  core::Time sent;
+  /// The last end that it confirms.
+  std::int64_t last_end = 0;
+};
+
 /// How a run ended, for entries that ask again.
 struct PastRun {
   RunEnded ended;
@@ -187,9 +208,9 @@
   std::map<RunRef, PastRun> past;
   /// By the entry's address: a new incarnation replaces the old one.
   std::map<core::Address, HomeLink> homes;
-  /// When the look under way was sent; nothing if none is.
-  std::optional<core::Time> look_sent;
-  std::uint64_t look_number = 0;
+  /// Looks that are not answered, by their number.
+  std::map<std::uint64_t, OpenLook> looks;
+  std::uint64_t last_look = 0;
   bool stopping = false;
   /// What was last told of the target.
   bool was_usable = false;
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -137,13 +137,8 @@
   auto operator<=>(const Waiting&) const = default;
 };
 
-/// How a target has done lately, as this entry saw it.
+/// How far this entry trusts a target.
 struct TargetHealth {
-  /// Runs that failed in a row.
-  std::uint32_t failures = 0;
-  /// Run times over the usual ones; 1 is as usual.
-  double slowness = 1.0;
-  std::uint32_t samples = 0;
   /// Only single trials are placed there until one is good.
   bool suspect = false;
   core::Time last_trial;
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -51,6 +51,12 @@
   std::vector<Label> labels;
   Room capacity;
   Room free;
+  /// Entries that the gate knows, so that they share the trials of a target.
+  std::uint32_t entries = 1;
+  /// Run times lately over the expected ones, in thousandths; 1000 is as usual.
+  std::uint32_t slowness_permille = 1000;
+  /// Share of the runs lately that failed, in thousandths.
+  std::uint32_t failed_permille = 0;
   /// Revision of the operator state that the gate has.
   std::uint64_t operator_revision = 0;
 
@@ -68,6 +74,7 @@
   Label required;
   /// On the gate's clock; an order that is read later is refused.
   core::Time start_by;
+  core::Duration expected_run{0};
   /// The operator state by which the entry decided.
   std::uint64_t operator_revision = 0;
 
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -36,6 +36,9 @@
   /// refused. Covers a link with a queue, not a suspended machine.
   core::Duration start_window{std::chrono::milliseconds(400)};
 
+  /// How long a target's history reaches back: some ten runs of a busy target.
+  core::Duration history_memory{std::chrono::milliseconds(250)};
+
   /// Longest lease that targets grant.
   core::Duration lease{std::chrono::milliseconds(1000)};
   /// Part of the lease that is asked for; the rest covers the estimate of the
@@ -50,26 +53,26 @@
   core::Duration hold_grace{std::chrono::milliseconds(130)};
   /// An order on the local machine takes a few milliseconds. One without an
   /// answer for so long is settled by a stop.
-  core::Duration order_timeout{std::chrono::milliseconds(120)};
+  core::Duration order_timeout{std::chrono::milliseconds(60)};
   /// Pause before a stop without an answer is sent again.
   core::Duration stop_retry{std::chrono::milliseconds(60)};
   /// Looks at a target fail for so long until no task is placed there.
-  core::Duration target_silence{std::chrono::milliseconds(500)};
+  core::Duration target_silence{std::chrono::milliseconds(600)};
   /// Three missed announcements at the usual 1.5 s.
   core::Duration announcement_timeout{std::chrono::milliseconds(5000)};
   /// How long a gate remembers how a run ended, for entries that ask again.
   core::Duration end_memory{std::chrono::seconds(5)};
 
-  /// Failed runs in a row that make a target suspect. One run in five hundred
-  /// fails on a sound target.
-  std::uint32_t suspect_failures = 3;
-  /// Runs that take this multiple of what is expected make a target suspect.
-  /// Declared times are off by some 40 %, and run times vary by as much.
+  /// A target whose run times over the expected ones are this multiple of the
+  /// usual is suspect. Declared times are off by some 40 %, and run times vary
+  /// by as much.
   double suspect_slowness = 2.2;
-  /// Fewer runs than this say nothing about a target's speed.
-  std::uint32_t suspect_samples = 5;
-  /// Between two trials of a suspect target.
-  core::Duration trial_interval{std::chrono::milliseconds(400)};
+  /// So is one that fails this share of its runs, in thousandths, if others do
+  /// not. One run in five hundred fails on a sound target.
+  std::uint32_t suspect_failed_permille = 400;
+  /// Between two trials of a suspect target by all entries. A job that is used
+  /// as a trial may be late.
+  core::Duration trial_interval{std::chrono::milliseconds(500)};
   /// Most suspect targets, in thousandths of all; beyond it the cause is likely
   /// to lie elsewhere.
   std::uint32_t max_suspects_permille = 340;
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -1,6 +1,8 @@
 #include "placing.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <vector>
 
 #include "entry_parts.h"
 
@@ -14,10 +16,7 @@
 constexpr double kSameDomainWeight = 0.03;
 /// Keeps entries that see the same room from choosing the same target.
 constexpr double kRandomWeight = 0.15;
-/// Weight of the latest run in a target's slowness.
-constexpr double kSlownessWeight = 0.2;
-/// Overdue runs that make a target suspect.
-constexpr std::uint32_t kSuspectOverdue = 2;
+constexpr double kPermille = 1000;
 
 double NextRandom(JobBoard* board) {
   // xorshift64: cheap, and good enough to spread choices.
@@ -38,17 +37,37 @@
   return suspects * 1000 <= all * board.policy.max_suspects_permille;
 }
 
-void Suspect(JobBoard* board, core::Time now, GateLink* gate, const char* why) {
-  TargetHealth& health = gate->health;
-  if (health.suspect || !MaySuspect(*board)) return;
-  health.suspect = true;
-  health.last_trial = now;
-  Tell(board, "A target is suspect; it gets single trials.",
-       gate->report.has_value() ? gate->report->target.value() : "",
-       {{"why", why},
-        {"failures", std::to_string(health.failures)},
-        {"slowness", std::to_string(health.slowness)},
-        {"samples", std::to_string(health.samples)}});
+/// The middle value of what usable gates report.
+template <typename Field>
+std::uint32_t MedianReported(const JobBoard& board, Field field) {
+  std::vector<std::uint32_t> values;
+  for (const auto& [address, gate] : board.gates) {
+    if (gate.report.has_value() && gate.report->usable) {
+      values.push_back((*gate.report).*field);
+    }
+  }
+  if (values.empty()) return 0;
+  const std::size_t middle = (values.size() - 1) / 2;
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(middle),
+                   values.end());
+  return values[middle];
+}
+
+/// Why the target is not to be trusted; null if it is.
+const char* Suspicion(const JobBoard& board, const TargetReport& report) {
+  const Policy& policy = board.policy;
+  const double usual = std::max<double>(
+      MedianReported(board, &TargetReport::slowness_permille), kPermille);
+  if (report.slowness_permille > policy.suspect_slowness * usual) {
+    return "slow";
+  }
+  if (report.failed_permille > policy.suspect_failed_permille &&
+      MedianReported(board, &TargetReport::failed_permille) <
+          policy.suspect_failed_permille / 2) {
+    return "failures";
+  }
+  return nullptr;
 }
 
 std::uint32_t RunsOfStep(const GateLink& gate, const TaskRef& task) {
@@ -100,7 +119,8 @@
       continue;
     }
     const bool trial = gate.health.suspect;
-    if (trial && (now - gate.health.last_trial < board->policy.trial_interval ||
+    if (trial && (now - gate.health.last_trial <
+                      board->policy.trial_interval * report.entries ||
                   task.last_run > 0)) {
       continue;
     }
@@ -121,48 +141,21 @@
   return best;
 }
 
-void Rate(JobBoard* board, core::Time now, GateLink* gate,
-          const RunEnded& ended, core::Duration expected) {
+void Rate(JobBoard* board, core::Time now, GateLink* gate) {
   TargetHealth& health = gate->health;
-  if (ended.end == RunEnd::kFailed ||
-      ended.reason == RefusalReason::kTargetRefused) {
-    ++health.failures;
-    if (health.failures >= board->policy.suspect_failures) {
-      Suspect(board, now, gate, "failures");
-    }
-    return;
-  }
-  if (ended.end != RunEnd::kDone || ended.run_time.count() <= 0) return;
-  health.failures = 0;
-  const double ratio =
-      static_cast<double>(ended.run_time.count()) /
-      static_cast<double>(std::max<std::int64_t>(expected.count(), 1));
-  if (health.suspect) {
-    if (ratio > board->policy.suspect_slowness) return;
-    health = TargetHealth{};
-    Tell(board, "A target did well on trial and is used again.",
-         gate->report.has_value() ? gate->report->target.value() : "", {});
-    return;
-  }
-  ++health.samples;
-  health.slowness += kSlownessWeight * (ratio - health.slowness);
-  if (health.samples >= board->policy.suspect_samples &&
-      health.slowness > board->policy.suspect_slowness) {
-    Suspect(board, now, gate, "slow");
-  }
-}
-
-void RateOverdue(JobBoard* board, core::Time now, GateLink* gate) {
-  if (gate->health.suspect) return;
-  std::uint32_t overdue = 0;
-  for (const auto& [ref, placed] : gate->runs) {
-    const core::Duration limit =
-        std::chrono::duration_cast<core::Duration>(placed.expected *
-                                                   board->policy.stall_factor) +
-        board->policy.stall_floor;
-    if (now - placed.ordered > limit) ++overdue;
-  }
-  if (overdue >= kSuspectOverdue) Suspect(board, now, gate, "overdue runs");
+  const TargetReport& report = *gate->report;
+  const char* why = Suspicion(*board, report);
+  if ((why != nullptr) == health.suspect) return;
+  if (why != nullptr && !MaySuspect(*board)) return;
+  health.suspect = why != nullptr;
+  health.last_trial = now;
+  Tell(board,
+       health.suspect ? "A target is suspect; it gets single trials."
+                      : "A target did well on trial and is used again.",
+       report.target.value(),
+       {{"why", why != nullptr ? why : "none"},
+        {"slowness_permille", std::to_string(report.slowness_permille)},
+        {"failed_permille", std::to_string(report.failed_permille)}});
 }
 
 }  // namespace tarragon::coordinator
--- a/coordinator/placing.h
+++ b/coordinator/placing.h
@@ -22,12 +22,8 @@
 GateLink* ChooseGate(JobBoard* board, core::Time now, const Job& job,
                      const Task& task);
 
-/// Takes in how a run went at the gate's target.
-void Rate(JobBoard* board, core::Time now, GateLink* gate,
-          const RunEnded& ended, core::Duration expected);
-
-/// Counts runs that take far too long against their target.
-void RateOverdue(JobBoard* board, core::Time now, GateLink* gate);
+/// Judges the gate's target by its last report and those of the others.
+void Rate(JobBoard* board, core::Time now, GateLink* gate);
 
 }  // namespace tarragon::coordinator
 
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -70,8 +70,9 @@
   start.room = step.room;
   start.payload = job->request.payload;
   start.required = step.required;
-  start.start_by =
-      gate->report->clock + (now - gate->heard) + board->policy.start_window;
+  const core::Time gate_now = gate->report->clock + (now - gate->heard);
+  start.start_by = gate_now + board->policy.start_window;
+  start.expected_run = ExpectedRun(*board, *job, *task);
   start.operator_revision = board->operator_state.revision;
   ++job->runs;
   ++board->counts.starts;
--- a/daemons/site_settings.cc
+++ b/daemons/site_settings.cc
@@ -77,7 +77,7 @@
 std::vector<core::SettingSpec> SiteSpecs() {
   std::vector<core::SettingSpec> specs;
   specs.push_back(LogLevelSpec());
-  specs.push_back(NumberSpec(kLog, "lines_per_second", "400", "1", "100000",
+  specs.push_back(NumberSpec(kLog, "lines_per_second", "2000", "1", "100000",
                              "Most lines of one sentence in a second."));
   specs.back().reloadable = true;
   specs.push_back(NumberSpec(kMetrics, "port", "9464", "0", "65535",
--- /dev/null
+++ b/simulate/include/tarragon/simulate/room_world.h
@@ -0,0 +1,102 @@
+#ifndef TARRAGON_SIMULATE_ROOM_WORLD_H_
+#define TARRAGON_SIMULATE_ROOM_WORLD_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tarragon/coordinator/policy.h"
+#include "tarragon/core/clock.h"
+
+/// Coordinating entries, gates and targets with room, in virtual time: the
+/// decisions of the product under a load, without a network.
+
+namespace tarragon::simulate {
+
+/// A kind of job, as clients submit it.
+struct JobKind {
+  std::string name;
+  /// Jobs a second over all entries.
+  double per_second = 0;
+  double mean_width = 1;
+  std::uint32_t max_width = 1;
+  core::Duration mean_run{0};
+  core::Duration max_run{0};
+  std::int64_t millicores = 1600;
+  std::uint32_t priority = 0;
+  /// What a job in time is worth; late it is worth `late_share` of that.
+  double worth = 1;
+};
+
+/// A spell in which something differs.
+struct Spell {
+  core::Duration from{0};
+  core::Duration until{0};
+  /// Factor of the arrivals of `kind`, or of all kinds if it is empty.
+  double load = 1;
+  std::string kind;
+  /// Targets that are affected, from the first.
+  std::uint32_t targets = 0;
+  /// Run times there are so much longer.
+  double slowness = 1;
+  /// Share of the runs there that fail at once.
+  double failures = 0;
+  /// Share of the runs there that never end by themselves.
+  double hangs = 0;
+};
+
+/// What is played.
+struct RoomPlan {
+  std::uint64_t seed = 1;
+  std::uint32_t entries = 4;
+  /// Millicores of each target.
+  std::vector<std::int64_t> targets;
+  std::vector<JobKind> kinds;
+  std::vector<Spell> spells;
+  core::Duration length{std::chrono::seconds(30)};
+  /// How long a client waits.
+  core::Duration client_waits{std::chrono::seconds(5)};
+  /// One way between an entry and a gate.
+  core::Duration delay{std::chrono::microseconds(500)};
+  /// Until a target answers an order.
+  core::Duration order_delay{std::chrono::microseconds(1500)};
+  double stretch = 1.6;
+  core::Duration latency_target{std::chrono::milliseconds(60)};
+  coordinator::Policy policy;
+};
+
+/// What the clients of one kind got.
+struct KindResult {
+  std::uint64_t asked = 0;
+  std::uint64_t in_time = 0;
+  std::uint64_t late = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t failed = 0;
+  /// Worth that was asked for and got.
+  double owed = 0;
+  double earned = 0;
+  /// Sum of the waits of refused clients.
+  core::Duration refused_after{0};
+};
+
+/// What all clients got.
+struct RoomResult {
+  std::map<std::string, KindResult> kinds;
+  /// Share of all worth that was earned.
+  double worth = 0;
+  /// The same of the kind that was served worst.
+  double worst_kind = 0;
+  /// Millicore-seconds of runs that were stopped or whose job got no result.
+  double wasted = 0;
+};
+
+/// Two users' kinds of job, with the mean load of their targets at 0.62.
+RoomPlan UsualPlan();
+
+/// Plays the plan. The same plan gives the same result.
+RoomResult PlayRooms(const RoomPlan& plan);
+
+}  // namespace tarragon::simulate
+
+#endif  // TARRAGON_SIMULATE_ROOM_WORLD_H_
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -120,7 +120,8 @@
 
 void ToProto(const coordinator::TargetReport& message, Envelope* out) {
   const auto& [clock, starts_seen, usable, runs_known, target, service, domain,
-               labels, capacity, free, operator_revision] = message;
+               labels, capacity, free, entries, slowness_permille,
+               failed_permille, operator_revision] = message;
   TargetReport* report = out->mutable_target_report();
   report->set_clock_us(ClockMicros(clock));
   report->set_starts_seen(starts_seen);
@@ -134,6 +135,9 @@
   }
   ToProto(capacity, report->mutable_capacity());
   ToProto(free, report->mutable_free());
+  report->set_entries(entries);
+  report->set_slowness_permille(slowness_permille);
+  report->set_failed_permille(failed_permille);
   report->set_operator_revision(operator_revision);
 }
 
@@ -150,13 +154,16 @@
   }
   out->capacity = ReadRoom(in->capacity());
   out->free = ReadRoom(in->free());
+  out->entries = in->entries();
+  out->slowness_permille = in->slowness_permille();
+  out->failed_permille = in->failed_permille();
   out->operator_revision = in->operator_revision();
   return ReadClock(in->clock_us(), &out->clock, reason);
 }
 
 void ToProto(const coordinator::StartRun& message, Envelope* out) {
   const auto& [run, sequence, service, room, payload, required, start_by,
-               operator_revision] = message;
+               expected_run, operator_revision] = message;
   StartRun* start = out->mutable_start_run();
   ToProto(run, start->mutable_run());
   start->set_sequence(sequence);
@@ -165,6 +172,7 @@
   start->set_payload(payload);
   start->set_required(required.value());
   start->set_start_by_us(ClockMicros(start_by));
+  start->set_expected_run_us(ToMicros(expected_run));
   start->set_operator_revision(operator_revision);
 }
 
@@ -178,7 +186,8 @@
   out->payload = std::move(*in->mutable_payload());
   out->required = TakeId<coordinator::Label>(in->mutable_required());
   out->operator_revision = in->operator_revision();
-  return ReadClock(in->start_by_us(), &out->start_by, reason);
+  return ReadClock(in->start_by_us(), &out->start_by, reason) &&
+         FromMicros(in->expected_run_us(), &out->expected_run, reason);
 }
 
 void ToProto(const coordinator::AskRun& message, Envelope* out) {
