Coordinator, Tests: restarted gates learn of their target from entries; a fault soak

Cause: a gate that was killed knew its target only from the next announcement, up to 1.5 s later; the lease of its runs was over by then.

Change: an entry tells a restarted gate of the target that its predecessor reported.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
   libcppunit-dev libprotobuf-dev protobuf-compiler libxxhash-dev curl
 SOURCES = $(shell git ls-files --cached --others --exclude-standard '*.h' '*.cc' | grep -v '\.pb\.')
 
-.PHONY: all deps build test format lint asan demo prove bench capacity clean
+.PHONY: all deps build test format lint asan demo prove bench capacity soak clean
 
 all: build
 
@@ -19,6 +19,7 @@
 test: build
 	ctest --test-dir build --output-on-failure -E '^system_test$$'
 	.ci/system_test
+	build/bin/tarragon-soak --seed 1 --seeds 3 --seconds 6
 
 format:
 	clang-format -i $(SOURCES)
@@ -41,6 +42,12 @@
 prove: build
 	build/bin/tarragon-prove --seeds $(SEEDS) --seed-base $(SEED_BASE)
 
+# Random faults against the programs of the users' platform, as real processes.
+SOAK_SEEDS ?= 50
+SOAK_FIRST ?= 1000
+soak: build
+	build/bin/tarragon-soak --seeds $(SOAK_SEEDS) --seed $(SOAK_FIRST)
+
 # The policy against the baseline: in virtual time, then with real processes.
 bench: build
 	bash bench/table.sh
--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -159,6 +159,10 @@
       report.entries = static_cast<std::uint32_t>(board->homes.size());
       const Announcement& said = board->target->said;
       report.target = said.target;
+      report.born = said.born;
+      report.sequence = said.sequence;
+      report.address = said.address;
+      report.draining = said.draining;
       report.service = said.service;
       report.labels = said.labels;
       report.capacity = said.capacity;
@@ -261,6 +265,29 @@
   Settle(board, now);
 }
 
+void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
+               TargetHint hint) {
+  Heard(board, now, from);
+  if (board->target.has_value() || hint.last.target.value().empty()) {
+    return Settle(board, now);
+  }
+  Tell(board, "An entry tells of the target.", hint.last.target.value(),
+       {{"entry", core::ToString(from)},
+        {"address", hint.last.address.value()}});
+  Announcement said;
+  said.target = std::move(hint.last.target);
+  said.born = hint.last.born;
+  said.sequence = hint.last.sequence;
+  said.address = std::move(hint.last.address);
+  said.service = std::move(hint.last.service);
+  said.domain = std::move(hint.last.domain);
+  said.labels = std::move(hint.last.labels);
+  said.capacity = hint.last.capacity;
+  said.draining = hint.last.draining;
+  // Its clock is told by the first look.
+  OnAnnouncement(board, now, said);
+}
+
 void OnEntryFound(GateBoard* board, core::Time now,
                   const core::Address& address) {
   if (board->homes.contains(address)) return;
--- a/coordinator/gates.cc
+++ b/coordinator/gates.cc
@@ -23,6 +23,7 @@
     gate.uncounted.clear();
     gate.node = from;
     gate.update_sent = false;
+    gate.hint_sent = false;
     gate.notice_sent = core::Time{};
     Tell(board, "A gate is there.", core::ToString(from),
          {{"runs", std::to_string(gate.runs.size())}});
@@ -169,6 +170,17 @@
   Enqueue(board, now, job, task);
 }
 
+/// Tells a restarted gate of the target that its predecessor had.
+void HintTarget(JobBoard* board, const core::NodeId& from, GateLink* gate) {
+  if (!gate->report->target.value().empty()) {
+    gate->known_target = gate->report;
+    return;
+  }
+  if (gate->hint_sent || !gate->known_target.has_value()) return;
+  gate->hint_sent = true;
+  board->actions.push_back(SendTo<TargetHint>{from, {*gate->known_target}});
+}
+
 }  // namespace
 
 void Ask(JobBoard* board, core::Time now, const GateLink& gate,
@@ -255,6 +267,7 @@
   }
   const std::uint64_t known = report.operator_revision;
   gate.report = std::move(report);
+  HintTarget(board, from, &gate);
   Rate(board, now, &gate);
   if (known < board->operator_state.revision && !gate.update_sent) {
     gate.update_sent = true;
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -20,8 +20,6 @@
 
 /// A moment on the target's own clock, in milliseconds.
 using TargetClock = core::Strong<struct TargetClockTag, std::int64_t>;
-/// Start of one life of a target: Unix time in milliseconds.
-using TargetBirth = core::Strong<struct TargetBirthTag, std::int64_t>;
 
 /// What a target says of itself.
 struct Announcement {
--- a/coordinator/include/tarragon/coordinator/job.h
+++ b/coordinator/include/tarragon/coordinator/job.h
@@ -20,6 +20,8 @@
 using QueueId = core::Strong<struct QueueIdTag, std::string>;
 /// Name of one target, as it announces itself.
 using TargetId = core::Strong<struct TargetIdTag, std::string>;
+/// Start of one life of a target: Unix time in milliseconds.
+using TargetBirth = core::Strong<struct TargetBirthTag, std::int64_t>;
 /// A property of a target that tasks may ask for, such as its rack.
 using Label = core::Strong<struct LabelTag, std::string>;
 
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -175,6 +175,10 @@
   core::Time heard;
   core::Time notice_sent;
   bool connected = false;
+  /// The last report that named a target, also of an earlier process there.
+  std::optional<TargetReport> known_target;
+  /// This process at the gate's address was told of that target.
+  bool hint_sent = false;
   /// The gate was sent the operator state that is in force here.
   bool update_sent = false;
   std::deque<UncountedStart> uncounted;
@@ -196,7 +200,7 @@
 
 using JobAction =
     std::variant<SendTo<EntryNotice>, SendTo<OperatorUpdate>, SendTo<StartRun>,
-                 SendTo<AskRun>, DropGate, AnswerCall>;
+                 SendTo<AskRun>, SendTo<TargetHint>, DropGate, AnswerCall>;
 
 /// Counters and times for the metrics page.
 struct JobCounts {
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -46,6 +46,12 @@
   /// target's fields below mean nothing otherwise.
   bool runs_known = false;
   TargetId target;
+  TargetBirth born;
+  /// Number of its last announcement in this life.
+  std::int64_t sequence = 0;
+  /// "IP:port" for orders.
+  core::Address address;
+  bool draining = false;
   core::ServiceId service;
   core::DomainId domain;
   std::vector<Label> labels;
@@ -63,6 +69,15 @@
   bool operator==(const TargetReport&) const = default;
 };
 
+/// Entry to gate: the target that an earlier process at the gate's address has
+/// reported. A gate that was restarted so finds its target, and the runs there,
+/// before the next announcement.
+struct TargetHint {
+  TargetReport last;
+
+  bool operator==(const TargetHint&) const = default;
+};
+
 /// Entry to gate: start a task, or refuse it. Answered by RunEnded in the end.
 struct StartRun {
   RunRef run;
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -27,8 +27,9 @@
   /// Between two attempts to reach a gate or entry that does not answer.
   core::Duration reconnect_interval{std::chrono::milliseconds(400)};
   /// For each entry that a gate knows: least pause between reports of room that
-  /// others have taken or given back, while room is scarce and while it is ample.
-  /// Load that is 100 ms old places well as long as own starts are counted.
+  /// others have taken or given back, while room is scarce and while it is
+  /// ample. Load that is 100 ms old places well as long as own starts are
+  /// counted.
   core::Duration scarce_room_pause{std::chrono::milliseconds(1)};
   core::Duration ample_room_pause{std::chrono::milliseconds(10)};
   /// Room is scarce below this share of the capacity, in thousandths.
@@ -64,8 +65,8 @@
   /// Pause before a stop without an answer is sent again.
   core::Duration stop_retry{std::chrono::milliseconds(60)};
   /// The lease of a target's runs is renewed while looks have failed for less
-  /// than this: two lost looks are chance, after more the target may be dead, and
-  /// its runs must be proved over while their jobs still have time.
+  /// than this: two lost looks are chance, after more the target may be dead,
+  /// and its runs must be proved over while their jobs still have time.
   core::Duration renew_while_silent{std::chrono::milliseconds(250)};
   /// Looks at a target fail for so long until no task is placed there.
   core::Duration target_silence{std::chrono::milliseconds(600)};
--- a/coordinator/tests/entry_gate_test.cc
+++ b/coordinator/tests/entry_gate_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(PlacesElsewhereAfterARefusal);
   CPPUNIT_TEST(AsksAboutRunsAfterALostConnection);
   CPPUNIT_TEST(AsksARestartedGate);
+  CPPUNIT_TEST(TellsARestartedGateOfItsTarget);
   CPPUNIT_TEST(RepeatsAStopUntilTheEndIsTold);
   CPPUNIT_TEST(PlacesAgainOnlyAfterProof);
   CPPUNIT_TEST(TakesRunsOfASilentGateForOverInTime);
@@ -91,6 +92,18 @@
     CPPUNIT_ASSERT(Gate(1, 2) == asks[0].to);
   }
 
+  void TellsARestartedGateOfItsTarget() {
+    Report(Gate(1), 16000);
+    OnMessage(&board_, now_, Gate(1, 2), TargetReport{});
+    const auto hints = Take<SendTo<TargetHint>>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, hints.size());
+    CPPUNIT_ASSERT(Gate(1, 2) == hints[0].to);
+    CPPUNIT_ASSERT_EQUAL(std::string("t-10.0.1.1:7000"),
+                         hints[0].message.last.target.value());
+    OnMessage(&board_, now_, Gate(1, 2), TargetReport{});
+    CPPUNIT_ASSERT(Take<SendTo<TargetHint>>().empty());
+  }
+
   void RepeatsAStopUntilTheEndIsTold() {
     Report(Gate(1), 16000);
     const CallId call = Submit("j1", 1);
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -224,6 +224,8 @@
   CPPUNIT_TEST(GivesFoundRunsToTheEntryThatClaimsThem);
   CPPUNIT_TEST(EndsFoundRunsThatNobodyClaims);
   CPPUNIT_TEST(ReachesForAnEntryThatItHasLost);
+  CPPUNIT_TEST(FindsItsTargetByTheWordOfAnEntry);
+  CPPUNIT_TEST(TrustsItsTargetMoreThanAnEntry);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -294,6 +296,32 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
   }
 
+  void FindsItsTargetByTheWordOfAnEntry() {
+    const auto reports = Take<SendTo<TargetReport>>();
+    StartAndAccept(Run(0));
+    TargetReport last = Take<SendTo<TargetReport>>().back().message;
+    board_ = GateBoard{};
+    board_.domain = core::DomainId("szeged");
+    OnMessage(&board_, now_, kEntry, TargetHint{last});
+    const auto looks = Take<OrderLook>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, looks.size());
+    CPPUNIT_ASSERT(!looks[0].until.has_value());
+    AnswerLook({Run(0)}, {});
+    OnMessage(&board_, now_, kEntry, AskRun{Run(0), false, {1600, 10, 0}});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{14400}, FreeRoom(board_).millicores);
+    Start(Run(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStart>().size());
+  }
+
+  void TrustsItsTargetMoreThanAnEntry() {
+    TargetReport other;
+    other.target = TargetId("t-2");
+    other.born = TargetBirth(99);
+    OnMessage(&board_, now_, kEntry, TargetHint{other});
+    CPPUNIT_ASSERT_EQUAL(std::string("t-1"),
+                         board_.target->said.target.value());
+  }
+
   void ReachesForAnEntryThatItHasLost() {
     OnHomeLost(&board_, now_, kEntry);
     board_.actions.clear();
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -134,6 +134,8 @@
       coordinator::OnMessage(&board_, now, from, std::move(*start));
     } else if (auto* ask = std::get_if<coordinator::AskRun>(&message)) {
       coordinator::OnMessage(&board_, now, from, *ask);
+    } else if (auto* hint = std::get_if<coordinator::TargetHint>(&message)) {
+      coordinator::OnMessage(&board_, now, from, std::move(*hint));
     } else if (auto* notice = std::get_if<coordinator::EntryNotice>(&message)) {
       coordinator::OnMessage(&board_, now, from, *notice);
     } else if (auto* update =
--- a/dispatch/include/tarragon/dispatch/message.h
+++ b/dispatch/include/tarragon/dispatch/message.h
@@ -372,7 +372,8 @@
                  EntryPong, Leaving, Handover, HandoverAck, Inherited,
                  coordinator::EntryNotice, coordinator::OperatorUpdate,
                  coordinator::TargetReport, coordinator::StartRun,
-                 coordinator::AskRun, coordinator::RunEnded>;
+                 coordinator::AskRun, coordinator::RunEnded,
+                 coordinator::TargetHint>;
 
 /// The message's name in logs and counters, such as "assign".
 const char* Name(const Message& message);
--- a/dispatch/names.cc
+++ b/dispatch/names.cc
@@ -84,7 +84,7 @@
                 "leaving",       "handover",     "handover_ack",
                 "inherited",     "entry_notice", "operator_update",
                 "target_report", "start_run",    "ask_run",
-                "run_ended"};
+                "run_ended",     "target_hint"};
   return kNames[message.index()];
 }
 
--- /dev/null
+++ b/tests/soak/fake_store.cc
@@ -0,0 +1,146 @@
+#include "fake_store.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <memory>
+#include <set>
+#include <utility>
+
+namespace tarragon::soak {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds kFeedLook{20};
+constexpr int kFeedLooks = 50;
+
+std::string ToBase64(const std::string& bytes) {
+  namespace it = boost::archive::iterators;
+  using Encoder = it::base64_from_binary<
+      it::transform_width<std::string::const_iterator, 6, 8>>;
+  std::string text(Encoder(bytes.begin()), Encoder(bytes.end()));
+  while (text.size() % 4 != 0) text += '=';
+  return text;
+}
+
+http::Response Status(int status) {
+  http::Response response;
+  response.status = status;
+  response.body = "{}";
+  return response;
+}
+
+std::string Parameter(const http::Request& request, const char* name) {
+  const auto found = request.query.find(name);
+  return found == request.query.end() ? "" : found->second;
+}
+
+}  // namespace
+
+FakeStore::FakeStore(boost::asio::io_context& io)
+    : io_(io),
+      server_(
+          io, http::ServerLimits{},
+          [this](const http::Request& request, const http::Responder& answer) {
+            Handle(request, answer);
+          }) {
+  http::HttpError reason;
+  address_ = server_.Listen(core::Address("127.0.0.1:0"), &reason)->value();
+}
+
+void FakeStore::ForgetHistory() {
+  changes_.clear();
+  forgotten_ = revision_;
+}
+
+void FakeStore::Put(const std::string& table, const std::string& key,
+                    const std::string& value) {
+  tables_[table][key] = ToBase64(value);
+  changes_.push_back({++revision_, table, key});
+}
+
+void FakeStore::Remove(const std::string& table, const std::string& key) {
+  tables_[table].erase(key);
+  changes_.push_back({++revision_, table, key});
+}
+
+void FakeStore::Handle(const http::Request& request,
+                       const http::Responder& answer) {
+  if (refusing_) return answer(Status(503));
+  if (request.path == "/v1/rows-tx") return Transact(request, answer);
+  if (request.path == "/v1/rows-get") return Get(request, answer);
+  if (request.path == "/v1/rows-feed") return Feed(request, answer, kFeedLooks);
+  answer(Status(404));
+}
+
+void FakeStore::Transact(const http::Request& request,
+                         const http::Responder& answer) {
+  const json::value body = json::parse(request.body);
+  for (const json::value& row : body.at("set_keys").as_array()) {
+    const std::string table(row.at("table").as_string());
+    const std::string key(row.at("key").as_string());
+    tables_[table][key] = std::string(row.at("value").as_string());
+    changes_.push_back({++revision_, table, key});
+  }
+  answer(Status(200));
+}
+
+std::string FakeStore::Rows(const std::string& table,
+                            std::uint64_t after) const {
+  std::set<std::string> keys;
+  if (after == 0) {
+    const auto found = tables_.find(table);
+    if (found != tables_.end()) {
+      for (const auto& [key, value] : found->second) keys.insert(key);
+    }
+  }
+  for (const Change& change : changes_) {
+    if (after > 0 && change.revision > after && change.table == table) {
+      keys.insert(change.key);
+    }
+  }
+  json::array rows;
+  for (const std::string& key : keys) {
+    json::object row{{"table", table}, {"part", ""}, {"key", key}};
+    const auto& known = tables_.at(table);
+    const auto found = known.find(key);
+    if (found == known.end()) {
+      row["deleted"] = true;
+    } else {
+      row["value"] = found->second;
+    }
+    rows.push_back(row);
+  }
+  if (after > 0 && rows.empty()) return {};
+  return json::serialize(
+      json::object{{"rows", rows}, {"has_more", false}, {"ver", revision_}});
+}
+
+void FakeStore::Get(const http::Request& request,
+                    const http::Responder& answer) {
+  http::Response response;
+  response.body = Rows(Parameter(request, "table"), 0);
+  answer(response);
+}
+
+void FakeStore::Feed(const http::Request& request,
+                     const http::Responder& answer, int waits_left) {
+  const std::uint64_t after = std::stoull(Parameter(request, "after"));
+  if (after < forgotten_) return answer(Status(410));
+  http::Response response;
+  response.body = Rows(Parameter(request, "table"), after);
+  if (response.body.empty() && waits_left == 0) {
+    response.body = json::serialize(
+        json::object{{"rows", json::array()}, {"ver", revision_}});
+  }
+  if (!response.body.empty()) return answer(response);
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, kFeedLook);
+  timer->async_wait([this, timer, request, answer,
+                     waits_left](const boost::system::error_code& error) {
+    if (!error) Feed(request, answer, waits_left - 1);
+  });
+}
+
+}  // namespace tarragon::soak
--- /dev/null
+++ b/tests/soak/process.cc
@@ -0,0 +1,61 @@
+#include "process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <utility>
+
+#include "tarragon/platform/node_settings.h"
+
+namespace tarragon::soak {
+
+Process::Process(std::string program, std::string node_file,
+                 std::string log_file)
+    : program_(std::move(program)),
+      node_file_(std::move(node_file)),
+      log_file_(std::move(log_file)) {}
+
+Process::~Process() { Kill(); }
+
+void Process::Start() {
+  const std::string path =
+      (std::filesystem::read_symlink("/proc/self/exe").parent_path() / program_)
+          .string();
+  end_asked_ = false;
+  pid_ = fork();
+  if (pid_ != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int log = open(log_file_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(log, STDOUT_FILENO);
+  dup2(log, STDERR_FILENO);
+  setenv(platform::kNodeFileVariable, node_file_.c_str(), 1);
+  execl(path.c_str(), program_.c_str(), "--set", "metrics.port=0", nullptr);
+  _exit(127);
+}
+
+void Process::Signal(int signal) const {
+  if (pid_ <= 0) return;
+  if (signal == SIGKILL || signal == SIGTERM) end_asked_ = true;
+  kill(pid_, signal);
+}
+
+void Process::Kill() {
+  if (pid_ <= 0) return;
+  Signal(SIGKILL);
+  waitpid(pid_, nullptr, 0);
+  pid_ = 0;
+}
+
+bool Process::Poll() {
+  if (pid_ <= 0) return false;
+  if (waitpid(pid_, nullptr, WNOHANG) != pid_) return true;
+  pid_ = 0;
+  if (!end_asked_) ++own_ends_;
+  return false;
+}
+
+}  // namespace tarragon::soak
--- a/wire/proto_messages.h
+++ b/wire/proto_messages.h
@@ -84,6 +84,7 @@
 void ToProto(const coordinator::StartRun& message, Envelope* out);
 void ToProto(const coordinator::AskRun& message, Envelope* out);
 void ToProto(const coordinator::RunEnded& message, Envelope* out);
+void ToProto(const coordinator::TargetHint& message, Envelope* out);
 
 bool FromProto(EntryNotice* in, coordinator::EntryNotice* out,
                WireError* reason);
@@ -94,6 +95,7 @@
 bool FromProto(StartRun* in, coordinator::StartRun* out, WireError* reason);
 bool FromProto(AskRun* in, coordinator::AskRun* out, WireError* reason);
 bool FromProto(RunEnded* in, coordinator::RunEnded* out, WireError* reason);
+bool FromProto(TargetHint* in, coordinator::TargetHint* out, WireError* reason);
 
 }  // namespace tarragon::wire
 
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -73,6 +73,58 @@
   return FromMicros(micros, &out->since_start, reason);
 }
 
+void WriteReport(const coordinator::TargetReport& message,
+                 TargetReport* report) {
+  const auto& [clock, starts_seen, usable, runs_known, target, born, sequence,
+               address, draining, service, domain, labels, capacity, free,
+               entries, slowness_permille, failed_permille, operator_revision] =
+      message;
+  report->set_clock_us(ClockMicros(clock));
+  report->set_starts_seen(starts_seen);
+  report->set_usable(usable);
+  report->set_runs_known(runs_known);
+  report->set_target(target.value());
+  report->set_born(born.value());
+  report->set_sequence(sequence);
+  report->set_address(address.value());
+  report->set_draining(draining);
+  report->set_service(service.value());
+  report->set_domain(domain.value());
+  for (const coordinator::Label& label : labels) {
+    report->add_labels(label.value());
+  }
+  ToProto(capacity, report->mutable_capacity());
+  ToProto(free, report->mutable_free());
+  report->set_entries(entries);
+  report->set_slowness_permille(slowness_permille);
+  report->set_failed_permille(failed_permille);
+  report->set_operator_revision(operator_revision);
+}
+
+bool ReadReport(TargetReport* in, coordinator::TargetReport* out,
+                WireError* reason) {
+  out->starts_seen = in->starts_seen();
+  out->usable = in->usable();
+  out->runs_known = in->runs_known();
+  out->target = TakeId<coordinator::TargetId>(in->mutable_target());
+  out->born = coordinator::TargetBirth(in->born());
+  out->sequence = in->sequence();
+  out->address = TakeId<core::Address>(in->mutable_address());
+  out->draining = in->draining();
+  out->service = TakeId<core::ServiceId>(in->mutable_service());
+  out->domain = TakeId<core::DomainId>(in->mutable_domain());
+  for (std::string& label : *in->mutable_labels()) {
+    out->labels.push_back(TakeId<coordinator::Label>(&label));
+  }
+  out->capacity = ReadRoom(in->capacity());
+  out->free = ReadRoom(in->free());
+  out->entries = in->entries();
+  out->slowness_permille = in->slowness_permille();
+  out->failed_permille = in->failed_permille();
+  out->operator_revision = in->operator_revision();
+  return ReadClock(in->clock_us(), &out->clock, reason);
+}
+
 }  // namespace
 
 void ToProto(const coordinator::EntryNotice& message, Envelope* out) {
@@ -119,46 +171,22 @@
 }
 
 void ToProto(const coordinator::TargetReport& message, Envelope* out) {
-  const auto& [clock, starts_seen, usable, runs_known, target, service, domain,
-               labels, capacity, free, entries, slowness_permille,
-               failed_permille, operator_revision] = message;
-  TargetReport* report = out->mutable_target_report();
-  report->set_clock_us(ClockMicros(clock));
-  report->set_starts_seen(starts_seen);
-  report->set_usable(usable);
-  report->set_runs_known(runs_known);
-  report->set_target(target.value());
-  report->set_service(service.value());
-  report->set_domain(domain.value());
-  for (const coordinator::Label& label : labels) {
-    report->add_labels(label.value());
-  }
-  ToProto(capacity, report->mutable_capacity());
-  ToProto(free, report->mutable_free());
-  report->set_entries(entries);
-  report->set_slowness_permille(slowness_permille);
-  report->set_failed_permille(failed_permille);
-  report->set_operator_revision(operator_revision);
+  WriteReport(message, out->mutable_target_report());
 }
 
 bool FromProto(TargetReport* in, coordinator::TargetReport* out,
                WireError* reason) {
-  out->starts_seen = in->starts_seen();
-  out->usable = in->usable();
-  out->runs_known = in->runs_known();
-  out->target = TakeId<coordinator::TargetId>(in->mutable_target());
-  out->service = TakeId<core::ServiceId>(in->mutable_service());
-  out->domain = TakeId<core::DomainId>(in->mutable_domain());
-  for (std::string& label : *in->mutable_labels()) {
-    out->labels.push_back(TakeId<coordinator::Label>(&label));
-  }
-  out->capacity = ReadRoom(in->capacity());
-  out->free = ReadRoom(in->free());
-  out->entries = in->entries();
-  out->slowness_permille = in->slowness_permille();
-  out->failed_permille = in->failed_permille();
-  out->operator_revision = in->operator_revision();
-  return ReadClock(in->clock_us(), &out->clock, reason);
+  return ReadReport(in, out, reason);
+}
+
+void ToProto(const coordinator::TargetHint& message, Envelope* out) {
+  WriteReport(message.last, out->mutable_target_hint()->mutable_last());
+}
+
+bool FromProto(TargetHint* in, coordinator::TargetHint* out,
+               WireError* reason) {
+  if (!Require(in->has_last(), "last", reason)) return false;
+  return ReadReport(in->mutable_last(), &out->last, reason);
 }
 
 void ToProto(const coordinator::StartRun& message, Envelope* out) {
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -173,6 +173,10 @@
   report.usable = true;
   report.runs_known = true;
   report.target = coordinator::TargetId("t-1");
+  report.born = coordinator::TargetBirth(1780663518666);
+  report.sequence = 5;
+  report.address = core::Address("10.0.0.9:80");
+  report.draining = true;
   report.service = core::ServiceId("carve");
   report.domain = core::DomainId("szeged");
   report.labels = {coordinator::Label("a"), coordinator::Label("r1")};
@@ -251,6 +255,7 @@
       coordinator::RunEnded{SampleRun(), coordinator::RunEnd::kRefused,
                             coordinator::RefusalReason::kNoRoom,
                             microseconds(61000)},
+      coordinator::TargetHint{SampleTargetReport()},
   };
 }
 
