--- a/http/tests/server_fixture.h
+++ b/http/tests/server_fixture.h
@@ -3,6 +3,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -24,10 +25,12 @@
 
   void Listen(const ServerLimits& limits) {
     server_ = std::make_unique<Server>(
-        io_, limits, [this](Request request, const Responder& respond) {
+        io_, limits,
+        [this](Request request, const Responder& respond) {
           if (echo_) return respond(Text(request.path + "|" + request.body));
           open_.push_back(Open{std::move(request), respond});
-        });
+        },
+        [this](std::uint64_t id) { gone_.push_back(id); });
     HttpError reason;
     const auto bound = server_->Listen(kAnyPort, &reason);
     CPPUNIT_ASSERT_MESSAGE(reason.text, bound.has_value());
@@ -59,6 +62,8 @@
 
   asio::io_context io_;
   std::vector<Open> open_;
+  /// Requests whose clients have left.
+  std::vector<std::uint64_t> gone_;
   bool echo_ = false;
   std::unique_ptr<Server> server_;
   core::Address address_;
