Coordinator, Core: place over gates with room only; write the log in pieces

Change: the gates with room are found once for each round of placing; the log is written every tick or 4 KiB; jobs are given up at ticks; notices every 200 ms.

--- a/coordinator/entry_parts.h
+++ b/coordinator/entry_parts.h
@@ -49,9 +49,12 @@
 core::Duration ExpectedRun(const JobBoard& board, const Job& job,
                            const Task& task);
 
-/// Places waiting tasks on free room, and gives up what has become useless.
+/// Places waiting tasks on free room.
 void PlaceWaiting(JobBoard* board, core::Time now);
 
+/// Gives up jobs that wait in vain.
+void GiveUpJobs(JobBoard* board, core::Time now);
+
 /// The run of a gate has ended, by word of the gate or by proof of time.
 void TakeEnd(JobBoard* board, core::Time now, GateLink* gate,
              const RunEnded& ended);
--- a/coordinator/gates.cc
+++ b/coordinator/gates.cc
@@ -319,6 +319,7 @@
   std::erase_if(board->gates, [board, now](const auto& entry) {
     return now - entry.second.heard > board->policy.forget_peer;
   });
+  GiveUpJobs(board, now);
   Settle(board, now);
 }
 
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -13,8 +13,8 @@
 /// broken connection.
 struct Policy {
   /// Between two notices to a gate, and between two reports without a change.
-  /// A quarter of `home_silence`, so that three may be lost.
-  core::Duration notice_interval{std::chrono::milliseconds(150)};
+  /// Three fit into `home_silence` and two into `gate_silence`.
+  core::Duration notice_interval{std::chrono::milliseconds(200)};
   /// A gate ends the runs of an entry that has not shown for so long that it
   /// hears the gate. With a stop of 50 ms and a lease of 1 s a lost run is over
   /// well before the client's second attempt at 1.3 s after this.
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -102,18 +102,29 @@
   return free;
 }
 
-GateLink* ChooseGate(JobBoard* board, core::Time now, const Job& job,
-                     const Task& task) {
-  const StepSpec& step = job.request.steps[task.ref.step];
-  GateLink* best = nullptr;
-  double best_score = 0;
+std::vector<Candidate> FindCandidates(JobBoard* board, core::Time now,
+                                      std::int64_t millicores) {
+  std::vector<Candidate> candidates;
   for (auto& [address, gate] : board->gates) {
     if (!IsUsable(*board, now, gate) || now < gate.health.avoid_until) continue;
+    const Room free = BelievedFree(gate);
+    if (free.millicores >= millicores) candidates.push_back({&gate, free});
+  }
+  return candidates;
+}
+
+Candidate* ChooseGate(JobBoard* board, core::Time now, const Job& job,
+                      const Task& task, std::vector<Candidate>* candidates) {
+  const StepSpec& step = job.request.steps[task.ref.step];
+  Candidate* best = nullptr;
+  double best_score = 0;
+  for (Candidate& candidate : *candidates) {
+    GateLink& gate = *candidate.gate;
+    const Room& free = candidate.free;
     const TargetReport& report = *gate.report;
+    if (!Fits(step.room, free)) continue;
     if (report.service != job.queue.service) continue;
     if (!HasLabel(report, step.required)) continue;
-    const Room free = BelievedFree(gate);
-    if (!Fits(step.room, free)) continue;
     if (step.max_per_target > 0 &&
         RunsOfStep(gate, task.ref) >= step.max_per_target) {
       continue;
@@ -131,11 +142,11 @@
       score += kPreferredWeight;
     }
     if (report.domain == board->domain) score += kSameDomainWeight;
-    if (task.avoid_gate && address == task.gate) score -= 1;
+    if (task.avoid_gate && gate.node.address == task.gate) score -= 1;
     if (trial) score -= 0.5;
     score += kRandomWeight * NextRandom(board);
     if (best != nullptr && score <= best_score) continue;
-    best = &gate;
+    best = &candidate;
     best_score = score;
   }
   return best;
--- a/coordinator/placing.h
+++ b/coordinator/placing.h
@@ -1,6 +1,9 @@
 #ifndef TARRAGON_COORDINATOR_PLACING_H_
 #define TARRAGON_COORDINATOR_PLACING_H_
 
+#include <cstdint>
+#include <vector>
+
 #include "tarragon/coordinator/job_board.h"
 
 /// Where a task is placed. Made for targets of unequal size, of which some are
@@ -18,9 +21,20 @@
 /// ordered since.
 Room BelievedFree(const GateLink& gate);
 
-/// The best gate for a task; null if there is none now.
-GateLink* ChooseGate(JobBoard* board, core::Time now, const Job& job,
-                     const Task& task);
+/// A gate that has room, while waiting tasks are placed.
+struct Candidate {
+  GateLink* gate = nullptr;
+  Room free;
+};
+
+/// The gates with at least `millicores` of room. So that the cost of placing
+/// grows with the gates that have room, not with all.
+std::vector<Candidate> FindCandidates(JobBoard* board, core::Time now,
+                                      std::int64_t millicores);
+
+/// The best of the candidates for a task; null if none fits.
+Candidate* ChooseGate(JobBoard* board, core::Time now, const Job& job,
+                      const Task& task, std::vector<Candidate>* candidates);
 
 /// Judges the gate's target by its last report and those of the others.
 void Rate(JobBoard* board, core::Time now, GateLink* gate);
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,26 +37,6 @@
   }
 }
 
-/// Gives up jobs that wait in vain.
-void GiveUp(JobBoard* board, core::Time now) {
-  std::vector<JobId> over;
-  for (const auto& [id, job] : board->jobs) {
-    const bool hopeless = job->runs == 0 ? IsHopeless(*board, now, *job)
-                                         : now > job->useful_until;
-    if (hopeless) over.push_back(id);
-  }
-  for (const JobId& id : over) {
-    Job* job = board->jobs.at(id).get();
-    ++board->counts.given_up;
-    if (job->runs == 0) {
-      RefuseJob(board, now, job, Refusal::kExpired,
-                RetryAfter(*board, core::Duration(0)));
-    } else {
-      GiveUpJob(board, now, job, "its time is over");
-    }
-  }
-}
-
 void Place(JobBoard* board, core::Time now, Job* job, Task* task,
            GateLink* gate) {
   Dequeue(board, *job, *task);
@@ -88,6 +69,19 @@
   board->actions.push_back(SendTo<StartRun>{gate->node, std::move(start)});
 }
 
+/// The least room that one of the next waiting tasks needs.
+std::int64_t LeastNeed(const JobBoard& board) {
+  std::int64_t least = std::numeric_limits<std::int64_t>::max();
+  std::size_t seen = 0;
+  for (const Waiting& each : board.waiting) {
+    if (++seen > board.policy.place_lookahead) break;
+    const Job& job = *board.jobs.at(each.job);
+    const StepSpec& step = job.request.steps[job.tasks[each.task].ref.step];
+    least = std::min(least, step.room.millicores);
+  }
+  return least;
+}
+
 }  // namespace
 
 void Enqueue(JobBoard* board, core::Time now, Job* job, Task* task) {
@@ -113,24 +107,46 @@
 }
 
 void PlaceWaiting(JobBoard* board, core::Time now) {
+  if (board->waiting.empty()) return;
   MarkLate(board, now);
+  std::vector<Candidate> candidates =
+      FindCandidates(board, now, LeastNeed(*board));
   std::size_t skipped = 0;
   auto at = board->waiting.begin();
-  while (at != board->waiting.end() &&
+  while (!candidates.empty() && at != board->waiting.end() &&
          skipped <= board->policy.place_lookahead) {
     const Waiting next = *at;
     Job* job = board->jobs.at(next.job).get();
     Task* task = &job->tasks[next.task];
-    GateLink* gate = ChooseGate(board, now, *job, *task);
-    if (gate == nullptr) {
+    Candidate* best = ChooseGate(board, now, *job, *task, &candidates);
+    if (best == nullptr) {
       ++skipped;
       ++at;
       continue;
     }
-    Place(board, now, job, task, gate);
+    best->free = best->free - job->request.steps[task->ref.step].room;
+    Place(board, now, job, task, best->gate);
     at = board->waiting.upper_bound(next);
   }
-  GiveUp(board, now);
+}
+
+void GiveUpJobs(JobBoard* board, core::Time now) {
+  std::vector<JobId> over;
+  for (const auto& [id, job] : board->jobs) {
+    const bool hopeless = job->runs == 0 ? IsHopeless(*board, now, *job)
+                                         : now > job->useful_until;
+    if (hopeless) over.push_back(id);
+  }
+  for (const JobId& id : over) {
+    Job* job = board->jobs.at(id).get();
+    ++board->counts.given_up;
+    if (job->runs == 0) {
+      RefuseJob(board, now, job, Refusal::kExpired,
+                RetryAfter(*board, core::Duration(0)));
+    } else {
+      GiveUpJob(board, now, job, "its time is over");
+    }
+  }
 }
 
 }  // namespace tarragon::coordinator
--- a/core/dropping_buffer.cc
+++ b/core/dropping_buffer.cc
@@ -13,6 +13,9 @@
 /// Bytes that wait for a slow reader: some hundred lines.
 constexpr std::size_t kMaxWaiting = std::size_t{64} * 1024;
 
+/// Bytes that are written without a call of Send.
+constexpr std::size_t kWriteSize = std::size_t{4} * 1024;
+
 }  // namespace
 
 DroppingBuffer::DroppingBuffer(int descriptor) : descriptor_(descriptor) {
@@ -47,7 +50,7 @@
     waiting_ += line_;
   }
   line_.clear();
-  WriteWaiting();
+  if (waiting_.size() >= kWriteSize) WriteWaiting();
 }
 
 void DroppingBuffer::WriteWaiting() {
@@ -61,10 +64,21 @@
   waiting_.erase(0, written);
 }
 
+namespace {
+
+/// Of standard output, once the log goes there. Not freed, so that destructors
+/// of static objects can still log.
+DroppingBuffer* log_buffer = nullptr;
+
+}  // namespace
+
 void LogToStandardOutput() {
-  // Not freed, so that destructors of static objects can still log.
-  static DroppingBuffer* const buffer = new DroppingBuffer(STDOUT_FILENO);
-  std::cerr.rdbuf(buffer);
+  if (log_buffer == nullptr) log_buffer = new DroppingBuffer(STDOUT_FILENO);
+  std::cerr.rdbuf(log_buffer);
+}
+
+void SendLog() {
+  if (log_buffer != nullptr) log_buffer->Send();
 }
 
 }  // namespace tarragon::core
--- a/core/dropping_buffer.h
+++ b/core/dropping_buffer.h
@@ -8,13 +8,17 @@
 
 namespace tarragon::core {
 
-/// Writes whole lines to a descriptor without blocking. What the descriptor
+/// Writes whole lines to a descriptor without blocking, some at a time: each
+/// write costs as much as several lines. What the descriptor
 /// does not take waits, up to a bound; lines beyond it are dropped, and a later
 /// line tells how many.
 class DroppingBuffer : public std::streambuf {
  public:
   explicit DroppingBuffer(int descriptor);
 
+  /// Writes what waits.
+  void Send() { WriteWaiting(); }
+
   /// Lines that were dropped and not yet told of.
   std::uint64_t dropped() const { return dropped_; }
 
--- a/core/include/tarragon/core/log.h
+++ b/core/include/tarragon/core/log.h
@@ -103,6 +103,10 @@
 /// a later line tells how many.
 void LogToStandardOutput();
 
+/// Writes the lines that wait to be written together. Daemons whose log goes to
+/// standard output call it every few hundredths of a second and before they end.
+void SendLog();
+
 /// Writes the counts of left-out lines that are due. Daemons call it every few
 /// seconds and before they end.
 void FlushLog();
--- a/core/tests/dropping_buffer_test.cc
+++ b/core/tests/dropping_buffer_test.cc
@@ -38,8 +38,10 @@
     DroppingBuffer buffer(ends_[1]);
     std::ostream out(&buffer);
     out << "one " << 1 << "\ntwo";
+    buffer.Send();
     CPPUNIT_ASSERT_EQUAL(std::string("one 1\n"), Drain());
     out << "\n";
+    buffer.Send();
     CPPUNIT_ASSERT_EQUAL(std::string("two\n"), Drain());
   }
 
@@ -48,11 +50,13 @@
     std::ostream out(&buffer);
     const std::string line(999, 'x');
     for (int i = 0; i < 400; ++i) out << line << "\n";
+    buffer.Send();
     CPPUNIT_ASSERT(buffer.dropped() > 0);
     std::string text;
     for (int i = 0; i < 8; ++i) {
       text += Drain();
       out << "after\n";
+      buffer.Send();
     }
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, buffer.dropped());
     CPPUNIT_ASSERT(text.find("Dropped log lines. count=") != std::string::npos);
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -291,6 +291,7 @@
       log_flushed_ = now;
       core::FlushLog();
     }
+    core::SendLog();
     if (board_.stopping && !ending_) CheckStop(now);
   }
 
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -231,6 +231,7 @@
       log_flushed_ = now;
       core::FlushLog();
     }
+    core::SendLog();
     if (!board_.stopping || ending_) return;
     const bool done = coordinator::OpenRuns(board_) == 0;
     if (!done && now - stop_requested_ < kStopLimit) return;
--- a/daemons/site_main.h
+++ b/daemons/site_main.h
@@ -35,11 +35,13 @@
   std::string reason;
   if (!daemon.Start(&reason)) {
     core::Log("main").Error("Cannot start.", {{"why", reason}});
+    core::SendLog();
     return core::kExitFailure;
   }
   core::Log("main").Info("Started.", {{"listens", daemon.ReadyLine()}});
   io.run();
   core::FlushLog();
+  core::SendLog();
   return daemon.exit_code();
 }
 
