Http: drop a request whose client has left before it was read

An entry that was slow, with its connections reset, read the first attempt over a second after its client had sent it again elsewhere, and learned some 30 ms after the start that the client was gone.

Change: the server looks for a close before it hands a request on. ServerLeaveTest::DropsARequestWhoseClientHasLeft failed before.

Left: a close that is still on its way when the request is read; the run is then ended when the close arrives.

--- a/http/include/tarragon/http/server.h
+++ b/http/include/tarragon/http/server.h
@@ -44,8 +44,8 @@
   core::Duration idle_timeout{std::chrono::seconds(60)};
   /// How long the writing of one response may take.
   core::Duration write_timeout{std::chrono::seconds(10)};
-  /// A peer that closes its sending side while its request is handled is gone;
-  /// else it still gets its answer.
+  /// A peer that closes its sending side before its answer is gone: a request
+  /// that is read after that is not handled. Else it still gets its answer.
   bool half_close_is_gone = false;
 };
 
--- a/http/session.cc
+++ b/http/session.cc
@@ -203,6 +203,9 @@
 
 void Session::Dispatch() {
   watchdog_->Clear();
+  // On a busy server a request may be read long after its client has left; the
+  // client may have sent it again elsewhere by now.
+  if (server_->limits.half_close_is_gone && PeerHasLeft()) return Close();
   ++request_;
   BeastRequest message = parser_->release();
   parser_.reset();
--- a/http/tests/server_leave_test.cc
+++ b/http/tests/server_leave_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(TellsOfAReset);
   CPPUNIT_TEST(TellsOfACloseIfAsked);
   CPPUNIT_TEST(AnswersAHalfClosedPeerUnlessAsked);
+  CPPUNIT_TEST(DropsARequestWhoseClientHasLeft);
   CPPUNIT_TEST(KeepsAPipelinedRequest);
   CPPUNIT_TEST(TellsNothingOfAnsweredRequests);
   CPPUNIT_TEST_SUITE_END();
@@ -60,6 +61,24 @@
     CPPUNIT_ASSERT(gone_.empty());
   }
 
+  void DropsARequestWhoseClientHasLeft() {
+    Listen(HalfCloseIsGone());
+    const std::string address = address_.value();
+    const std::string port = address.substr(address.rfind(':') + 1);
+    Socket client(io_);
+    client.connect({asio::ip::make_address("127.0.0.1"),
+                    static_cast<std::uint16_t>(std::stoi(port))});
+    asio::write(client, asio::buffer(std::string("GET /1 HTTP/1.1\r\n\r\n")));
+    client.close();
+    // The server reads only now.
+    const auto other = Connect();
+    other->Write("GET /2 HTTP/1.1\r\n\r\n");
+    AwaitOpen(1);
+    RunUntil(io_, [this] { return server_->connections() == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, open_.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("/2"), open_[0].request.path);
+  }
+
   void KeepsAPipelinedRequest() {
     Listen(HalfCloseIsGone());
     const auto peer = Connect();
