--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -296,6 +296,8 @@
   home.heard = now;
   home.confirmed = now;
   home.connected = false;
+  // The entry reaches for all gates as well; one connection is enough.
+  home.report_sent = now;
   Tell(board, "Learned of an entry.", address.value(), {});
   Settle(board, now);
 }
--- a/core/include/tarragon/core/log.h
+++ b/core/include/tarragon/core/log.h
@@ -104,7 +104,8 @@
 void LogToStandardOutput();
 
 /// Writes the lines that wait to be written together. Daemons whose log goes to
-/// standard output call it every few hundredths of a second and before they end.
+/// standard output call it every few hundredths of a second and before they
+/// end.
 void SendLog();
 
 /// Writes the counts of left-out lines that are due. Daemons call it every few
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -8,6 +8,7 @@
 #include "operator_watch.h"
 #include "process_runner.h"
 #include "remark_log.h"
+#include "site_limits.h"
 #include "site_pages.h"
 #include "site_settings.h"
 #include "tarragon/coordinator/entry.h"
@@ -37,11 +38,6 @@
 /// The platform kills a process 6 s after it asks it to stop. What is left
 /// before that is answered in time.
 constexpr core::Duration kLastAnswers = std::chrono::milliseconds(4800);
-constexpr core::Duration kStopLimit = std::chrono::milliseconds(5300);
-/// Peers of the platform's networks answer in milliseconds.
-constexpr core::Duration kConnectTimeout = std::chrono::milliseconds(400);
-constexpr core::Duration kUnacknowledged = std::chrono::milliseconds(1500);
-constexpr core::Duration kLogFlush = std::chrono::seconds(5);
 
 const core::Log& EntryLog() {
   static const core::Log log("entry");
@@ -57,14 +53,6 @@
   return limits;
 }
 
-wire::TransportLimits PeerLimits() {
-  wire::TransportLimits limits;
-  limits.connect_timeout = kConnectTimeout;
-  limits.handshake_timeout = 2 * kConnectTimeout;
-  limits.unacknowledged_timeout = kUnacknowledged;
-  return limits;
-}
-
 }  // namespace
 
 class CoordinatorDaemon::Impl {
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -6,6 +6,7 @@
 #include "membership.h"
 #include "process_runner.h"
 #include "remark_log.h"
+#include "site_limits.h"
 #include "site_pages.h"
 #include "site_settings.h"
 #include "tarragon/coordinator/gate.h"
@@ -25,12 +26,6 @@
 
 /// The target beside the gate is the only caller.
 constexpr std::size_t kMaxConnections = 16;
-/// The platform kills a process 6 s after it asks it to stop.
-constexpr core::Duration kStopLimit = std::chrono::milliseconds(5300);
-/// Peers of the platform's networks answer in milliseconds.
-constexpr core::Duration kConnectTimeout = std::chrono::milliseconds(400);
-constexpr core::Duration kUnacknowledged = std::chrono::milliseconds(1500);
-constexpr core::Duration kLogFlush = std::chrono::seconds(5);
 
 const core::Log& GateLog() {
   static const core::Log log("gate");
@@ -43,14 +38,6 @@
   return limits;
 }
 
-wire::TransportLimits PeerLimits() {
-  wire::TransportLimits limits;
-  limits.connect_timeout = kConnectTimeout;
-  limits.handshake_timeout = 2 * kConnectTimeout;
-  limits.unacknowledged_timeout = kUnacknowledged;
-  return limits;
-}
-
 }  // namespace
 
 class GateDaemon::Impl {
--- /dev/null
+++ b/simulate/room_jobs.cc
@@ -0,0 +1,66 @@
+#include "room_jobs.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragon::simulate {
+namespace {
+
+/// Spread of run times and widths, and of what clients declare.
+constexpr double kSpread = 0.4;
+/// Spread of the run times within one job.
+constexpr double kUneven = 0.15;
+/// A job is worth 0.3 and a share that grows with its work, up to four times
+/// the kind's worth.
+constexpr double kFixedWorth = 0.3;
+constexpr double kMaxWorth = 4.0;
+/// Shortest run time, in seconds.
+constexpr double kShortestRun = 0.002;
+
+}  // namespace
+
+ClientJob MakeClientJob(const RoomPlan& plan, const JobKind* kind,
+                        std::mt19937_64* random) {
+  std::lognormal_distribution<double> spread(-kSpread * kSpread / 2, kSpread);
+  std::normal_distribution<double> uneven(1, kUneven);
+  std::uniform_real_distribution<double> declared(1 - kSpread, 1 + kSpread);
+  ClientJob job;
+  job.kind = kind;
+  const long width = std::clamp(std::lround(kind->mean_width * spread(*random)),
+                                1L, static_cast<long>(kind->max_width));
+  const double base = Seconds(kind->mean_run) * spread(*random);
+  core::Duration longest{0};
+  double work = 0;
+  for (long i = 0; i < width; ++i) {
+    const double run = std::clamp(base * std::max(uneven(*random), 0.5),
+                                  kShortestRun, Seconds(kind->max_run));
+    job.work.push_back(FromSeconds(run));
+    longest = std::max(longest, job.work.back());
+    work += run;
+  }
+  const double mean = Seconds(kind->mean_run) * kind->mean_width;
+  job.worth =
+      kind->worth *
+      std::min(kFixedWorth + (1 - kFixedWorth) * work / mean, kMaxWorth);
+  job.objective =
+      FromSeconds(Seconds(longest) * plan.stretch) + plan.latency_target;
+  job.declared = FromSeconds(base * declared(*random));
+  return job;
+}
+
+RoomPlan UsualPlan() {
+  RoomPlan plan;
+  for (int i = 0; i < 11; ++i)
+    plan.targets.push_back(i % 3 == 2 ? 24000 : 16000);
+  plan.kinds = {
+      {"check", 34.4, 8, 32, std::chrono::milliseconds(60),
+       std::chrono::milliseconds(240), 1600, 0, 0.0291},
+      {"carve", 6.25, 4, 16, std::chrono::milliseconds(900),
+       std::chrono::milliseconds(3600), 1600, 2, 0.16},
+      {"lookup", 100.0, 2, 8, std::chrono::milliseconds(200),
+       std::chrono::milliseconds(800), 1600, 1, 0.01},
+  };
+  return plan;
+}
+
+}  // namespace tarragon::simulate
--- /dev/null
+++ b/simulate/room_state.h
@@ -0,0 +1,121 @@
+#ifndef TARRAGON_SIMULATE_ROOM_STATE_H_
+#define TARRAGON_SIMULATE_ROOM_STATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "room_jobs.h"
+#include "tarragon/coordinator/entry.h"
+#include "tarragon/coordinator/gate.h"
+#include "tarragon/simulate/room_world.h"
+
+namespace tarragon::simulate {
+
+using coordinator::GateBoard;
+using coordinator::JobBoard;
+using coordinator::JobState;
+using coordinator::Refusal;
+using coordinator::RunEnd;
+using coordinator::RunRef;
+
+/// A target with its runs.
+struct FakeTarget {
+  struct Run {
+    std::int64_t millicores = 0;
+    core::Time started;
+    std::uint64_t life = 0;
+  };
+  std::map<RunRef, Run> running;
+  std::set<RunRef> sealed;
+  std::vector<coordinator::ListedEnd> ends;
+  std::int64_t last_end = 0;
+  /// A look that waits for an end; zero for none.
+  std::uint64_t waiting_look = 0;
+};
+
+/// One play: events in the order of their time.
+class World {
+ public:
+  explicit World(const RoomPlan& plan)
+      : plan_(plan), random_(plan.seed), now_{std::chrono::seconds(1)} {}
+
+  RoomResult Play();
+
+ private:
+  struct Event {
+    core::Time at;
+    std::uint64_t number = 0;
+    std::function<void()> run;
+    bool operator>(const Event& other) const {
+      return std::tie(at, number) > std::tie(other.at, other.number);
+    }
+  };
+
+  void After(core::Duration delay, std::function<void()> run) {
+    events_.push({now_ + delay, ++last_event_, std::move(run)});
+  }
+
+  static core::NodeId NodeOf(const char* network, std::size_t index) {
+    return {core::Address(network + std::to_string(index + 1) + ":7000"),
+            core::Incarnation(index + 1)};
+  }
+  std::size_t EntryAt(const core::Address& address) const {
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+      if (NodeOf("10.0.0.", i).address == address) return i;
+    }
+    return 0;
+  }
+  std::size_t GateAt(const core::Address& address) const {
+    for (std::size_t i = 0; i < gates_.size(); ++i) {
+      if (NodeOf("10.0.1.", i).address == address) return i;
+    }
+    return 0;
+  }
+
+  void SetUp();
+  void ArriveNext(const JobKind* kind);
+  void Submit(const JobKind* kind);
+  double LoadFactor(const JobKind& kind) const;
+  const Spell* SpellOf(std::size_t target) const;
+  void Tick();
+
+  void FlushEntry(std::size_t entry);
+  void FlushGate(std::size_t gate);
+  void Carry(std::size_t entry, const coordinator::AnswerCall& answer);
+  template <typename Message>
+  void CarryToGate(std::size_t entry, Message message, const core::Address& to);
+  template <typename Message>
+  void CarryToEntry(std::size_t gate, Message message, const core::Address& to);
+  void CarryStart(std::size_t gate, const coordinator::OrderStart& order);
+  void CarryStop(std::size_t gate, const coordinator::OrderStop& order);
+  void CarryLook(std::size_t gate, const coordinator::OrderLook& order);
+  void EndRun(std::size_t gate, const RunRef& run, RunEnd end);
+  void AnswerLook(std::size_t gate, std::uint64_t number);
+
+  const RoomPlan& plan_;
+  std::mt19937_64 random_;
+  core::Time now_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::uint64_t last_event_ = 0;
+  std::vector<std::unique_ptr<JobBoard>> entries_;
+  std::vector<std::unique_ptr<GateBoard>> gates_;
+  std::vector<FakeTarget> targets_;
+  std::map<std::uint64_t, ClientJob> jobs_;
+  std::map<std::string, std::uint64_t> by_id_;
+  std::uint64_t last_job_ = 0;
+  core::Time begin_;
+  core::Time end_;
+  RoomResult result_;
+};
+
+}  // namespace tarragon::simulate
+
+#endif  // TARRAGON_SIMULATE_ROOM_STATE_H_
--- /dev/null
+++ b/simulate/room_targets.cc
@@ -0,0 +1,109 @@
+#include <optional>
+#include <utility>
+
+#include "room_state.h"
+
+// The targets of a play: they run what they are told, under no lease.
+
+namespace tarragon::simulate {
+
+void World::CarryStart(std::size_t gate, const coordinator::OrderStart& order) {
+  const auto id = by_id_.find(order.run.task.job.value());
+  core::Duration work{std::chrono::milliseconds(1)};
+  std::int64_t millicores = 0;
+  if (id != by_id_.end() && jobs_.contains(id->second)) {
+    ClientJob& job = jobs_.at(id->second);
+    work = job.work.at(order.run.task.index);
+    millicores = job.kind->millicores;
+    job.used += static_cast<double>(millicores) * Seconds(work);
+  }
+  After(plan_.order_delay, [this, gate, run = order.run, work, millicores]() {
+    FakeTarget& target = targets_[gate];
+    const bool sealed = target.sealed.contains(run);
+    if (!sealed) {
+      target.running[run] = {millicores, now_, ++last_event_};
+      const std::uint64_t life = target.running[run].life;
+      const Spell* spell = SpellOf(gate);
+      std::uniform_real_distribution<double> share(0, 1);
+      const double draw = share(random_);
+      core::Duration takes = work;
+      RunEnd end = RunEnd::kDone;
+      bool hangs = false;
+      if (spell != nullptr) {
+        takes = FromSeconds(Seconds(work) * spell->slowness);
+        hangs = draw < spell->hangs;
+        if (draw < spell->failures) {
+          end = RunEnd::kFailed;
+          takes = std::chrono::milliseconds(2);
+        }
+      }
+      if (!hangs) {
+        After(takes, [this, gate, run, end, life]() {
+          const auto found = targets_[gate].running.find(run);
+          if (found == targets_[gate].running.end()) return;
+          if (found->second.life == life) EndRun(gate, run, end);
+        });
+      }
+    }
+    coordinator::OnStartAnswer(gates_[gate].get(), now_, run,
+                               sealed ? coordinator::OrderAnswer::kRefusedOld
+                                      : coordinator::OrderAnswer::kAccepted,
+                               std::nullopt);
+    FlushGate(gate);
+  });
+}
+
+void World::CarryStop(std::size_t gate, const coordinator::OrderStop& order) {
+  After(plan_.order_delay, [this, gate, run = order.run]() {
+    targets_[gate].sealed.insert(run);
+    if (targets_[gate].running.contains(run)) {
+      const FakeTarget::Run& ended = targets_[gate].running[run];
+      result_.wasted +=
+          static_cast<double>(ended.millicores) * Seconds(now_ - ended.started);
+      EndRun(gate, run, RunEnd::kStopped);
+    }
+    coordinator::OnStopAnswer(gates_[gate].get(), now_, run,
+                              coordinator::OrderAnswer::kAccepted);
+    FlushGate(gate);
+  });
+}
+
+void World::CarryLook(std::size_t gate, const coordinator::OrderLook& order) {
+  After(plan_.order_delay, [this, gate, order]() {
+    FakeTarget& target = targets_[gate];
+    std::erase_if(target.ends, [&order](const coordinator::ListedEnd& end) {
+      return end.number <= order.last_end;
+    });
+    if (!target.ends.empty() || order.wait.count() == 0) {
+      return AnswerLook(gate, order.number);
+    }
+    target.waiting_look = order.number;
+    After(order.wait, [this, gate, number = order.number]() {
+      if (targets_[gate].waiting_look == number) AnswerLook(gate, number);
+    });
+  });
+}
+
+void World::EndRun(std::size_t gate, const RunRef& run, RunEnd end) {
+  FakeTarget& target = targets_[gate];
+  target.running.erase(run);
+  target.ends.push_back({++target.last_end, run, end});
+  if (target.waiting_look != 0) AnswerLook(gate, target.waiting_look);
+}
+
+void World::AnswerLook(std::size_t gate, std::uint64_t number) {
+  targets_[gate].waiting_look = 0;
+  coordinator::Look look;
+  look.born = coordinator::TargetBirth(1);
+  look.clock = coordinator::TargetClock(core::Millis(now_.since_start));
+  for (const auto& [run, state] : targets_[gate].running) {
+    look.running.push_back({run});
+  }
+  look.ended = targets_[gate].ends;
+  After(plan_.order_delay, [this, gate, number, look = std::move(look)]() {
+    coordinator::OnLookAnswer(gates_[gate].get(), now_, number, look);
+    FlushGate(gate);
+  });
+}
+
+}  // namespace tarragon::simulate
