Coordinator: call the question to a target a poll

The usual term of the field for a request that waits for an event. A rename only; the log says "A poll of the target was not answered.", the metric is lost_polls_total.

--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -284,7 +284,7 @@
   said.labels = std::move(hint.last.labels);
   said.capacity = hint.last.capacity;
   said.draining = hint.last.draining;
-  // Its clock is told by the first look.
+  // Its clock is told by the first poll.
   OnAnnouncement(board, now, said);
 }
 
--- a/coordinator/gate_parts.h
+++ b/coordinator/gate_parts.h
@@ -35,11 +35,11 @@
 /// Ends all runs of an entry.
 void StopRunsOf(GateBoard* board, core::Time now, const core::NodeId& home);
 
-/// The target has answered an order or a look.
+/// The target has answered an order or a poll.
 void TakeSign(GateBoard* board, core::Time now);
 
-/// Begins a look at the target if one is due.
-void LookIfDue(GateBoard* board, core::Time now);
+/// Begins a poll of the target if one is due.
+void PollIfDue(GateBoard* board, core::Time now);
 
 /// Tells all entries soon how the target stands.
 void MarkReports(GateBoard* board);
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -12,20 +12,20 @@
 /// Entries may claim a run that was found at a target within this time: two
 /// notices.
 constexpr core::Duration kClaimTime = std::chrono::milliseconds(300);
-/// A look that is not answered so long after its wait is likely lost: the next
+/// A poll that is not answered so long after its wait is likely lost: the next
 /// is sent beside it.
-constexpr core::Duration kLookOverdue = std::chrono::milliseconds(40);
-/// Looks under way at once.
-constexpr std::size_t kMaxLooks = 4;
-/// While answers get lost so many looks are kept under way, so that an end is
+constexpr core::Duration kPollOverdue = std::chrono::milliseconds(40);
+/// Polls under way at once.
+constexpr std::size_t kMaxPolls = 4;
+/// While answers get lost so many polls are kept under way, so that an end is
 /// seen at once.
-constexpr std::size_t kLooksWhenLossy = 2;
+constexpr std::size_t kPollsWhenLossy = 2;
 /// Between two of them, so that one of them has time left when the other ends.
-constexpr core::Duration kLookSpacing = std::chrono::milliseconds(20);
+constexpr core::Duration kPollSpacing = std::chrono::milliseconds(20);
 /// Answers count as getting lost for so long after one was.
 constexpr core::Duration kLossMemory = std::chrono::seconds(2);
-/// Pause after a look without an answer: several fit into `target_silence`.
-constexpr core::Duration kLookPause = std::chrono::milliseconds(60);
+/// Pause after a poll without an answer: several fit into `target_silence`.
+constexpr core::Duration kPollPause = std::chrono::milliseconds(60);
 /// After a stop is answered its run is over within 50 ms; what is still listed
 /// after this is stopped once more.
 constexpr core::Duration kStopRepeat = std::chrono::milliseconds(250);
@@ -53,31 +53,32 @@
   target.lease_until = TargetClock(0);
   target.history = TargetHistory{};
   target.silent_since.reset();
-  board->looks.clear();
+  board->polls.clear();
 }
 
-/// The run has not been stopped and a look does not list it.
-bool IsProvedOver(const GateRun& run, const Look& look, core::Time look_sent) {
+/// The run has not been stopped and a poll does not list it.
+bool IsProvedOver(const GateRun& run, const PollReply& poll,
+                  core::Time poll_sent) {
   const bool stopped =
-      run.stop_answered.has_value() && *run.stop_answered < look_sent;
+      run.stop_answered.has_value() && *run.stop_answered < poll_sent;
   switch (run.phase) {
     case RunPhase::kStarting:
       return false;
     case RunPhase::kRunning:
-      return run.started < look_sent;
+      return run.started < poll_sent;
     case RunPhase::kFound:
       return true;
     case RunPhase::kUnclear:
-      return stopped || look.clock > run.start_until;
+      return stopped || poll.clock > run.start_until;
     case RunPhase::kSealing:
       return stopped;
   }
   return false;
 }
 
-void TakeEnds(GateBoard* board, core::Time now, const Look& look) {
+void TakeEnds(GateBoard* board, core::Time now, const PollReply& poll) {
   Target& target = *board->target;
-  for (const ListedEnd& each : look.ended) {
+  for (const ListedEnd& each : poll.ended) {
     if (each.number <= target.last_end) continue;
     target.last_end = each.number;
     if (board->runs.contains(each.run)) {
@@ -89,10 +90,10 @@
   }
 }
 
-void TakeRunning(GateBoard* board, core::Time now, const Look& look,
-                 core::Time look_sent) {
+void TakeRunning(GateBoard* board, core::Time now, const PollReply& poll,
+                 core::Time poll_sent) {
   std::set<RunRef> listed;
-  for (const ListedRun& each : look.running) {
+  for (const ListedRun& each : poll.running) {
     listed.insert(each.run);
     const auto found = board->runs.find(each.run);
     if (found == board->runs.end()) {
@@ -110,10 +111,10 @@
       found->second.started = now;
     }
   }
-  if (look.ended.size() >= kMaxListedEnds) return;
+  if (poll.ended.size() >= kMaxListedEnds) return;
   std::vector<RunRef> over;
   for (const auto& [ref, run] : board->runs) {
-    if (!listed.contains(ref) && IsProvedOver(run, look, look_sent)) {
+    if (!listed.contains(ref) && IsProvedOver(run, poll, poll_sent)) {
       over.push_back(ref);
     }
   }
@@ -124,9 +125,9 @@
   }
 }
 
-/// True if a run whose stop was answered waits for a look sent later than that.
-bool NeedsLaterLook(const GateBoard& board) {
-  const core::Time newest = board.looks.rbegin()->second.sent;
+/// True if a run whose stop was answered waits for a poll sent later than that.
+bool NeedsLaterPoll(const GateBoard& board) {
+  const core::Time newest = board.polls.rbegin()->second.sent;
   for (const auto& [ref, run] : board.runs) {
     const bool unproved =
         run.phase == RunPhase::kUnclear || run.phase == RunPhase::kSealing;
@@ -138,21 +139,21 @@
   return false;
 }
 
-/// Whether one more look may be sent now.
-bool MayLook(const GateBoard& board, core::Time now) {
+/// Whether one more poll may be sent now.
+bool MayPoll(const GateBoard& board, core::Time now) {
   const Target& target = *board.target;
-  if (board.looks.empty()) {
+  if (board.polls.empty()) {
     return !target.silent_since.has_value() ||
-           now - target.look_failed >= kLookPause;
+           now - target.poll_failed >= kPollPause;
   }
-  if (board.looks.size() >= kMaxLooks) return false;
-  const core::Duration under_way = now - board.looks.rbegin()->second.sent;
-  if (under_way >= board.policy.hold_wait + kLookOverdue) return true;
-  const bool lossy = now - target.look_failed < kLossMemory;
-  if (lossy && board.looks.size() < kLooksWhenLossy) {
-    return under_way >= kLookSpacing;
+  if (board.polls.size() >= kMaxPolls) return false;
+  const core::Duration under_way = now - board.polls.rbegin()->second.sent;
+  if (under_way >= board.policy.hold_wait + kPollOverdue) return true;
+  const bool lossy = now - target.poll_failed < kLossMemory;
+  if (lossy && board.polls.size() < kPollsWhenLossy) {
+    return under_way >= kPollSpacing;
   }
-  return now > board.looks.rbegin()->second.sent && NeedsLaterLook(board);
+  return now > board.polls.rbegin()->second.sent && NeedsLaterPoll(board);
 }
 
 bool AwaitsProof(const GateBoard& board) {
@@ -264,7 +265,7 @@
   MarkReports(board);
 }
 
-void LookIfDue(GateBoard* board, core::Time now) {
+void PollIfDue(GateBoard* board, core::Time now) {
   if (!board->target.has_value()) return;
   Target& target = *board->target;
   const bool ends_unconfirmed = target.last_end > target.confirmed_end;
@@ -272,63 +273,63 @@
   // A target that neither answers nor announces itself is gone.
   const bool is_gone = target.silent_since.has_value() &&
                        now - target.heard > board->policy.announcement_timeout;
-  if (is_gone || !MayLook(*board, now)) return;
-  OrderLook look;
-  look.address = target.said.address;
-  look.target = target.said.target;
-  look.last_end = target.last_end;
+  if (is_gone || !MayPoll(*board, now)) return;
+  OrderPoll poll;
+  poll.address = target.said.address;
+  poll.target = target.said.target;
+  poll.last_end = target.last_end;
   // A lease that is not renewed runs out, which proves the runs of a dead
   // target over.
   const bool renew =
       !target.silent_since.has_value() ||
       now - *target.silent_since < board->policy.renew_while_silent;
   if (target.runs_known && renew) {
-    look.until = TargetClock(EstimateClock(target, now).value() +
+    poll.until = TargetClock(EstimateClock(target, now).value() +
                              core::Millis(board->policy.lease_asked));
-    target.lease_until = std::max(target.lease_until, *look.until);
+    target.lease_until = std::max(target.lease_until, *poll.until);
   }
   if (target.runs_known && !AwaitsProof(*board) && !board->runs.empty()) {
-    look.wait = board->policy.hold_wait;
+    poll.wait = board->policy.hold_wait;
   }
-  look.number = ++board->last_look;
-  board->looks[look.number] = {now, look.last_end};
-  board->actions.push_back(look);
+  poll.number = ++board->last_poll;
+  board->polls[poll.number] = {now, poll.last_end};
+  board->actions.push_back(poll);
 }
 
-void OnLookAnswer(GateBoard* board, core::Time now, std::uint64_t number,
-                  const std::optional<Look>& look) {
-  const auto open = board->looks.find(number);
-  if (!board->target.has_value() || open == board->looks.end()) return;
-  const OpenLook asked = open->second;
-  board->looks.erase(open);
+void OnPollAnswer(GateBoard* board, core::Time now, std::uint64_t number,
+                  const std::optional<PollReply>& poll) {
+  const auto open = board->polls.find(number);
+  if (!board->target.has_value() || open == board->polls.end()) return;
+  const OpenPoll asked = open->second;
+  board->polls.erase(open);
   Target& target = *board->target;
-  if (!look.has_value()) {
-    ++board->counts.lost_looks;
-    target.look_failed = now;
+  if (!poll.has_value()) {
+    ++board->counts.lost_polls;
+    target.poll_failed = now;
     if (!target.silent_since.has_value() && target.answered < asked.sent) {
       target.silent_since = asked.sent;
-      Tell(board, "A look at the target was not answered.",
+      Tell(board, "A poll of the target was not answered.",
            target.said.target.value(), {});
     }
     return Settle(board, now);
   }
-  if (look->born != target.said.born) {
-    if (look->born < target.said.born) return Settle(board, now);
-    BeginLife(board, now, look->born);
-    Tell(board, "A look found a new life of the target.",
+  if (poll->born != target.said.born) {
+    if (poll->born < target.said.born) return Settle(board, now);
+    BeginLife(board, now, poll->born);
+    Tell(board, "A poll found a new life of the target.",
          target.said.target.value(),
-         {{"born", std::to_string(look->born.value())}});
+         {{"born", std::to_string(poll->born.value())}});
   }
   TakeSign(board, now);
-  if (look->clock > target.clock) {
-    target.clock = look->clock;
+  if (poll->clock > target.clock) {
+    target.clock = poll->clock;
     target.clock_at = now;
   }
   if (!target.runs_known) MarkReports(board);
   target.runs_known = true;
   target.confirmed_end = std::max(target.confirmed_end, asked.last_end);
-  TakeEnds(board, now, *look);
-  TakeRunning(board, now, *look, asked.sent);
+  TakeEnds(board, now, *poll);
+  TakeRunning(board, now, *poll, asked.sent);
   Settle(board, now);
 }
 
@@ -370,7 +371,7 @@
            std::to_string(board->operator_state.revision)}});
     MarkReports(board);
   }
-  LookIfDue(board, now);
+  PollIfDue(board, now);
   SendReports(board, now);
 }
 
--- a/coordinator/include/tarragon/coordinator/gate.h
+++ b/coordinator/include/tarragon/coordinator/gate.h
@@ -35,8 +35,8 @@
   RunEnd end = RunEnd::kDone;
 };
 
-/// The target's answer to a look.
-struct Look {
+/// The target's answer to a poll.
+struct PollReply {
   TargetBirth born;
   TargetClock clock;
   std::vector<ListedRun> running;
@@ -71,9 +71,9 @@
                    OrderAnswer answer, std::optional<TargetClock> clock);
 void OnStopAnswer(GateBoard* board, core::Time now, const RunRef& run,
                   OrderAnswer answer);
-/// `look` is nothing if there was no usable answer.
-void OnLookAnswer(GateBoard* board, core::Time now, std::uint64_t number,
-                  const std::optional<Look>& look);
+/// `poll` is nothing if there was no usable answer.
+void OnPollAnswer(GateBoard* board, core::Time now, std::uint64_t number,
+                  const std::optional<PollReply>& poll);
 
 void OnTick(GateBoard* board, core::Time now);
 
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -87,13 +87,13 @@
 struct Target {
   Announcement said;
   core::Time heard;
-  /// When the last order or look was answered.
+  /// When the last order or poll was answered.
   core::Time answered;
-  /// When a look last got no answer.
-  core::Time look_failed{-std::chrono::hours(1)};
-  /// Since when no look has been answered; nothing if the last one was.
+  /// When a poll last got no answer.
+  core::Time poll_failed{-std::chrono::hours(1)};
+  /// Since when no poll has been answered; nothing if the last one was.
   std::optional<core::Time> silent_since;
-  /// Its runs are known: a look was answered in this life.
+  /// Its runs are known: a poll was answered in this life.
   bool runs_known = false;
   /// The target's clock when `clock_at` was the time here. Never ahead.
   TargetClock clock;
@@ -125,8 +125,8 @@
   bool silenced = false;
 };
 
-/// A look that is not answered yet.
-struct OpenLook {
+/// A poll that is not answered yet.
+struct OpenPoll {
   core::Time sent;
   /// The last end that it confirms.
   std::int64_t last_end = 0;
@@ -154,15 +154,15 @@
   RunRef run;
 };
 
-/// Renew the lease and look at the runs. The answer goes to OnLookAnswer.
-struct OrderLook {
+/// Renew the lease and ask for the runs. The answer goes to OnPollAnswer.
+struct OrderPoll {
   core::Address address;
   TargetId target;
   std::int64_t last_end = 0;
   /// Nothing while the target's clock is not known.
   std::optional<TargetClock> until;
   core::Duration wait{0};
-  /// Repeated to OnLookAnswer, so that the answer to an older look is known.
+  /// Repeated to OnPollAnswer, so that the answer to an older poll is known.
   std::uint64_t number = 0;
 };
 
@@ -174,7 +174,7 @@
 };
 
 using GateAction =
-    std::variant<OrderStart, OrderStop, OrderLook, SendTo<TargetReport>,
+    std::variant<OrderStart, OrderStop, OrderPoll, SendTo<TargetReport>,
                  SendTo<RunEnded>, SendTo<OperatorUpdate>>;
 
 /// One line for the log: something that touches a run or changes what the
@@ -193,7 +193,7 @@
   std::uint64_t unclear_starts = 0;
   std::map<RefusalReason, std::uint64_t> refusals;
   std::map<RunEnd, std::uint64_t> ends;
-  std::uint64_t lost_looks = 0;
+  std::uint64_t lost_polls = 0;
   std::uint64_t homes_silenced = 0;
 };
 
@@ -208,9 +208,9 @@
   std::map<RunRef, PastRun> past;
   /// By the entry's address: a new incarnation replaces the old one.
   std::map<core::Address, HomeLink> homes;
-  /// Looks that are not answered, by their number.
-  std::map<std::uint64_t, OpenLook> looks;
-  std::uint64_t last_look = 0;
+  /// Polls that are not answered, by their number.
+  std::map<std::uint64_t, OpenPoll> polls;
+  std::uint64_t last_poll = 0;
   bool stopping = false;
   /// What was last told of the target.
   bool was_usable = false;
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -55,20 +55,20 @@
   /// What a lease may last beyond its end on a clock that is 2 % slow, and the
   /// error of the estimate of that clock.
   core::Duration lease_slack{std::chrono::milliseconds(80)};
-  /// How long a look at a target's runs waits for an end.
+  /// How long a poll of a target's runs waits for an end.
   core::Duration hold_wait{std::chrono::milliseconds(100)};
-  /// Added to `hold_wait` before a look is given up: three of them fit a lease.
+  /// Added to `hold_wait` before a poll is given up: three of them fit a lease.
   core::Duration hold_grace{std::chrono::milliseconds(130)};
   /// An order on the local machine takes a few milliseconds. One without an
   /// answer for so long is settled by a stop.
   core::Duration order_timeout{std::chrono::milliseconds(60)};
   /// Pause before a stop without an answer is sent again.
   core::Duration stop_retry{std::chrono::milliseconds(60)};
-  /// The lease of a target's runs is renewed while looks have failed for less
-  /// than this: two lost looks are chance, after more the target may be dead,
+  /// The lease of a target's runs is renewed while polls have failed for less
+  /// than this: two lost polls are chance, after more the target may be dead,
   /// and its runs must be proved over while their jobs still have time.
   core::Duration renew_while_silent{std::chrono::milliseconds(250)};
-  /// Looks at a target fail for so long until no task is placed there.
+  /// Polls at a target fail for so long until no task is placed there.
   core::Duration target_silence{std::chrono::milliseconds(600)};
   /// Three missed announcements at the usual 1.5 s.
   core::Duration announcement_timeout{std::chrono::milliseconds(5000)};
--- a/coordinator/tests/gate_fixture.h
+++ b/coordinator/tests/gate_fixture.h
@@ -29,10 +29,10 @@
     board_.domain = core::DomainId("szeged");
     now_ = core::Time{std::chrono::seconds(100)};
     Announce(1, 1);
-    AnswerLook({}, {});
+    AnswerPoll({}, {});
     OnMessage(&board_, now_, kEntry, EntryNotice{});
     OnMessage(&board_, now_, kOtherEntry, EntryNotice{});
-    Take<OrderLook>();
+    Take<OrderPoll>();
     board_.actions.clear();
   }
 
@@ -94,33 +94,33 @@
     return TargetClock(core::Millis(now_.since_start));
   }
 
-  /// Answers the look under way.
-  void AnswerLook(const std::vector<RunRef>& running,
+  /// Answers the poll under way.
+  void AnswerPoll(const std::vector<RunRef>& running,
                   const std::vector<ListedEnd>& ended, std::int64_t born = 1) {
-    Look look;
-    look.born = TargetBirth(born);
-    look.clock = Clock();
-    for (const RunRef& run : running) look.running.push_back({run});
-    look.ended = ended;
-    OnLookAnswer(&board_, now_, board_.last_look, look);
+    PollReply poll;
+    poll.born = TargetBirth(born);
+    poll.clock = Clock();
+    for (const RunRef& run : running) poll.running.push_back({run});
+    poll.ended = ended;
+    OnPollAnswer(&board_, now_, board_.last_poll, poll);
   }
 
-  /// Gives all looks under way no answer.
-  void LoseLooks() {
+  /// Gives all polls under way no answer.
+  void LosePolls() {
     std::vector<std::uint64_t> numbers;
-    for (const auto& [number, look] : board_.looks) numbers.push_back(number);
+    for (const auto& [number, poll] : board_.polls) numbers.push_back(number);
     for (const std::uint64_t number : numbers) {
-      OnLookAnswer(&board_, now_, number, std::nullopt);
+      OnPollAnswer(&board_, now_, number, std::nullopt);
     }
   }
 
-  /// Gives the look under way no answer, and the next one this answer.
-  void AnswerNextLook(const std::vector<RunRef>& running,
+  /// Gives the poll under way no answer, and the next one this answer.
+  void AnswerNextPoll(const std::vector<RunRef>& running,
                       const std::vector<ListedEnd>& ended) {
     now_ = now_ + std::chrono::milliseconds(1);
-    LoseLooks();
+    LosePolls();
     Advance(std::chrono::milliseconds(80));
-    AnswerLook(running, ended);
+    AnswerPoll(running, ended);
   }
 
   /// Takes all actions of one kind out of the board.
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -9,7 +9,7 @@
   CPPUNIT_TEST(TellsTheEndThatIsListed);
   CPPUNIT_TEST(TellsAnEndOnce);
   CPPUNIT_TEST(EndsARunThatIsNotListedAnyMore);
-  CPPUNIT_TEST(DoesNotTakeAnOlderLookForProof);
+  CPPUNIT_TEST(DoesNotTakeAnOlderPollForProof);
   CPPUNIT_TEST(KeepsTheRoomOfAnUnansweredStart);
   CPPUNIT_TEST(SettlesAnUnansweredStartByAStop);
   CPPUNIT_TEST(SettlesAnUnansweredStartByTime);
@@ -21,38 +21,38 @@
   CPPUNIT_TEST(EndsAllRunsOfAnEarlierLife);
   CPPUNIT_TEST(EndsRunsOfASilentTargetWhenTheLeaseIsOver);
   CPPUNIT_TEST(ConfirmsTheLastEnd);
-  CPPUNIT_TEST(SendsNoLooksToATargetThatIsGone);
-  CPPUNIT_TEST(SendsAnotherLookBesideAnOverdueOne);
+  CPPUNIT_TEST(SendsNoPollsToATargetThatIsGone);
+  CPPUNIT_TEST(SendsAnotherPollBesideAnOverdueOne);
   CPPUNIT_TEST(TakesAnAnsweredOrderForASignOfLife);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void TellsTheEndThatIsListed() {
     StartAndAccept(Run(0));
-    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
+    AnswerPoll({}, {{1, Run(0), RunEnd::kDone}});
     AssertEnded(Run(0), RunEnd::kDone);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{16000}, FreeRoom(board_).millicores);
   }
 
   void TellsAnEndOnce() {
     StartAndAccept(Run(0));
-    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
+    AnswerPoll({}, {{1, Run(0), RunEnd::kDone}});
     AssertEnded(Run(0), RunEnd::kDone);
-    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
+    AnswerPoll({}, {{1, Run(0), RunEnd::kDone}});
     CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
   }
 
   void EndsARunThatIsNotListedAnyMore() {
     StartAndAccept(Run(0));
-    AnswerNextLook({}, {});
+    AnswerNextPoll({}, {});
     AssertEnded(Run(0), RunEnd::kLapsed);
   }
 
-  void DoesNotTakeAnOlderLookForProof() {
-    Start(Run(0));  // A look is sent beside it.
+  void DoesNotTakeAnOlderPollForProof() {
+    Start(Run(0));  // A poll is sent beside it.
     now_ = now_ + std::chrono::milliseconds(5);
     OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kAccepted, std::nullopt);
-    AnswerLook({}, {});
+    AnswerPoll({}, {});
     CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, OpenRuns(board_));
   }
@@ -61,7 +61,7 @@
     Start(Run(0), 16000);
     OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear, std::nullopt);
     Take<OrderStart>();
-    AnswerLook({}, {});
+    AnswerPoll({}, {});
     Start(Run(1));
     AssertRefused(Run(1), RefusalReason::kNoRoom);
   }
@@ -71,10 +71,10 @@
     OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear, std::nullopt);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
     OnStopAnswer(&board_, now_, Run(0), OrderAnswer::kAccepted);
-    // This look was sent before the stop was answered.
-    AnswerLook({}, {});
+    // This poll was sent before the stop was answered.
+    AnswerPoll({}, {});
     CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
-    AnswerNextLook({}, {});
+    AnswerNextPoll({}, {});
     AssertEnded(Run(0), RunEnd::kStopped);
   }
 
@@ -82,16 +82,16 @@
     Start(Run(0));
     OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear, std::nullopt);
     OnStopAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear);
-    AnswerNextLook({}, {});
+    AnswerNextPoll({}, {});
     CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
     Advance(std::chrono::milliseconds(1000));
-    AnswerNextLook({}, {});
+    AnswerNextPoll({}, {});
     AssertEnded(Run(0), RunEnd::kStopped);
   }
 
   void KeepsAnUnansweredStartThatIsListed() {
     Start(Run(0));
-    AnswerLook({Run(0)}, {});
+    AnswerPoll({Run(0)}, {});
     OnStartAnswer(&board_, now_, Run(0), OrderAnswer::kUnclear, std::nullopt);
     CPPUNIT_ASSERT(Take<OrderStop>().empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, OpenRuns(board_));
@@ -111,7 +111,7 @@
     CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
     OnStopAnswer(&board_, now_, Run(0), OrderAnswer::kAccepted);
-    AnswerNextLook({}, {});
+    AnswerNextPoll({}, {});
     AssertEnded(Run(0), RunEnd::kStopped);
     // A copy of its start that comes late is refused.
     Take<OrderStart>();
@@ -121,7 +121,7 @@
 
   void RepeatsAnEndThatIsAskedFor() {
     StartAndAccept(Run(0));
-    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
+    AnswerPoll({}, {{1, Run(0), RunEnd::kDone}});
     AssertEnded(Run(0), RunEnd::kDone);
     OnMessage(&board_, now_, kEntry, AskRun{Run(0), true, {}});
     AssertEnded(Run(0), RunEnd::kDone);
@@ -141,64 +141,64 @@
 
   void EndsRunsOfASilentTargetWhenTheLeaseIsOver() {
     StartAndAccept(Run(0));
-    AnswerLook({Run(0)}, {});
-    OnLookAnswer(&board_, now_, board_.last_look, std::nullopt);
-    // Lost looks that may have arrived renew the lease for a while.
+    AnswerPoll({Run(0)}, {});
+    OnPollAnswer(&board_, now_, board_.last_poll, std::nullopt);
+    // Lost polls that may have arrived renew the lease for a while.
     for (int i = 0; i < 55; ++i) {
       Advance(std::chrono::milliseconds(20));
-      LoseLooks();
+      LosePolls();
     }
     CPPUNIT_ASSERT(!Ended(Run(0)).has_value());
     for (int i = 0; i < 20; ++i) {
       Advance(std::chrono::milliseconds(20));
-      LoseLooks();
+      LosePolls();
     }
     AssertEnded(Run(0), RunEnd::kLapsed);
   }
 
   void ConfirmsTheLastEnd() {
     StartAndAccept(Run(0));
-    Take<OrderLook>();
-    AnswerLook({}, {{1, Run(0), RunEnd::kDone}});
-    const std::vector<OrderLook> looks = Take<OrderLook>();
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, looks.size());
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, looks[0].last_end);
-    AnswerLook({}, {});
-    CPPUNIT_ASSERT(Take<OrderLook>().empty());
+    Take<OrderPoll>();
+    AnswerPoll({}, {{1, Run(0), RunEnd::kDone}});
+    const std::vector<OrderPoll> polls = Take<OrderPoll>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, polls.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, polls[0].last_end);
+    AnswerPoll({}, {});
+    CPPUNIT_ASSERT(Take<OrderPoll>().empty());
   }
 
-  void SendsNoLooksToATargetThatIsGone() {
+  void SendsNoPollsToATargetThatIsGone() {
     StartAndAccept(Run(0));
     for (int i = 0; i < 60; ++i) {
       Advance(std::chrono::milliseconds(100));
-      LoseLooks();
+      LosePolls();
     }
-    Take<OrderLook>();
+    Take<OrderPoll>();
     Advance(std::chrono::milliseconds(500));
-    CPPUNIT_ASSERT(Take<OrderLook>().empty());
+    CPPUNIT_ASSERT(Take<OrderPoll>().empty());
     // It comes back as another life.
     Announce(2, 1);
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderLook>().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderPoll>().size());
   }
 
-  void SendsAnotherLookBesideAnOverdueOne() {
+  void SendsAnotherPollBesideAnOverdueOne() {
     StartAndAccept(Run(0));
-    AnswerLook({Run(0)}, {});
-    Take<OrderLook>();
+    AnswerPoll({Run(0)}, {});
+    Take<OrderPoll>();
     Advance(std::chrono::milliseconds(120));
-    CPPUNIT_ASSERT(Take<OrderLook>().empty());
+    CPPUNIT_ASSERT(Take<OrderPoll>().empty());
     Advance(std::chrono::milliseconds(40));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderLook>().size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderPoll>().size());
     // The first one is answered after all.
-    OnLookAnswer(
-        &board_, now_, board_.last_look - 1,
-        Look{TargetBirth(1), Clock(), {}, {{1, Run(0), RunEnd::kDone}}});
+    OnPollAnswer(
+        &board_, now_, board_.last_poll - 1,
+        PollReply{TargetBirth(1), Clock(), {}, {{1, Run(0), RunEnd::kDone}}});
     AssertEnded(Run(0), RunEnd::kDone);
   }
 
   void TakesAnAnsweredOrderForASignOfLife() {
     StartAndAccept(Run(0));
-    OnLookAnswer(&board_, now_, board_.last_look, std::nullopt);
+    OnPollAnswer(&board_, now_, board_.last_poll, std::nullopt);
     Advance(std::chrono::milliseconds(500));
     Start(Run(1));
     OnStartAnswer(&board_, now_, Run(1), OrderAnswer::kAccepted, std::nullopt);
@@ -270,7 +270,7 @@
     board_ = GateBoard{};
     board_.domain = core::DomainId("szeged");
     Announce(1, 5);
-    AnswerLook(running, {});
+    AnswerPoll(running, {});
     board_.actions.clear();
   }
 
@@ -286,7 +286,7 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{14400}, FreeRoom(board_).millicores);
     Advance(std::chrono::milliseconds(400));
     CPPUNIT_ASSERT(Take<OrderStop>().empty());
-    AnswerLook({}, {{3, Run(0), RunEnd::kDone}});
+    AnswerPoll({}, {{3, Run(0), RunEnd::kDone}});
     AssertEnded(Run(0), RunEnd::kDone);
   }
 
@@ -303,10 +303,10 @@
     board_ = GateBoard{};
     board_.domain = core::DomainId("szeged");
     OnMessage(&board_, now_, kEntry, TargetHint{last});
-    const auto looks = Take<OrderLook>();
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, looks.size());
-    CPPUNIT_ASSERT(!looks[0].until.has_value());
-    AnswerLook({Run(0)}, {});
+    const auto polls = Take<OrderPoll>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, polls.size());
+    CPPUNIT_ASSERT(!polls[0].until.has_value());
+    AnswerPoll({Run(0)}, {});
     OnMessage(&board_, now_, kEntry, AskRun{Run(0), false, {1600, 10, 0}});
     CPPUNIT_ASSERT_EQUAL(std::int64_t{14400}, FreeRoom(board_).millicores);
     Start(Run(1));
--- a/coordinator/tests/gate_start_test.cc
+++ b/coordinator/tests/gate_start_test.cc
@@ -47,7 +47,7 @@
     Take<OrderStart>();
     Start(Run(10));
     AssertRefused(Run(10), RefusalReason::kNoRoom);
-    AnswerLook({}, {{1, Run(0), RunEnd::kStopped}});
+    AnswerPoll({}, {{1, Run(0), RunEnd::kStopped}});
     Start(Run(11));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStart>().size());
   }
@@ -130,7 +130,7 @@
     StartAndAccept(Run(0));
     for (int i = 0; i < 9; ++i) {
       Advance(std::chrono::milliseconds(100));
-      LoseLooks();
+      LosePolls();
     }
     Take<OrderStart>();
     Start(Run(1));
@@ -156,7 +156,7 @@
 
   void IgnoresADelayedAnnouncement() {
     Announce(7, 1);
-    AnswerLook({}, {}, 7);
+    AnswerPoll({}, {}, 7);
     Announce(1, 99, true);
     Start(Run(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStart>().size());
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -200,14 +200,14 @@
                  });
   }
 
-  void Carry(const coordinator::OrderLook& order) {
-    target_.Look(
-        order, board_.policy.hold_grace,
-        [this,
-         number = order.number](const std::optional<coordinator::Look>& look) {
-          coordinator::OnLookAnswer(&board_, clock_.Now(), number, look);
-          Flush();
-        });
+  void Carry(const coordinator::OrderPoll& order) {
+    target_.Poll(order, board_.policy.hold_grace,
+                 [this, number = order.number](
+                     const std::optional<coordinator::PollReply>& poll) {
+                   coordinator::OnPollAnswer(&board_, clock_.Now(), number,
+                                             poll);
+                   Flush();
+                 });
   }
 
   void Tick() {
@@ -254,7 +254,7 @@
     const coordinator::GateCounts& counts = board_.counts;
     MirrorCount(&registry_, "starts_total", {}, counts.starts);
     MirrorCount(&registry_, "unclear_starts_total", {}, counts.unclear_starts);
-    MirrorCount(&registry_, "lost_looks_total", {}, counts.lost_looks);
+    MirrorCount(&registry_, "lost_polls_total", {}, counts.lost_polls);
     MirrorCount(&registry_, "entries_silenced_total", {},
                 counts.homes_silenced);
     for (const auto& [reason, count] : counts.refusals) {
--- a/simulate/room_state.h
+++ b/simulate/room_state.h
@@ -37,8 +37,8 @@
   std::set<RunRef> sealed;
   std::vector<coordinator::ListedEnd> ends;
   std::int64_t last_end = 0;
-  /// A look that waits for an end; zero for none.
-  std::uint64_t waiting_look = 0;
+  /// A poll that waits for an end; zero for none.
+  std::uint64_t waiting_poll = 0;
 };
 
 /// One play: events in the order of their time.
@@ -96,9 +96,9 @@
   void CarryToEntry(std::size_t gate, Message message, const core::Address& to);
   void CarryStart(std::size_t gate, const coordinator::OrderStart& order);
   void CarryStop(std::size_t gate, const coordinator::OrderStop& order);
-  void CarryLook(std::size_t gate, const coordinator::OrderLook& order);
+  void CarryPoll(std::size_t gate, const coordinator::OrderPoll& order);
   void EndRun(std::size_t gate, const RunRef& run, RunEnd end);
-  void AnswerLook(std::size_t gate, std::uint64_t number);
+  void AnswerPoll(std::size_t gate, std::uint64_t number);
 
   const RoomPlan& plan_;
   std::mt19937_64 random_;
--- a/simulate/room_targets.cc
+++ b/simulate/room_targets.cc
@@ -68,18 +68,18 @@
   });
 }
 
-void World::CarryLook(std::size_t gate, const coordinator::OrderLook& order) {
+void World::CarryPoll(std::size_t gate, const coordinator::OrderPoll& order) {
   After(plan_.order_delay, [this, gate, order]() {
     FakeTarget& target = targets_[gate];
     std::erase_if(target.ends, [&order](const coordinator::ListedEnd& end) {
       return end.number <= order.last_end;
     });
     if (!target.ends.empty() || order.wait.count() == 0) {
-      return AnswerLook(gate, order.number);
+      return AnswerPoll(gate, order.number);
     }
-    target.waiting_look = order.number;
+    target.waiting_poll = order.number;
     After(order.wait, [this, gate, number = order.number]() {
-      if (targets_[gate].waiting_look == number) AnswerLook(gate, number);
+      if (targets_[gate].waiting_poll == number) AnswerPoll(gate, number);
     });
   });
 }
@@ -88,20 +88,20 @@
   FakeTarget& target = targets_[gate];
   target.running.erase(run);
   target.ends.push_back({++target.last_end, run, end});
-  if (target.waiting_look != 0) AnswerLook(gate, target.waiting_look);
+  if (target.waiting_poll != 0) AnswerPoll(gate, target.waiting_poll);
 }
 
-void World::AnswerLook(std::size_t gate, std::uint64_t number) {
-  targets_[gate].waiting_look = 0;
-  coordinator::Look look;
-  look.born = coordinator::TargetBirth(1);
-  look.clock = coordinator::TargetClock(core::Millis(now_.since_start));
+void World::AnswerPoll(std::size_t gate, std::uint64_t number) {
+  targets_[gate].waiting_poll = 0;
+  coordinator::PollReply poll;
+  poll.born = coordinator::TargetBirth(1);
+  poll.clock = coordinator::TargetClock(core::Millis(now_.since_start));
   for (const auto& [run, state] : targets_[gate].running) {
-    look.running.push_back({run});
+    poll.running.push_back({run});
   }
-  look.ended = targets_[gate].ends;
-  After(plan_.order_delay, [this, gate, number, look = std::move(look)]() {
-    coordinator::OnLookAnswer(gates_[gate].get(), now_, number, look);
+  poll.ended = targets_[gate].ends;
+  After(plan_.order_delay, [this, gate, number, poll = std::move(poll)]() {
+    coordinator::OnPollAnswer(gates_[gate].get(), now_, number, poll);
     FlushGate(gate);
   });
 }
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -224,8 +224,8 @@
       CarryStart(gate, *start);
     } else if (auto* stop = std::get_if<coordinator::OrderStop>(&action)) {
       CarryStop(gate, *stop);
-    } else if (auto* look = std::get_if<coordinator::OrderLook>(&action)) {
-      CarryLook(gate, *look);
+    } else if (auto* poll = std::get_if<coordinator::OrderPoll>(&action)) {
+      CarryPoll(gate, *poll);
     } else if (auto* report =
                    std::get_if<coordinator::SendTo<coordinator::TargetReport>>(
                        &action)) {
--- a/tests/soak/fake_target.cc
+++ b/tests/soak/fake_target.cc
@@ -208,7 +208,7 @@
 }
 
 void FakeTarget::Hold(const http::Request& request,
-                      const http::Responder& answer, int looks_left) {
+                      const http::Responder& answer, int polls_left) {
   const json::value body = json::parse(request.body);
   const json::object& order = body.as_object();
   const std::int64_t last = order.at("last_seen").as_int64();
@@ -217,11 +217,11 @@
                             std::min(until->as_int64(), Clock() + kMaxLease));
   }
   std::erase_if(ends_, [last](const End& end) { return end.number <= last; });
-  if (ends_.empty() && looks_left > 0 && order.contains("wait_ms")) {
+  if (ends_.empty() && polls_left > 0 && order.contains("wait_ms")) {
     auto timer = std::make_shared<boost::asio::steady_timer>(io_, kTick);
-    timer->async_wait([this, timer, request, answer, looks_left,
+    timer->async_wait([this, timer, request, answer, polls_left,
                        life = born_](const boost::system::error_code& error) {
-      if (!error && life == born_) Hold(request, answer, looks_left - 1);
+      if (!error && life == born_) Hold(request, answer, polls_left - 1);
     });
     return;
   }
