Coordinator: keep runs that may have reached a target's new life

Before it had announced itself it took orders that were meant for its earlier life. At the announcement the gate ended all runs in its ledger, those too, and let others start: two runs of a task, room passed.

Ruled out: the order of messages between entry and gate; the entry placed the task again by word of the gate.

Change: after a new life of the same name the ledger stays until a first poll of that life, which no start precedes. Another name ends all runs at once, as orders name their target. A new life found by a poll also sets the clock anew.

--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -44,13 +44,19 @@
   }
 }
 
-void BeginLife(GateBoard* board, core::Time now, TargetBirth born) {
-  EndAllRuns(board, now, RunEnd::kLapsed);
+/// The target lives anew. Its runs stay in the ledger until a first poll: an
+/// order that was sent shortly before may have reached the new life.
+void BeginLife(GateBoard* board, core::Time now, TargetBirth born,
+               TargetClock clock) {
   Target& target = *board->target;
   target.said.born = born;
   target.runs_known = false;
   target.last_end = 0;
-  target.lease_until = TargetClock(0);
+  target.confirmed_end = 0;
+  target.clock = clock;
+  target.clock_at = now;
+  target.lease_until =
+      TargetClock(clock.value() + core::Millis(board->policy.lease));
   target.history = TargetHistory{};
   target.silent_since.reset();
   board->polls.clear();
@@ -219,16 +225,23 @@
   if (!board->target.has_value()) {
     board->target.emplace();
     board->target->said = said;
-    BeginLife(board, now, said.born);
+    BeginLife(board, now, said.born, said.clock);
     Tell(board, "The target announced itself.", said.target.value(),
          {{"address", said.address.value()},
           {"service", said.service.value()},
           {"born", std::to_string(said.born.value())}});
-  } else if (board->target->said.born != said.born ||
-             board->target->said.target != said.target) {
-    BeginLife(board, now, said.born);
+  } else if (board->target->said.target != said.target) {
+    // Orders name the target that they are for, so none reaches another one.
+    EndAllRuns(board, now, RunEnd::kLapsed);
+    BeginLife(board, now, said.born, said.clock);
+    Tell(board, "Another target announced itself.", said.target.value(),
+         {{"born", std::to_string(said.born.value())}});
+  } else if (board->target->said.born != said.born) {
+    BeginLife(board, now, said.born, said.clock);
     Tell(board, "A new life of the target announced itself.",
-         said.target.value(), {{"born", std::to_string(said.born.value())}});
+         said.target.value(),
+         {{"born", std::to_string(said.born.value())},
+          {"runs", std::to_string(board->runs.size())}});
   }
   Target& target = *board->target;
   if (target.said.draining != said.draining) {
@@ -313,9 +326,10 @@
     }
     return Settle(board, now);
   }
-  if (poll->born != target.said.born) {
+  const bool is_new_life = poll->born != target.said.born;
+  if (is_new_life) {
     if (poll->born < target.said.born) return Settle(board, now);
-    BeginLife(board, now, poll->born);
+    BeginLife(board, now, poll->born, poll->clock);
     Tell(board, "A poll found a new life of the target.",
          target.said.target.value(),
          {{"born", std::to_string(poll->born.value())}});
@@ -327,7 +341,9 @@
   }
   if (!target.runs_known) MarkReports(board);
   target.runs_known = true;
-  target.confirmed_end = std::max(target.confirmed_end, asked.last_end);
+  if (!is_new_life) {
+    target.confirmed_end = std::max(target.confirmed_end, asked.last_end);
+  }
   TakeEnds(board, now, *poll);
   TakeRunning(board, now, *poll, asked.sent);
   Settle(board, now);
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -19,6 +19,9 @@
   CPPUNIT_TEST(RepeatsAnEndThatIsAskedFor);
   CPPUNIT_TEST(AnswersNothingBeforeTheRunsAreKnown);
   CPPUNIT_TEST(EndsAllRunsOfAnEarlierLife);
+  CPPUNIT_TEST(KeepsARunThatHasReachedANewLife);
+  CPPUNIT_TEST(EndsAllRunsOfAnotherTarget);
+  CPPUNIT_TEST(ReadsTheClockOfANewLife);
   CPPUNIT_TEST(EndsRunsOfASilentTargetWhenTheLeaseIsOver);
   CPPUNIT_TEST(ConfirmsTheLastEnd);
   CPPUNIT_TEST(SendsNoPollsToATargetThatIsGone);
@@ -136,9 +139,55 @@
   void EndsAllRunsOfAnEarlierLife() {
     StartAndAccept(Run(0));
     Announce(2, 1);
+    now_ = now_ + std::chrono::milliseconds(1);
+    AnswerPoll({}, {}, 2);
     AssertEnded(Run(0), RunEnd::kLapsed);
   }
 
+  // Soak seed 4010: a target that was back under its name took orders before it
+  // had announced itself; its runs were taken for over.
+  void KeepsARunThatHasReachedANewLife() {
+    StartAndAccept(Run(0));
+    StartAndAccept(Run(1));
+    Start(Run(2));
+    Announce(2, 1);
+    CPPUNIT_ASSERT(!Ended(Run(1)).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, OpenRuns(board_));
+    Take<OrderStart>();
+    Start(Run(3));
+    AssertRefused(Run(3), RefusalReason::kNoTarget);
+    now_ = now_ + std::chrono::milliseconds(1);
+    AnswerPoll({Run(1)}, {{1, Run(2), RunEnd::kDone}}, 2);
+    const auto ended = Take<SendTo<RunEnded>>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ended.size());
+    CPPUNIT_ASSERT(ended[0].message.run == Run(2));
+    CPPUNIT_ASSERT(ended[0].message.end == RunEnd::kDone);
+    CPPUNIT_ASSERT(ended[1].message.run == Run(0));
+    CPPUNIT_ASSERT(ended[1].message.end == RunEnd::kLapsed);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{14400}, FreeRoom(board_).millicores);
+  }
+
+  void EndsAllRunsOfAnotherTarget() {
+    StartAndAccept(Run(0));
+    Announcement other = board_.target->said;
+    other.target = TargetId("t-2");
+    other.born = TargetBirth(9);
+    OnAnnouncement(&board_, now_, other);
+    AssertEnded(Run(0), RunEnd::kLapsed);
+  }
+
+  void ReadsTheClockOfANewLife() {
+    StartAndAccept(Run(0));
+    PollReply reply;
+    reply.born = TargetBirth(2);
+    reply.clock = TargetClock(50);
+    OnPollAnswer(&board_, now_, board_.last_poll, reply);
+    Take<OrderStart>();
+    Start(Run(1));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{50 + 950},
+                         Take<OrderStart>().at(0).until.value());
+  }
+
   void EndsRunsOfASilentTargetWhenTheLeaseIsOver() {
     StartAndAccept(Run(0));
     AnswerPoll({Run(0)}, {});
