Coordinator: a gate ignores the echo of another VM

Cause, found by reading: an entry sends a gate the clock of its last report. If another VM has taken the address, that clock may lie far ahead, and the gate would not have found the entry silent until then.

Change: an echo that lies ahead is ignored.

--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -180,7 +180,10 @@
                const EntryNotice& notice) {
   HomeLink& home = Heard(board, now, from);
   home.operator_revision = notice.operator_revision;
-  if (notice.echo > home.confirmed) home.confirmed = notice.echo;
+  // An echo that lies ahead is of another VM that had this address.
+  if (notice.echo > home.confirmed && notice.echo <= now) {
+    home.confirmed = notice.echo;
+  }
   if (now - home.confirmed <= board->policy.home_silence && home.silenced) {
     home.silenced = false;
     Tell(board, "A silent entry is heard again.", core::ToString(from), {});
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -266,6 +266,7 @@
   CPPUNIT_TEST_SUITE(GateHomeTest);
   CPPUNIT_TEST(EndsTheRunsOfASilentEntry);
   CPPUNIT_TEST(EndsRunsWhenItsReportsAreNotHeard);
+  CPPUNIT_TEST(IgnoresTheEchoOfAnotherVm);
   CPPUNIT_TEST(KeepsRunsOverALostConnection);
   CPPUNIT_TEST(EndsTheRunsOfAnEntryThatIsGone);
   CPPUNIT_TEST(EndsTheRunsOfAReplacedEntry);
@@ -296,6 +297,14 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
   }
 
+  void IgnoresTheEchoOfAnotherVm() {
+    StartAndAccept(Run(0));
+    OnMessage(&board_, now_, kEntry,
+              EntryNotice{now_ + std::chrono::hours(1), 0});
+    Advance(std::chrono::milliseconds(800), false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+  }
+
   void KeepsRunsOverALostConnection() {
     StartAndAccept(Run(0));
     OnHomeLost(&board_, now_, kEntry);
