Coordinator: offer freed room to the entry with the most urgent task

Each entry also admitted jobs by its own queue and took run times as declared, so that many came out late.

Change: an entry tells up to eight gates of its most urgent waiting task (RoomWanted); a gate offers room that gets free to the most urgent of those for 10 ms, and hides it from the others. A job is refused if three times the predicted wait is longer than what it has to spare. An entry without runs counts on 3 % of the room.

--- a/coordinator/admission.cc
+++ b/coordinator/admission.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// With nothing of its own running an entry counts on this part of the room.
-constexpr double kLeastShare = 0.1;
+constexpr double kLeastShare = 0.03;
 /// Retry-After is spread over this time, so that refused clients do not come
 /// back at once.
 constexpr core::Duration kRetrySpread = std::chrono::seconds(2);
@@ -99,7 +99,8 @@
   const core::Duration slack =
       job.objective - now - chain * 1000 / job.queue.stretch_permille;
   const double rate = std::max(seen.own, seen.capacity * kLeastShare);
-  const double seconds = WorkAhead(board, now + slack) / rate;
+  const double seconds =
+      WorkAhead(board, now + slack) / rate * board.policy.wait_margin;
   verdict.wait = core::Duration(static_cast<std::int64_t>(seconds * 1e6));
   if (verdict.wait <= slack) return verdict;
   verdict.refusal = Refusal::kOverload;
--- a/coordinator/entry_parts.h
+++ b/coordinator/entry_parts.h
@@ -52,6 +52,15 @@
 /// Places waiting tasks on free room.
 void PlaceWaiting(JobBoard* board, core::Time now);
 
+/// Tells gates of the most urgent task that waits for room.
+void WantRoom(JobBoard* board, core::Time now);
+
+/// Gives back room that a gate has offered and that was not taken.
+void AnswerOffer(JobBoard* board, GateLink* gate);
+
+/// A random number, to spread choices.
+std::uint64_t NextRandom(JobBoard* board);
+
 /// Gives up jobs that wait in vain.
 void GiveUpJobs(JobBoard* board, core::Time now);
 
--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -30,26 +30,6 @@
                                     kPermille);
 }
 
-HomeLink& Heard(GateBoard* board, core::Time now, const core::NodeId& from) {
-  HomeLink& home = board->homes[from.address];
-  if (home.node != from) {
-    if (!home.node.address.value().empty()) {
-      StopRunsOf(board, now, home.node);
-    }
-    home = HomeLink{};
-    home.node = from;
-    home.confirmed = now;
-    home.report_due = true;
-    Tell(board, "An entry is there.", core::ToString(from), {});
-  } else if (!home.connected) {
-    home.report_due = true;
-    Tell(board, "An entry is reached again.", core::ToString(from), {});
-  }
-  home.connected = true;
-  home.heard = now;
-  return home;
-}
-
 bool TaskRuns(const GateBoard& board, const TaskRef& task) {
   const auto at = board.runs.lower_bound(RunRef{task, 0});
   return at != board.runs.end() && at->first.task == task;
@@ -107,6 +87,27 @@
 
 }  // namespace
 
+HomeLink& HeardFrom(GateBoard* board, core::Time now,
+                    const core::NodeId& from) {
+  HomeLink& home = board->homes[from.address];
+  if (home.node != from) {
+    if (!home.node.address.value().empty()) {
+      StopRunsOf(board, now, home.node);
+    }
+    home = HomeLink{};
+    home.node = from;
+    home.confirmed = now;
+    home.report_due = true;
+    Tell(board, "An entry is there.", core::ToString(from), {});
+  } else if (!home.connected) {
+    home.report_due = true;
+    Tell(board, "An entry is reached again.", core::ToString(from), {});
+  }
+  home.connected = true;
+  home.heard = now;
+  return home;
+}
+
 void MarkReports(GateBoard* board) {
   for (auto& [address, home] : board->homes) home.report_due = true;
 }
@@ -166,11 +167,13 @@
       report.service = said.service;
       report.labels = said.labels;
       report.capacity = said.capacity;
-      report.free = FreeRoom(*board);
+      report.free = FreeRoom(*board) - OfferedToOthers(*board, home.node);
+      report.offered = home.offer_due;
       report.slowness_permille = SlownessPermille(*board, now);
       report.failed_permille =
           static_cast<std::uint32_t>(board->target->history.failed * kPermille);
     }
+    home.offer_due = false;
     board->actions.push_back(
         SendTo<TargetReport>{home.node, std::move(report)});
   }
@@ -178,7 +181,7 @@
 
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                const EntryNotice& notice) {
-  HomeLink& home = Heard(board, now, from);
+  HomeLink& home = HeardFrom(board, now, from);
   home.operator_revision = notice.operator_revision;
   // An echo that lies ahead is of another VM that had this address.
   if (notice.echo > home.confirmed && notice.echo <= now) {
@@ -197,7 +200,7 @@
 
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                OperatorUpdate update) {
-  Heard(board, now, from);
+  HeardFrom(board, now, from);
   if (update.state.revision <= board->operator_state.revision) return;
   const bool was_drained = IsDrained(board->operator_state, board->domain);
   Tell(board, "Took in a newer operator state.", core::ToString(from),
@@ -218,8 +221,9 @@
 
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                StartRun start) {
-  HomeLink& home = Heard(board, now, from);
+  HomeLink& home = HeardFrom(board, now, from);
   home.starts_seen = std::max(home.starts_seen, start.sequence);
+  home.offer.reset();
   home.report_due = true;
   const RefusalReason reason = CheckStart(*board, now, start);
   if (reason == RefusalReason::kNone) {
@@ -232,7 +236,7 @@
 
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                const AskRun& ask) {
-  Heard(board, now, from);
+  HeardFrom(board, now, from);
   // Nothing can be proved while the target's runs are not known: it may run
   // there unseen. The entry asks again.
   if (!board->target.has_value() || !board->target->runs_known) {
@@ -270,7 +274,7 @@
 
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                TargetHint hint) {
-  Heard(board, now, from);
+  HeardFrom(board, now, from);
   if (board->target.has_value() || hint.last.target.value().empty()) {
     return Settle(board, now);
   }
@@ -313,6 +317,8 @@
            {{"silent", std::to_string(core::Millis(now - link.heard)) + "ms"}});
     }
     link.connected = false;
+    link.want.reset();
+    link.offer.reset();
   }
 }
 
--- /dev/null
+++ b/coordinator/gate_offers.cc
@@ -0,0 +1,81 @@
+#include <string>
+#include <tuple>
+
+#include "gate_parts.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+/// Room that is kept for entries.
+Room OfferedRoom(const GateBoard& board) {
+  Room offered;
+  for (const auto& [address, home] : board.homes) {
+    if (home.offer.has_value()) offered = offered + home.offer->room;
+  }
+  return offered;
+}
+
+/// The entry with the most urgent task that fits; null for none.
+HomeLink* MostUrgent(GateBoard* board, const Room& free) {
+  HomeLink* best = nullptr;
+  for (auto& [address, home] : board->homes) {
+    if (!home.connected || home.silenced || home.offer.has_value()) continue;
+    if (!home.want.has_value() || !Fits(home.want->room, free)) continue;
+    if (best == nullptr ||
+        std::tie(home.want->late, home.want->latest_start) <
+            std::tie(best->want->late, best->want->latest_start)) {
+      best = &home;
+    }
+  }
+  return best;
+}
+
+void EndUnansweredOffers(GateBoard* board, core::Time now) {
+  for (auto& [address, home] : board->homes) {
+    if (!home.offer.has_value() || now < home.offer->until) continue;
+    home.offer.reset();
+    MarkRoomChange(board, core::NodeId{});
+  }
+}
+
+}  // namespace
+
+Room OfferedToOthers(const GateBoard& board, const core::NodeId& home) {
+  Room offered;
+  for (const auto& [address, link] : board.homes) {
+    if (link.node == home || !link.offer.has_value()) continue;
+    offered = offered + link.offer->room;
+  }
+  return offered;
+}
+
+void OfferRoom(GateBoard* board, core::Time now) {
+  EndUnansweredOffers(board, now);
+  if (!IsUsable(*board, now)) return;
+  Room free = FreeRoom(*board) - OfferedRoom(*board);
+  HomeLink* next = MostUrgent(board, free);
+  while (next != nullptr) {
+    next->offer = RoomOffer{next->want->room, now + board->policy.offer_time};
+    next->want.reset();
+    next->offer_due = true;
+    next->report_due = true;
+    free = free - next->offer->room;
+    next = MostUrgent(board, free);
+  }
+}
+
+void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
+               const RoomWanted& wanted) {
+  HomeLink& home = HeardFrom(board, now, from);
+  if (home.offer.has_value()) {
+    home.offer.reset();
+    MarkRoomChange(board, core::NodeId{});
+  }
+  home.want.reset();
+  if (wanted.room.millicores > 0) {
+    home.want = RoomWant{wanted.room, wanted.late, now + wanted.slack};
+  }
+  Settle(board, now);
+}
+
+}  // namespace tarragon::coordinator
--- a/coordinator/gate_parts.h
+++ b/coordinator/gate_parts.h
@@ -35,6 +35,9 @@
 /// Ends all runs of an entry.
 void StopRunsOf(GateBoard* board, core::Time now, const core::NodeId& home);
 
+/// The link of an entry from which a message has come.
+HomeLink& HeardFrom(GateBoard* board, core::Time now, const core::NodeId& from);
+
 /// The target has answered an order or a poll.
 void TakeSign(GateBoard* board, core::Time now);
 
@@ -48,6 +51,13 @@
 /// the others after a pause.
 void MarkRoomChange(GateBoard* board, const core::NodeId& home);
 
+/// Offers free room to the entries with the most urgent tasks, and takes back
+/// offers that were not answered.
+void OfferRoom(GateBoard* board, core::Time now);
+
+/// Room that is kept for other entries than this.
+Room OfferedToOthers(const GateBoard& board, const core::NodeId& home);
+
 /// Sends the reports that are due.
 void SendReports(GateBoard* board, core::Time now);
 
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -388,6 +388,7 @@
     MarkReports(board);
   }
   PollIfDue(board, now);
+  OfferRoom(board, now);
   SendReports(board, now);
 }
 
--- a/coordinator/gates.cc
+++ b/coordinator/gates.cc
@@ -24,6 +24,7 @@
     gate.node = from;
     gate.update_sent = false;
     gate.hint_sent = false;
+    gate.wanted.reset();
     gate.notice_sent = core::Time{};
     Tell(board, "A gate is there.", core::ToString(from),
          {{"runs", std::to_string(gate.runs.size())}});
@@ -41,6 +42,7 @@
   gate->connected = false;
   gate->update_sent = false;
   gate->uncounted.clear();
+  gate->wanted.reset();
   for (auto& [ref, placed] : gate->runs) placed.doubtful = true;
 }
 
@@ -266,6 +268,8 @@
     gate.health = TargetHealth{};
   }
   const std::uint64_t known = report.operator_revision;
+  const bool offered = report.offered;
+  if (offered) gate.wanted.reset();
   gate.report = std::move(report);
   HintTarget(board, from, &gate);
   Rate(board, now, &gate);
@@ -280,7 +284,11 @@
     SendNotice(board, now, &gate);
   }
   AskDoubtful(board, now, &gate);
+  const std::uint64_t starts = board->last_start;
   Settle(board, now);
+  const bool taken =
+      !gate.uncounted.empty() && gate.uncounted.back().sequence > starts;
+  if (offered && !taken) AnswerOffer(board, &gate);
 }
 
 void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
@@ -333,6 +341,7 @@
 
 void Settle(JobBoard* board, core::Time now) {
   PlaceWaiting(board, now);
+  WantRoom(board, now);
   const bool ready = IsReady(*board, now);
   if (ready == board->was_ready) return;
   board->was_ready = ready;
--- a/coordinator/include/tarragon/coordinator/gate.h
+++ b/coordinator/include/tarragon/coordinator/gate.h
@@ -58,6 +58,8 @@
                const AskRun& ask);
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                TargetHint hint);
+void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
+               const RoomWanted& wanted);
 /// An entry may be found at this address.
 void OnEntryFound(GateBoard* board, core::Time now,
                   const core::Address& address);
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -107,6 +107,20 @@
   TargetHistory history;
 };
 
+/// Room that an entry wants.
+struct RoomWant {
+  Room room;
+  bool late = false;
+  /// On this gate's clock.
+  core::Time latest_start;
+};
+
+/// Room that is kept for an entry for a moment.
+struct RoomOffer {
+  Room room;
+  core::Time until;
+};
+
 /// An entry whose orders the gate obeys.
 struct HomeLink {
   core::NodeId node;
@@ -123,6 +137,10 @@
   bool connected = true;
   /// Its runs were ended because it was silent.
   bool silenced = false;
+  std::optional<RoomWant> want;
+  std::optional<RoomOffer> offer;
+  /// The offer has not been sent yet.
+  bool offer_due = false;
 };
 
 /// A poll that is not answered yet.
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -167,6 +167,12 @@
   bool doubtful = false;
 };
 
+/// What a gate knows of the tasks that wait here.
+struct ToldWant {
+  bool late = false;
+  core::Time latest_start;
+};
+
 /// A gate and its target as this entry sees them.
 struct GateLink {
   core::NodeId node;
@@ -184,6 +190,8 @@
   std::deque<UncountedStart> uncounted;
   std::map<RunRef, Placed> runs;
   TargetHealth health;
+  /// Room that this entry wants there; nothing once the gate has offered some.
+  std::optional<ToldWant> wanted;
 };
 
 /// Close the connections to a gate that is silent, so that the next message
@@ -200,7 +208,8 @@
 
 using JobAction =
     std::variant<SendTo<EntryNotice>, SendTo<OperatorUpdate>, SendTo<StartRun>,
-                 SendTo<AskRun>, SendTo<TargetHint>, DropGate, AnswerCall>;
+                 SendTo<AskRun>, SendTo<TargetHint>, SendTo<RoomWanted>,
+                 DropGate, AnswerCall>;
 
 /// Counters and times for the metrics page.
 struct JobCounts {
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -65,10 +65,27 @@
   std::uint32_t failed_permille = 0;
   /// Revision of the operator state that the gate has.
   std::uint64_t operator_revision = 0;
+  /// Room of `free` is kept for the receiving entry, which wants it, until it
+  /// answers by StartRun or RoomWanted, for a few milliseconds at most.
+  bool offered = false;
 
   bool operator==(const TargetReport&) const = default;
 };
 
+/// Entry to gate: a task waits for room. The gate offers room that gets free to
+/// the entry whose task is the most urgent. Replaces what the entry wanted so
+/// far, and ends an offer to it.
+struct RoomWanted {
+  /// Of the task; with no millicores nothing is wanted any more.
+  Room room;
+  /// The job can no longer be in time.
+  bool late = false;
+  /// Until the task must start for its job to be in time.
+  core::Duration slack{0};
+
+  bool operator==(const RoomWanted&) const = default;
+};
+
 /// Entry to gate: the target that an earlier process at the gate's address has
 /// reported. A gate that was restarted so finds its target, and the runs there,
 /// before the next announcement.
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -34,6 +34,16 @@
   core::Duration ample_room_pause{std::chrono::milliseconds(10)};
   /// Room is scarce below this share of the capacity, in thousandths.
   std::int64_t scarce_permille = 250;
+  /// How long freed room is kept for the entry whose task is the most urgent:
+  /// several round trips between failure domains.
+  core::Duration offer_time{std::chrono::milliseconds(10)};
+  /// Gates that are told of an entry's waiting tasks: `wants_per_task` for each
+  /// of them, and `max_wants` at most. Of so many one gets room free within
+  /// milliseconds.
+  std::size_t wants_per_task = 2;
+  std::size_t max_wants = 8;
+  /// A gate is told anew of a task that is more urgent by this.
+  core::Duration want_step{std::chrono::milliseconds(10)};
   /// An entry that has been silent for so long is forgotten by gates, and the
   /// other way round.
   core::Duration forget_peer{std::chrono::seconds(60)};
@@ -96,6 +106,11 @@
   core::Duration refusal_pause{std::chrono::milliseconds(40)};
   /// Between two questions about one run.
   core::Duration ask_interval{std::chrono::milliseconds(150)};
+  /// A job is refused if this multiple of the predicted wait is longer than the
+  /// time that it has to spare. The prediction knows neither the tasks of other
+  /// entries nor the true run times, each of which may double a wait; a job
+  /// that just fits by it is late more often than not.
+  double wait_margin = 3;
   /// Left for the way of an answer to its client.
   core::Duration answer_margin{std::chrono::milliseconds(40)};
   /// After a stop signal new jobs are taken for so long: the balancer goes on
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -18,12 +18,8 @@
 constexpr double kRandomWeight = 0.15;
 constexpr double kPermille = 1000;
 
-double NextRandom(JobBoard* board) {
-  // xorshift64: cheap, and good enough to spread choices.
-  board->random ^= board->random << 13;
-  board->random ^= board->random >> 7;
-  board->random ^= board->random << 17;
-  return static_cast<double>(board->random >> 11) / 9007199254740992.0;
+double RandomShare(JobBoard* board) {
+  return static_cast<double>(NextRandom(board) >> 11) / 9007199254740992.0;
 }
 
 bool MaySuspect(const JobBoard& board) {
@@ -84,6 +80,14 @@
 
 }  // namespace
 
+std::uint64_t NextRandom(JobBoard* board) {
+  // xorshift64: cheap, and good enough to spread choices.
+  board->random ^= board->random << 13;
+  board->random ^= board->random >> 7;
+  board->random ^= board->random << 17;
+  return board->random;
+}
+
 bool IsUsable(const JobBoard& board, core::Time now, const GateLink& gate) {
   return gate.connected && gate.report.has_value() && gate.report->usable &&
          now - gate.heard <= board.policy.gate_silence &&
@@ -144,7 +148,7 @@
     if (report.domain == board->domain) score += kSameDomainWeight;
     if (task.avoid_gate && gate.node.address == task.gate) score -= 1;
     if (trial) score -= 0.5;
-    score += kRandomWeight * NextRandom(board);
+    score += kRandomWeight * RandomShare(board);
     if (best != nullptr && score <= best_score) continue;
     best = &candidate;
     best_score = score;
--- /dev/null
+++ b/coordinator/wants.cc
@@ -0,0 +1,71 @@
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+#include "entry_parts.h"
+#include "placing.h"
+
+namespace tarragon::coordinator {
+namespace {
+
+/// True if the gate knows of a task that is as urgent.
+bool IsTold(const JobBoard& board, const GateLink& gate, const Waiting& next) {
+  if (!gate.wanted.has_value()) return false;
+  if (gate.wanted->late != next.late) return !gate.wanted->late;
+  return gate.wanted->latest_start <=
+         next.latest_start + board.policy.want_step;
+}
+
+/// True if the task could run at the gate if there were room.
+bool Suits(const JobBoard& board, core::Time now, const GateLink& gate,
+           const Job& job, const StepSpec& step) {
+  return IsUsable(board, now, gate) && !gate.health.suspect &&
+         now >= gate.health.avoid_until &&
+         gate.report->service == job.queue.service &&
+         Fits(step.room, gate.report->capacity) &&
+         HasLabel(*gate.report, step.required);
+}
+
+void TellWant(JobBoard* board, core::Time now, GateLink* gate,
+              const Waiting& next, const Room& room) {
+  gate->wanted = ToldWant{next.late, next.latest_start};
+  board->actions.push_back(SendTo<RoomWanted>{
+      gate->node, {room, next.late, next.latest_start - now}});
+}
+
+}  // namespace
+
+void WantRoom(JobBoard* board, core::Time now) {
+  if (board->waiting.empty()) return;
+  const Waiting& next = *board->waiting.begin();
+  const Job& job = *board->jobs.at(next.job);
+  const StepSpec& step = job.request.steps[job.tasks[next.task].ref.step];
+  const std::size_t enough =
+      std::min(board->policy.max_wants,
+               board->policy.wants_per_task * board->waiting.size());
+  std::size_t told = 0;
+  std::vector<GateLink*> others;
+  for (auto& [address, gate] : board->gates) {
+    if (!Suits(*board, now, gate, job, step)) continue;
+    if (IsTold(*board, gate, next)) {
+      ++told;
+    } else {
+      others.push_back(&gate);
+    }
+  }
+  while (told < enough && !others.empty()) {
+    const std::size_t at = NextRandom(board) % others.size();
+    TellWant(board, now, others[at], next, step.room);
+    others[at] = others.back();
+    others.pop_back();
+    ++told;
+  }
+}
+
+void AnswerOffer(JobBoard* board, GateLink* gate) {
+  // A want or a start that was sent in answer to the report ends the offer too.
+  if (gate->wanted.has_value()) return;
+  board->actions.push_back(SendTo<RoomWanted>{gate->node, {}});
+}
+
+}  // namespace tarragon::coordinator
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -123,6 +123,8 @@
       coordinator::OnMessage(&board_, now, from, *ask);
     } else if (auto* hint = std::get_if<coordinator::TargetHint>(&message)) {
       coordinator::OnMessage(&board_, now, from, std::move(*hint));
+    } else if (auto* wanted = std::get_if<coordinator::RoomWanted>(&message)) {
+      coordinator::OnMessage(&board_, now, from, *wanted);
     } else if (auto* notice = std::get_if<coordinator::EntryNotice>(&message)) {
       coordinator::OnMessage(&board_, now, from, *notice);
     } else if (auto* update =
--- a/dispatch/include/tarragon/dispatch/message.h
+++ b/dispatch/include/tarragon/dispatch/message.h
@@ -373,7 +373,7 @@
                  coordinator::EntryNotice, coordinator::OperatorUpdate,
                  coordinator::TargetReport, coordinator::StartRun,
                  coordinator::AskRun, coordinator::RunEnded,
-                 coordinator::TargetHint>;
+                 coordinator::TargetHint, coordinator::RoomWanted>;
 
 /// The message's name in logs and counters, such as "assign".
 const char* Name(const Message& message);
--- a/dispatch/names.cc
+++ b/dispatch/names.cc
@@ -84,7 +84,7 @@
                 "leaving",       "handover",     "handover_ack",
                 "inherited",     "entry_notice", "operator_update",
                 "target_report", "start_run",    "ask_run",
-                "run_ended",     "target_hint"};
+                "run_ended",     "target_hint",  "room_wanted"};
   return kNames[message.index()];
 }
 
--- a/simulate/include/tarragon/simulate/room_world.h
+++ b/simulate/include/tarragon/simulate/room_world.h
@@ -57,8 +57,12 @@
   core::Duration length{std::chrono::seconds(30)};
   /// How long a client waits.
   core::Duration client_waits{std::chrono::seconds(5)};
-  /// One way between an entry and a gate.
-  core::Duration delay{std::chrono::microseconds(500)};
+  /// Shares of the clients by entry; empty for equal shares.
+  std::vector<double> entry_shares;
+  /// One way between an entry and a gate of the same failure domain, and of
+  /// different ones.
+  core::Duration near_delay{std::chrono::microseconds(500)};
+  core::Duration far_delay{std::chrono::microseconds(500)};
   /// Until a target answers an order.
   core::Duration order_delay{std::chrono::microseconds(1500)};
   double stretch = 1.6;
@@ -94,6 +98,10 @@
 /// Two users' kinds of job, with the mean load of their targets at 0.62.
 RoomPlan UsualPlan();
 
+/// The same with eight entries of which one has four times the clients of
+/// another, across failure domains.
+RoomPlan UnequalPlan();
+
 /// Plays the plan. The same plan gives the same result.
 RoomResult PlayRooms(const RoomPlan& plan);
 
--- a/simulate/room_jobs.cc
+++ b/simulate/room_jobs.cc
@@ -63,4 +63,13 @@
   return plan;
 }
 
+RoomPlan UnequalPlan() {
+  RoomPlan plan = UsualPlan();
+  plan.entry_shares = {1, 1, 1, 1, 2, 2, 3, 4};
+  plan.entries = static_cast<std::uint32_t>(plan.entry_shares.size());
+  plan.near_delay = std::chrono::microseconds(600);
+  plan.far_delay = std::chrono::microseconds(1800);
+  return plan;
+}
+
 }  // namespace tarragon::simulate
--- a/simulate/room_state.h
+++ b/simulate/room_state.h
@@ -80,6 +80,8 @@
     return 0;
   }
 
+  core::Duration DelayOf(std::size_t entry, std::size_t gate) const;
+  std::size_t EntryOfNextClient();
   void SetUp();
   void ArriveNext(const JobKind* kind);
   void Submit(const JobKind* kind);
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -117,6 +117,18 @@
   });
 }
 
+core::Duration World::DelayOf(std::size_t entry, std::size_t gate) const {
+  return entries_[entry]->domain == gates_[gate]->domain ? plan_.near_delay
+                                                         : plan_.far_delay;
+}
+
+std::size_t World::EntryOfNextClient() {
+  if (plan_.entry_shares.empty()) return random_() % entries_.size();
+  std::discrete_distribution<std::size_t> entry(plan_.entry_shares.begin(),
+                                                plan_.entry_shares.end());
+  return entry(random_);
+}
+
 void World::Submit(const JobKind* kind) {
   ClientJob job = MakeClientJob(plan_, kind, &random_);
   job.asked = now_;
@@ -132,7 +144,7 @@
   ++got.asked;
   got.owed += job.worth;
   jobs_[last_job_] = std::move(job);
-  const std::size_t entry = random_() % entries_.size();
+  const std::size_t entry = EntryOfNextClient();
   JobBoard* board = entries_[entry].get();
   for (const coordinator::Queue& queue : board->operator_state.queues) {
     if (queue.name.value() != kind->name) continue;
@@ -173,22 +185,24 @@
 void World::CarryToGate(std::size_t entry, Message message,
                         const core::Address& to) {
   const std::size_t gate = GateAt(to);
-  After(plan_.delay, [this, entry, gate, message = std::move(message)]() {
-    coordinator::OnMessage(gates_[gate].get(), now_, NodeOf("10.0.0.", entry),
-                           message);
-    FlushGate(gate);
-  });
+  After(DelayOf(entry, gate),
+        [this, entry, gate, message = std::move(message)]() {
+          coordinator::OnMessage(gates_[gate].get(), now_,
+                                 NodeOf("10.0.0.", entry), message);
+          FlushGate(gate);
+        });
 }
 
 template <typename Message>
 void World::CarryToEntry(std::size_t gate, Message message,
                          const core::Address& to) {
   const std::size_t entry = EntryAt(to);
-  After(plan_.delay, [this, entry, gate, message = std::move(message)]() {
-    coordinator::OnMessage(entries_[entry].get(), now_, NodeOf("10.0.1.", gate),
-                           message);
-    FlushEntry(entry);
-  });
+  After(DelayOf(entry, gate),
+        [this, entry, gate, message = std::move(message)]() {
+          coordinator::OnMessage(entries_[entry].get(), now_,
+                                 NodeOf("10.0.1.", gate), message);
+          FlushEntry(entry);
+        });
 }
 
 void World::FlushEntry(std::size_t entry) {
@@ -211,6 +225,10 @@
                    std::get_if<coordinator::SendTo<coordinator::AskRun>>(
                        &action)) {
       CarryToGate(entry, ask->message, ask->to.address);
+    } else if (auto* wanted =
+                   std::get_if<coordinator::SendTo<coordinator::RoomWanted>>(
+                       &action)) {
+      CarryToGate(entry, wanted->message, wanted->to.address);
     }
   }
 }
--- a/simulate/rooms_main.cc
+++ b/simulate/rooms_main.cc
@@ -11,20 +11,32 @@
 struct Load {
   const char* name;
   std::vector<Spell> spells;
+  bool unequal_entries = false;
 };
 
 std::vector<Load> Loads() {
   using std::chrono::seconds;
   Spell burst{seconds(4), seconds(8), 1.5, "", 0, 1, 0, 0};
   Spell heavy{seconds(4), seconds(13), 2.0, "", 0, 1, 0, 0};
+  Spell full{seconds(4), seconds(13), 1.6, "", 0, 1, 0, 0};
+  Spell over{seconds(4), seconds(13), 1.75, "", 0, 1, 0, 0};
   Spell carves{seconds(4), seconds(8), 1.8, "carve", 0, 1, 0, 0};
   Spell slow{seconds(6), seconds(13), 1, "", 2, 6.5, 0, 0};
   Spell grey{seconds(6), seconds(13), 1, "", 1, 1, 1.0, 0};
   Spell hang{seconds(6), seconds(13), 1, "", 1, 1, 0, 1.0};
-  return {{"calm", {}},       {"burst", {burst}},
-          {"heavy", {heavy}}, {"carves", {carves}},
-          {"slow", {slow}},   {"grey", {grey}},
-          {"hang", {hang}},   {"heavy+slow", {heavy, slow}}};
+  return {{"calm", {}},
+          {"burst", {burst}},
+          {"full", {full}},
+          {"over", {over}},
+          {"heavy", {heavy}},
+          {"carves", {carves}},
+          {"slow", {slow}},
+          {"grey", {grey}},
+          {"hang", {hang}},
+          {"heavy+slow", {heavy, slow}},
+          {"unequal", {full}, true},
+          {"unequal+", {over}, true},
+          {"unequal++", {heavy}, true}};
 }
 
 void Print(const Load& load, int seeds) {
@@ -33,7 +45,7 @@
   double wasted = 0;
   std::map<std::string, KindResult> kinds;
   for (int seed = 1; seed <= seeds; ++seed) {
-    RoomPlan plan = UsualPlan();
+    RoomPlan plan = load.unequal_entries ? UnequalPlan() : UsualPlan();
     plan.seed = static_cast<std::uint64_t>(seed);
     plan.length = std::chrono::seconds(16);
     plan.spells = load.spells;
--- a/simulate/tests/room_world_test.cc
+++ b/simulate/tests/room_world_test.cc
@@ -20,6 +20,8 @@
   CPPUNIT_TEST(ServesACalmDayInTime);
   CPPUNIT_TEST(ServesAShortBurst);
   CPPUNIT_TEST(SharesALongOverloadAmongKinds);
+  CPPUNIT_TEST(SharesFreedRoomAmongUnequalEntries);
+  CPPUNIT_TEST(RefusesWhatWouldLikelyBeLate);
   CPPUNIT_TEST(RefusesWhileThereIsTimeToGoElsewhere);
   CPPUNIT_TEST(AvoidsASlowTarget);
   CPPUNIT_TEST(AvoidsATargetThatStandsStill);
@@ -91,6 +93,38 @@
     CPPUNIT_ASSERT_MESSAGE(Text(mean), mean.worst_kind >= 0.6);
   }
 
+  /// Slightly more work than there is room, for entries of unequal shares.
+  static RoomPlan FullPlan() {
+    RoomPlan plan = UnequalPlan();
+    plan.length = seconds(12);
+    Spell full;
+    full.from = seconds(2);
+    full.until = seconds(10);
+    full.load = 1.7;
+    plan.spells = {full};
+    return plan;
+  }
+
+  void SharesFreedRoomAmongUnequalEntries() {
+    RoomPlan plan = FullPlan();
+    const Mean mean = Play(plan);
+    plan.policy.max_wants = 0;
+    const Mean baseline = Play(plan);
+    const std::string text = Text(mean) + " against " + Text(baseline);
+    CPPUNIT_ASSERT_MESSAGE(text, mean.worth >= baseline.worth);
+    CPPUNIT_ASSERT_MESSAGE(text, mean.worst_kind > baseline.worst_kind + 0.01);
+  }
+
+  void RefusesWhatWouldLikelyBeLate() {
+    RoomPlan plan = FullPlan();
+    const Mean mean = Play(plan);
+    plan.policy.wait_margin = 1;
+    const Mean baseline = Play(plan);
+    const std::string text = Text(mean) + " against " + Text(baseline);
+    CPPUNIT_ASSERT_MESSAGE(text, mean.worth > baseline.worth + 0.01);
+    CPPUNIT_ASSERT_MESSAGE(text, mean.worst_kind > baseline.worst_kind + 0.01);
+  }
+
   void RefusesWhileThereIsTimeToGoElsewhere() {
     Spell burst;
     burst.until = seconds(12);
--- a/wire/codec.cc
+++ b/wire/codec.cc
@@ -87,6 +87,8 @@
       return Read<coordinator::AskRun>(in->mutable_ask_run(), reason);
     case Envelope::kRunEnded:
       return Read<coordinator::RunEnded>(in->mutable_run_ended(), reason);
+    case Envelope::kRoomWanted:
+      return Read<coordinator::RoomWanted>(in->mutable_room_wanted(), reason);
     case Envelope::kTargetHint:
       return Read<coordinator::TargetHint>(in->mutable_target_hint(), reason);
     case Envelope::MESSAGE_NOT_SET:
--- a/wire/hello.cc
+++ b/wire/hello.cc
@@ -62,6 +62,7 @@
   Channel operator()(const coordinator::StartRun&) { return Channel::kWork; }
   Channel operator()(const coordinator::AskRun&) { return Channel::kWork; }
   Channel operator()(const coordinator::TargetHint&) { return Channel::kWork; }
+  Channel operator()(const coordinator::RoomWanted&) { return Channel::kWork; }
   Channel operator()(const coordinator::RunEnded&) { return Channel::kWork; }
 };
 
--- a/wire/proto_messages.h
+++ b/wire/proto_messages.h
@@ -85,6 +85,7 @@
 void ToProto(const coordinator::AskRun& message, Envelope* out);
 void ToProto(const coordinator::RunEnded& message, Envelope* out);
 void ToProto(const coordinator::TargetHint& message, Envelope* out);
+void ToProto(const coordinator::RoomWanted& message, Envelope* out);
 
 bool FromProto(EntryNotice* in, coordinator::EntryNotice* out,
                WireError* reason);
@@ -96,6 +97,7 @@
 bool FromProto(AskRun* in, coordinator::AskRun* out, WireError* reason);
 bool FromProto(RunEnded* in, coordinator::RunEnded* out, WireError* reason);
 bool FromProto(TargetHint* in, coordinator::TargetHint* out, WireError* reason);
+bool FromProto(RoomWanted* in, coordinator::RoomWanted* out, WireError* reason);
 
 }  // namespace tarragon::wire
 
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -77,8 +77,8 @@
                  TargetReport* report) {
   const auto& [clock, starts_seen, usable, runs_known, target, born, sequence,
                address, draining, service, domain, labels, capacity, free,
-               entries, slowness_permille, failed_permille, operator_revision] =
-      message;
+               entries, slowness_permille, failed_permille, operator_revision,
+               offered] = message;
   report->set_clock_us(ClockMicros(clock));
   report->set_starts_seen(starts_seen);
   report->set_usable(usable);
@@ -99,6 +99,7 @@
   report->set_slowness_permille(slowness_permille);
   report->set_failed_permille(failed_permille);
   report->set_operator_revision(operator_revision);
+  report->set_offered(offered);
 }
 
 bool ReadReport(TargetReport* in, coordinator::TargetReport* out,
@@ -122,6 +123,7 @@
   out->slowness_permille = in->slowness_permille();
   out->failed_permille = in->failed_permille();
   out->operator_revision = in->operator_revision();
+  out->offered = in->offered();
   return ReadClock(in->clock_us(), &out->clock, reason);
 }
 
@@ -179,6 +181,21 @@
   return ReadReport(in, out, reason);
 }
 
+void ToProto(const coordinator::RoomWanted& message, Envelope* out) {
+  const auto& [room, late, slack] = message;
+  RoomWanted* wanted = out->mutable_room_wanted();
+  ToProto(room, wanted->mutable_room());
+  wanted->set_late(late);
+  wanted->set_slack_us(ToMicros(slack));
+}
+
+bool FromProto(RoomWanted* in, coordinator::RoomWanted* out,
+               WireError* reason) {
+  out->room = ReadRoom(in->room());
+  out->late = in->late();
+  return FromMicros(in->slack_us(), &out->slack, reason);
+}
+
 void ToProto(const coordinator::TargetHint& message, Envelope* out) {
   WriteReport(message.last, out->mutable_target_hint()->mutable_last());
 }
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -256,6 +256,8 @@
                             coordinator::RefusalReason::kNoRoom,
                             microseconds(61000)},
       coordinator::TargetHint{SampleTargetReport()},
+      coordinator::RoomWanted{
+          {1600, 64, 1}, true, std::chrono::milliseconds(-25)},
   };
 }
 
