Coordinator: place nothing more at a gate that leaves a start unanswered

Cause, by reading: for up to 500 ms an entry went on placing tasks at a gate that was cut off; each of them was stuck until its lease had surely ended.

Change: a gate that has not counted a start for 100 ms gets no further one. Starts that it would refuse as too old are forgotten, so that it is tried again once it is heard. Room that others have taken or given back while it is scarce is reported every 4 ms for each entry, not every 1 ms: entries whose tasks wait are told by offers.

--- a/coordinator/gates.cc
+++ b/coordinator/gates.cc
@@ -118,7 +118,17 @@
   board->actions.push_back(SendTo<EntryNotice>{to, notice});
 }
 
+/// A start that the gate has not read by now is refused when it comes; its room
+/// is not taken.
+void ForgetStaleStarts(const JobBoard& board, core::Time now, GateLink* gate) {
+  while (!gate->uncounted.empty() &&
+         now - gate->uncounted.front().ordered > board.policy.start_window) {
+    gate->uncounted.pop_front();
+  }
+}
+
 void TickGate(JobBoard* board, core::Time now, GateLink* gate) {
+  ForgetStaleStarts(*board, now, gate);
   if (gate->connected && now - gate->heard > board->policy.redial_after) {
     Tell(board, "A gate is silent; it is dialled anew.",
          core::ToString(gate->node),
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -150,6 +150,7 @@
 struct UncountedStart {
   std::uint64_t sequence = 0;
   Room room;
+  core::Time ordered;
 };
 
 /// A run that this entry has ordered at a gate and of whose end it has not
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -21,6 +21,9 @@
   core::Duration home_silence{std::chrono::milliseconds(700)};
   /// An entry places nothing at a gate that it has not heard for so long.
   core::Duration gate_silence{std::chrono::milliseconds(500)};
+  /// An entry places nothing more at a gate that has not counted a start for so
+  /// long. A gate answers each start by a report, within milliseconds.
+  core::Duration uncounted_limit{std::chrono::milliseconds(100)};
   /// A gate that is not heard for so long is dialled anew: the connection may
   /// be silent for good.
   core::Duration redial_after{std::chrono::milliseconds(800)};
@@ -30,7 +33,7 @@
   /// others have taken or given back, while room is scarce and while it is
   /// ample. Load that is 100 ms old places well as long as own starts are
   /// counted.
-  core::Duration scarce_room_pause{std::chrono::milliseconds(1)};
+  core::Duration scarce_room_pause{std::chrono::milliseconds(4)};
   core::Duration ample_room_pause{std::chrono::milliseconds(10)};
   /// Room is scarce below this share of the capacity, in thousandths.
   std::int64_t scarce_permille = 250;
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -100,6 +100,11 @@
              report.labels.end();
 }
 
+bool CountsStarts(const JobBoard& board, core::Time now, const GateLink& gate) {
+  return gate.uncounted.empty() ||
+         now - gate.uncounted.front().ordered <= board.policy.uncounted_limit;
+}
+
 Room BelievedFree(const GateLink& gate) {
   Room free = gate.report->free;
   for (const UncountedStart& start : gate.uncounted) free = free - start.room;
@@ -111,6 +116,7 @@
   std::vector<Candidate> candidates;
   for (auto& [address, gate] : board->gates) {
     if (!IsUsable(*board, now, gate) || now < gate.health.avoid_until) continue;
+    if (!CountsStarts(*board, now, gate)) continue;
     const Room free = BelievedFree(gate);
     if (free.millicores >= millicores) candidates.push_back({&gate, free});
   }
--- a/coordinator/placing.h
+++ b/coordinator/placing.h
@@ -17,6 +17,10 @@
 /// True if the target has the label, or none is asked for.
 bool HasLabel(const TargetReport& report, const Label& label);
 
+/// False if the gate has left a start unanswered for too long: it, or the way
+/// to it, is likely lost.
+bool CountsStarts(const JobBoard& board, core::Time now, const GateLink& gate);
+
 /// Room at the gate as this entry believes: the last report, less what it has
 /// ordered since.
 Room BelievedFree(const GateLink& gate);
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -58,7 +58,7 @@
   ++job->runs;
   ++board->counts.starts;
   if (gate->health.suspect) gate->health.last_trial = now;
-  gate->uncounted.push_back({start.sequence, step.room});
+  gate->uncounted.push_back({start.sequence, step.room, now});
   gate->runs[start.run] = {step.room, now,   ExpectedRun(*board, *job, *task),
                            now,       false, false};
   Tell(board, "Placed a task.", ToString(start.run),
--- a/coordinator/tests/entry_gate_test.cc
+++ b/coordinator/tests/entry_gate_test.cc
@@ -8,6 +8,8 @@
   CPPUNIT_TEST_SUITE(EntryGateTest);
   CPPUNIT_TEST(CountsItsOwnStartsUntilTheGateDoes);
   CPPUNIT_TEST(PlacesNothingAtASilentGate);
+  CPPUNIT_TEST(PlacesNothingMoreAtAGateThatCountsNoStarts);
+  CPPUNIT_TEST(TriesAGateAgainWhenALostStartWouldBeRefused);
   CPPUNIT_TEST(PlacesNothingInADrainedDomain);
   CPPUNIT_TEST(PlacesElsewhereAfterARefusal);
   CPPUNIT_TEST(AsksAboutRunsAfterALostConnection);
@@ -48,6 +50,30 @@
     AssertRefusal(Submit("j1", 1), Refusal::kNoTarget);
   }
 
+  void PlacesNothingMoreAtAGateThatCountsNoStarts() {
+    Report(Gate(1), 16000);
+    Submit("j1", 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Starts().size());
+    now_ = now_ + std::chrono::milliseconds(110);
+    Submit("j2", 1);
+    CPPUNIT_ASSERT(Starts().empty());
+    // The start is counted in the end.
+    Report(Gate(1), 14400);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Starts().size());
+  }
+
+  void TriesAGateAgainWhenALostStartWouldBeRefused() {
+    Report(Gate(1), 16000);
+    Submit("j1", 1);
+    Starts();
+    TargetReport unchanged = *board_.gates.at(Gate(1).address).report;
+    Advance(std::chrono::milliseconds(420));
+    unchanged.clock = now_;
+    OnMessage(&board_, now_, Gate(1), unchanged);
+    Submit("j2", 1);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Starts().size());
+  }
+
   void PlacesNothingInADrainedDomain() {
     Report(Gate(1), 16000);
     OperatorState state = board_.operator_state;
