--- a/ctl/command_spec.cc
+++ b/ctl/command_spec.cc
@@ -45,6 +45,7 @@
       {"retries",
        "  --retries N       send the same note again up to N times after a "
        "lost\n                    answer (3)\n"},
+      {"logs", "  --logs            read logs from standard input\n"},
       {"confirm-dead",
        "  --confirm-dead    state that the entry is known to be dead\n"},
       {"service", "  --service S       service of the job\n"},
@@ -92,9 +93,10 @@
        "explain",
        "KEY",
        Side::kOperators,
-       {},
+       {"logs"},
        "print the history of one job",
-       ""},
+       "With --logs no entry is asked: the history comes from the logs of\n"
+       "coordinating entries and gates on standard input.\n"},
       {Command::kEntriesRemove,
        "entries remove",
        "NODE",
--- a/ctl/completion/tarragonctl.bash
+++ b/ctl/completion/tarragonctl.bash
@@ -32,8 +32,9 @@
   local options="$common"
   case "${words[0]} ${words[1]}" in
     "note apply") options+=" $operators --retries" ;;
+    "explain "*) options+=" $operators --logs" ;;
     "entries remove") options+=" $operators --confirm-dead" ;;
-    "note "*|"state "*|"explain "*|"entries "*) options+=" $operators" ;;
+    "note "*|"state "*|"entries "*) options+=" $operators" ;;
     "submit "*) options+=" $clients --service --tenant --task --tasks-file
       --cores --memory-mb --deadline --key" ;;
     "answer "*|"cancel "*) options+=" $clients" ;;
--- a/ctl/include/tarragon/ctl/options.h
+++ b/ctl/include/tarragon/ctl/options.h
@@ -40,6 +40,8 @@
   /// How often a note is sent again after a lost answer.
   std::uint32_t retries = 3;
   bool confirm_dead = false;
+  /// Read logs from standard input and ask no entry.
+  bool from_logs = false;
   core::ServiceId service;
   core::TenantId tenant;
   /// Payloads, those of --task before those of --tasks-file.
--- a/ctl/operator_commands.cc
+++ b/ctl/operator_commands.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "answer_body.h"
+#include "log_story.h"
 #include "tarragon/ctl/exit_code.h"
 #include "tarragon/ctl/table.h"
 #include "tarragon/http/status.h"
@@ -158,7 +159,16 @@
   return kExitOk;
 }
 
+int ExplainFromLogs(const Options& options, std::istream& logs,
+                    const Output& output) {
+  const LogStory story = ReadLogStory(logs, options.argument);
+  for (const std::string& line : story.lines) output.out << line << "\n";
+  output.out << story.conclusion << "\n";
+  return story.lines.empty() ? kExitFailure : kExitOk;
+}
+
 int Explain(const Options& options, const Peer& peer, const Output& output) {
+  if (options.from_logs) return ExplainFromLogs(options, std::cin, output);
   http::HttpError error;
   const std::optional<http::Response> response = peer.call(
       options.entry,
--- a/ctl/operator_commands.h
+++ b/ctl/operator_commands.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_CTL_OPERATOR_COMMANDS_H_
 #define TARRAGON_CTL_OPERATOR_COMMANDS_H_
 
+#include <istream>
 #include <string>
 
 #include "tarragon/ctl/commands.h"
@@ -16,6 +17,10 @@
 int ShowObject(const Options& options, const std::string& path,
                const Peer& peer, const Output& output);
 
+/// Prints what `logs` tell of the job `options.argument`.
+int ExplainFromLogs(const Options& options, std::istream& logs,
+                    const Output& output);
+
 /// Prints the history of the job `options.argument`.
 int Explain(const Options& options, const Peer& peer, const Output& output);
 
--- a/ctl/options.cc
+++ b/ctl/options.cc
@@ -45,6 +45,7 @@
   kClient,
   kRetries,
   kConfirmDead,
+  kLogs,
   kService,
   kTenant,
   kTask,
@@ -55,7 +56,7 @@
   kKey,
 };
 
-constexpr std::array<option, 19> kChoices = {{
+constexpr std::array<option, 20> kChoices = {{
     {"help", no_argument, nullptr, kHelp},
     {"version", no_argument, nullptr, kVersion},
     {"json", no_argument, nullptr, kJson},
@@ -66,6 +67,7 @@
     {"client", required_argument, nullptr, kClient},
     {"retries", required_argument, nullptr, kRetries},
     {"confirm-dead", no_argument, nullptr, kConfirmDead},
+    {"logs", no_argument, nullptr, kLogs},
     {"service", required_argument, nullptr, kService},
     {"tenant", required_argument, nullptr, kTenant},
     {"task", required_argument, nullptr, kTask},
@@ -205,6 +207,9 @@
       return ApplyTokenFile(argument);
     case kClient:
       return ApplyClients(argument);
+    case kLogs:
+      options_.from_logs = true;
+      return true;
     case kConfirmDead:
       options_.confirm_dead = true;
       return true;
@@ -323,6 +328,7 @@
     if (options_.clients.empty()) return Fail("--client ADDR is missing.");
     return true;
   }
+  if (options_.from_logs) return true;
   if (options_.entry.value().empty()) {
     return Fail("--entry ADDR is missing, and TARRAGON_OPERATORS is not set.");
   }
--- a/ctl/tests/operator_commands_test.cc
+++ b/ctl/tests/operator_commands_test.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <sstream>
 
 #include "fake_peer.h"
 #include "tarragon/ctl/exit_code.h"
@@ -37,6 +38,7 @@
   CPPUNIT_TEST(ReportsNoAnswer);
   CPPUNIT_TEST(Explains);
   CPPUNIT_TEST(ExplainsNoUnknownKey);
+  CPPUNIT_TEST(ExplainsFromLogs);
   CPPUNIT_TEST(RemovesAnEntry);
   CPPUNIT_TEST_SUITE_END();
 
@@ -202,6 +204,19 @@
                          peer.err());
   }
 
+  void ExplainsFromLogs() {
+    options_.argument = "34b3";
+    std::istringstream logs(
+        "2026-03-18T15:57:45.200Z info  coordinator/entry: Refused a job. "
+        "id=34b3 reason=overload\n");
+    std::ostringstream out;
+    const Output output{out, out};
+    CPPUNIT_ASSERT_EQUAL(kExitOk, ExplainFromLogs(options_, logs, output));
+    CPPUNIT_ASSERT(Contains(out.str(), "reason overload."));
+    std::istringstream none("");
+    CPPUNIT_ASSERT_EQUAL(kExitFailure, ExplainFromLogs(options_, none, output));
+  }
+
   void RemovesAnEntry() {
     FakePeer peer;
     options_.command = Command::kEntriesRemove;
--- a/ctl/tests/options_test.cc
+++ b/ctl/tests/options_test.cc
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(RefusesIncompletePeers);
   CPPUNIT_TEST(RefusesIncompleteSubmissions);
   CPPUNIT_TEST(RemovesEntriesOnlyIfConfirmed);
+  CPPUNIT_TEST(ExplainsFromLogsWithoutAnEntry);
   CPPUNIT_TEST(PrintsHelpAndVersion);
   CPPUNIT_TEST(ReadsDurations);
   CPPUNIT_TEST_SUITE_END();
@@ -229,6 +230,15 @@
     CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:1~a"), options.argument);
   }
 
+  void ExplainsFromLogsWithoutAnEntry() {
+    CPPUNIT_ASSERT(
+        Contains(FaultOf({"explain", "H.1"}, kNoVariables), "--entry"));
+    const Options options = Parsed({"explain", "H.1", "--logs"}, kNoVariables);
+    CPPUNIT_ASSERT(options.from_logs);
+    CPPUNIT_ASSERT(Contains(FaultOf({"state", "--logs"}, kVariables),
+                            "--logs is not an option of state"));
+  }
+
   void PrintsHelpAndVersion() {
     CPPUNIT_ASSERT(Contains(OutputOf({"--help"}), "Exit codes:"));
     CPPUNIT_ASSERT(Contains(OutputOf({"-h"}), "note apply FILE"));
