Soak: relays between entries and gates; peers.bind_ip

Each process of the soak is dialled through a relay, which delays, resets, silences or holds back what peers say to each other, one way or both. Held bytes come late, as after a cut that TCP outlives. For this a process can listen for peers at another address than the one that it announces (peers.bind_ip).

--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -85,7 +85,8 @@
     board_.domain = node_.domain;
     board_.random ^= core::RandomIncarnation().value();
     wire::WireError wire_error;
-    if (!transport_.Listen(node_.peers, std::nullopt, &wire_error)) {
+    if (!transport_.Listen(PeerBind(settings_, node_.peers), node_.peers,
+                           &wire_error)) {
       *reason = wire_error.detail;
       return false;
     }
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -65,7 +65,8 @@
     node_ = *node;
     board_.domain = node_.domain;
     wire::WireError wire_error;
-    if (!transport_.Listen(node_.peers, std::nullopt, &wire_error)) {
+    if (!transport_.Listen(PeerBind(settings_, node_.peers), node_.peers,
+                           &wire_error)) {
       *reason = wire_error.detail;
       return false;
     }
--- a/daemons/site_settings.cc
+++ b/daemons/site_settings.cc
@@ -12,6 +12,7 @@
 constexpr char kPolicy[] = "policy";
 constexpr char kLog[] = "log";
 constexpr char kMetrics[] = "metrics";
+constexpr char kPeers[] = "peers";
 
 struct PolicyDuration {
   const char* key;
@@ -28,6 +29,10 @@
      "A gate ends the runs of an entry that is silent for so long."},
     {"gate_silence", &Policy::gate_silence, "100ms", "10s",
      "Nothing is placed at a gate that is silent for so long."},
+    {"uncounted_limit", &Policy::uncounted_limit, "10ms", "10s",
+     "Nothing more is placed at a gate that ignores a start for so long."},
+    {"offer_time", &Policy::offer_time, "1ms", "1s",
+     "How long a gate keeps freed room for an entry that wants it."},
     {"redial_after", &Policy::redial_after, "100ms", "30s",
      "A silent connection to a gate is made anew after this time."},
     {"reconnect_interval", &Policy::reconnect_interval, "20ms", "30s",
@@ -82,6 +87,13 @@
   specs.back().reloadable = true;
   specs.push_back(NumberSpec(kMetrics, "port", "9464", "0", "65535",
                              "Port of the metrics page; 0 for none."));
+  core::SettingSpec bind;
+  bind.section = kPeers;
+  bind.key = "bind_ip";
+  bind.help =
+      "Address where peers are listened for, if they reach it under the VM's "
+      "address by a forwarder; empty for the VM's address.";
+  specs.push_back(bind);
   const Policy defaults;
   for (const PolicyDuration& each : kDurations) {
     core::SettingSpec spec;
@@ -111,6 +123,14 @@
   return static_cast<std::uint16_t>(settings.Integer(kMetrics, "port"));
 }
 
+core::Address PeerBind(const core::Settings& settings,
+                       const core::Address& announced) {
+  const std::string& ip = settings.Text(kPeers, "bind_ip");
+  if (ip.empty()) return announced;
+  const std::string& text = announced.value();
+  return core::Address(ip + text.substr(text.rfind(':')));
+}
+
 void ApplyLogSettings(const core::Settings& settings) {
   core::SetLogLimit(
       static_cast<int>(settings.Integer(kLog, "lines_per_second")));
--- a/daemons/site_settings.h
+++ b/daemons/site_settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "tarragon/coordinator/policy.h"
+#include "tarragon/core/ids.h"
 #include "tarragon/core/settings.h"
 
 /// Settings of our own for the programs that run on the users' platform. What
@@ -21,6 +22,10 @@
 /// Port of the metrics page on all addresses; zero for none.
 std::uint16_t MetricsPort(const core::Settings& settings);
 
+/// "IP:port" where to listen for peers that are told `announced`.
+core::Address PeerBind(const core::Settings& settings,
+                       const core::Address& announced);
+
 /// Applies the settings of the log.
 void ApplyLogSettings(const core::Settings& settings);
 
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -64,6 +64,8 @@
     return std::uniform_int_distribution<int>(least, most)(random_);
   }
   void After(milliseconds delay, std::function<void()> step);
+  boost::asio::ip::tcp::endpoint EndpointAt(const std::string& ip) const;
+  Relay* AnyRelay();
   std::string NodeFile(const std::string& name, int index, bool entry);
   void SetUp();
   void WriteConfiguration();
@@ -82,6 +84,8 @@
   http::Client client_;
   std::filesystem::path folder_;
   std::vector<std::unique_ptr<Relay>> store_relays_;
+  /// In front of the processes, for each other.
+  std::vector<std::unique_ptr<Relay>> peer_relays_;
   std::vector<std::unique_ptr<Process>> processes_;
   std::vector<std::unique_ptr<FakeTarget>> targets_;
   std::vector<std::string> fronts_;
@@ -134,6 +138,21 @@
   return path;
 }
 
+boost::asio::ip::tcp::endpoint Soak::EndpointAt(const std::string& ip) const {
+  return {boost::asio::ip::make_address(ip), static_cast<std::uint16_t>(port_)};
+}
+
+Relay* Soak::AnyRelay() {
+  switch (Draw(0, 3)) {
+    case 0:
+      return targets_[random_() % targets_.size()]->relay();
+    case 1:
+      return store_relays_[random_() % store_relays_.size()].get();
+    default:
+      return peer_relays_[random_() % peer_relays_.size()].get();
+  }
+}
+
 void Soak::WriteConfiguration() {
   json::array routes;
   for (const char* name : {"checks", "carvings"}) {
@@ -167,9 +186,17 @@
     const int index = entry ? i : i - options_.entries;
     const std::string name =
         (entry ? "entry-" : "gate-") + std::to_string(index);
+    const std::string node_file = NodeFile(name, index, entry);
+    // Peers dial the VM's address, where the relay listens for the process.
+    const std::string network = entry ? "127.3.0." : "127.4.0.";
+    const std::string bind_ip = network + std::to_string(index + 1);
+    peer_relays_.push_back(
+        std::make_unique<Relay>(io_, EndpointAt(bind_ip),
+                                EndpointAt((entry ? "127.1.0." : "127.2.0.") +
+                                           std::to_string(index + 1))));
     processes_.push_back(std::make_unique<Process>(
-        entry ? "tarragon-coordinator" : "tarragon-gate",
-        NodeFile(name, index, entry), (folder_ / (name + ".log")).string()));
+        entry ? "tarragon-coordinator" : "tarragon-gate", node_file,
+        (folder_ / (name + ".log")).string(), bind_ip));
     processes_.back()->Start();
     if (entry) continue;
     FakeTarget::Config config;
@@ -197,9 +224,7 @@
 void Soak::Fault() {
   Process* process = processes_[random_() % processes_.size()].get();
   FakeTarget* target = targets_[random_() % targets_.size()].get();
-  Relay* relay = Draw(0, 1) == 0
-                     ? target->relay()
-                     : store_relays_[random_() % store_relays_.size()].get();
+  Relay* relay = AnyRelay();
   const milliseconds length(Draw(100, 2500));
   switch (Draw(0, 10)) {
     case 0:
@@ -230,7 +255,7 @@
       relay->Reset();
       break;
     case 8:
-      relay->SetMode(static_cast<RelayMode>(Draw(1, 4)));
+      relay->SetMode(static_cast<RelayMode>(Draw(1, 7)));
       After(length, [relay]() { relay->SetMode(RelayMode::kPass); });
       break;
     case 9:
@@ -320,6 +345,9 @@
   for (const std::unique_ptr<Relay>& relay : store_relays_) {
     relay->SetMode(RelayMode::kPass);
   }
+  for (const std::unique_ptr<Relay>& relay : peer_relays_) {
+    relay->SetMode(RelayMode::kPass);
+  }
   for (const std::unique_ptr<FakeTarget>& target : targets_) {
     target->relay()->SetMode(RelayMode::kPass);
     target->SetLoss(0);
--- a/tests/soak/process.cc
+++ b/tests/soak/process.cc
@@ -14,10 +14,11 @@
 namespace tarragon::soak {
 
 Process::Process(std::string program, std::string node_file,
-                 std::string log_file)
+                 std::string log_file, std::string bind_ip)
     : program_(std::move(program)),
       node_file_(std::move(node_file)),
-      log_file_(std::move(log_file)) {}
+      log_file_(std::move(log_file)),
+      bind_ip_(std::move(bind_ip)) {}
 
 Process::~Process() { Kill(); }
 
@@ -33,7 +34,9 @@
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
   setenv(platform::kNodeFileVariable, node_file_.c_str(), 1);
-  execl(path.c_str(), program_.c_str(), "--set", "metrics.port=0", nullptr);
+  const std::string bind = "peers.bind_ip=" + bind_ip_;
+  execl(path.c_str(), program_.c_str(), "--set", "metrics.port=0", "--set",
+        bind.c_str(), nullptr);
   _exit(127);
 }
 
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -11,8 +11,10 @@
 /// soak itself dies.
 class Process {
  public:
-  /// `program` is beside the soak's own program. Its log goes to `log_file`.
-  Process(std::string program, std::string node_file, std::string log_file);
+  /// `program` is beside the soak's own program. Its log goes to `log_file`. It
+  /// listens for peers at `bind_ip`.
+  Process(std::string program, std::string node_file, std::string log_file,
+          std::string bind_ip);
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -33,6 +35,7 @@
   std::string program_;
   std::string node_file_;
   std::string log_file_;
+  std::string bind_ip_;
   pid_t pid_ = 0;
   mutable bool end_asked_ = false;
   int own_ends_ = 0;
--- a/tests/soak/relay.cc
+++ b/tests/soak/relay.cc
@@ -14,6 +14,7 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr std::chrono::milliseconds kDelay{40};
+constexpr std::chrono::milliseconds kHoldLook{5};
 
 }  // namespace
 
@@ -61,6 +62,17 @@
                       (mode == RelayMode::kSilentForward && way == 0) ||
                       (mode == RelayMode::kSilentBack && way == 1);
     if (lost) return Read(from, to, way);
+    const bool held = mode == RelayMode::kHold ||
+                      (mode == RelayMode::kHoldForward && way == 0) ||
+                      (mode == RelayMode::kHoldBack && way == 1);
+    if (held) {
+      pauses_[way].expires_after(kHoldLook);
+      pauses_[way].async_wait([self = shared_from_this(), from, to, way,
+                               size](const ErrorCode& /*error*/) {
+        self->Pass(from, to, way, size);
+      });
+      return;
+    }
     pauses_[way].expires_after(
         mode == RelayMode::kDelay ? kDelay : std::chrono::milliseconds(0));
     pauses_[way].async_wait([self = shared_from_this(), from, to, way,
@@ -82,9 +94,12 @@
 };
 
 Relay::Relay(asio::io_context& io, Tcp::endpoint server)
-    : io_(io),
-      server_(std::move(server)),
-      acceptor_(io, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {
+    : Relay(io, std::move(server),
+            Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {}
+
+Relay::Relay(asio::io_context& io, Tcp::endpoint server,
+             const Tcp::endpoint& front)
+    : io_(io), server_(std::move(server)), acceptor_(io, front) {
   Accept();
 }
 
--- a/tests/soak/relay.h
+++ b/tests/soak/relay.h
@@ -20,6 +20,11 @@
   /// Bytes from the server are lost; connections stay.
   kSilentBack,
   kSilent,
+  /// Bytes are held back, and passed when the mode changes, as after a cut that
+  /// TCP outlives.
+  kHoldForward,
+  kHoldBack,
+  kHold,
 };
 
 /// TCP relay on loopback in front of one server.
@@ -27,6 +32,9 @@
  public:
   /// Listens on a free port of 127.0.0.1 and passes to `server`.
   Relay(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server);
+  /// Listens at `front`.
+  Relay(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server,
+        const boost::asio::ip::tcp::endpoint& front);
 
   /// "IP:port" where it listens.
   std::string address() const;
