Coordinator: grade targets by job; wait for gates that were just found

After a restart jobs were refused while the gates had not been heard yet.

An entry that has found many gates within 500 ms and not heard them refuses nothing for want of room.

--- a/coordinator/admission.cc
+++ b/coordinator/admission.cc
@@ -1,6 +1,7 @@
 #include "admission.h"
 
 #include <algorithm>
+#include <cstddef>
 
 #include "placing.h"
 
@@ -13,6 +14,9 @@
 /// back at once.
 constexpr core::Duration kRetrySpread = std::chrono::seconds(2);
 
+/// Fewer gates than one in so many do not change what room there is.
+constexpr std::size_t kSettlingPart = 4;
+
 double Seconds(core::Duration duration) {
   return static_cast<double>(duration.count()) / 1e6;
 }
@@ -42,6 +46,19 @@
   return seen;
 }
 
+/// True if many gates were found so lately that they may not have been heard
+/// yet: what room there is is not known.
+bool IsSettling(const JobBoard& board, core::Time now) {
+  std::size_t unheard = 0;
+  for (const auto& [address, gate] : board.gates) {
+    if (!gate.report.has_value() &&
+        now - gate.heard <= board.policy.settle_time) {
+      ++unheard;
+    }
+  }
+  return unheard > 0 && unheard * kSettlingPart >= board.gates.size();
+}
+
 bool CanEverFit(const JobBoard& board, const core::ServiceId& service,
                 const StepSpec& step) {
   for (const auto& [address, gate] : board.gates) {
@@ -84,6 +101,7 @@
     verdict.retry_after = board.policy.retry_floor;
     return verdict;
   }
+  if (IsSettling(board, now)) return verdict;
   const RoomSeen seen = SeeRoom(board, now, job.queue.service);
   if (!seen.any_usable) {
     verdict.refusal = Refusal::kNoTarget;
--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -9,25 +9,23 @@
 
 constexpr double kPermille = 1000;
 constexpr std::int64_t kWhole = 1000;
-/// Weight of each run that is overdue: with ten of them the target is judged by
-/// them alone.
-constexpr double kOverdueWeight = 0.1;
+/// A run counts as overdue from this multiple of its expected time on; most
+/// runs of a sound target end before.
+constexpr double kOverdue = 1.5;
 /// Beyond this a target is simply too slow.
 constexpr double kMaxSlowness = 100;
 
-/// The history, with the runs that are overdue already.
-std::uint32_t SlownessPermille(const GateBoard& board, core::Time now) {
-  double slowness = board.target->history.slowness;
-  for (const auto& [ref, run] : board.runs) {
-    if (run.phase != RunPhase::kRunning || run.expected.count() <= 0) continue;
-    const double ratio = static_cast<double>((now - run.started).count()) /
-                         static_cast<double>(run.expected.count());
-    if (ratio > slowness) {
-      slowness += kOverdueWeight * (ratio - slowness);
-    }
+/// How the target does, by the runs that have ended and those that are overdue.
+TargetGrade GradeTarget(GateBoard* board, core::Time now) {
+  std::vector<JobSample> overdue;
+  for (const auto& [ref, run] : board->runs) {
+    if (run.phase != RunPhase::kRunning) continue;
+    const double slowness = SlownessOf(run, now);
+    if (slowness <= kOverdue) continue;
+    overdue.push_back({ref.task.job, now, slowness, false});
   }
-  return static_cast<std::uint32_t>(std::min(slowness, kMaxSlowness) *
-                                    kPermille);
+  return Grade(&board->target->history, now, board->policy.history_memory,
+               overdue);
 }
 
 bool TaskRuns(const GateBoard& board, const TaskRef& task) {
@@ -169,9 +167,11 @@
       report.capacity = said.capacity;
       report.free = FreeRoom(*board) - OfferedToOthers(*board, home.node);
       report.offered = home.offer_due;
-      report.slowness_permille = SlownessPermille(*board, now);
+      const TargetGrade grade = GradeTarget(board, now);
+      report.slowness_permille = static_cast<std::uint32_t>(
+          std::min(grade.slowness, kMaxSlowness) * kPermille);
       report.failed_permille =
-          static_cast<std::uint32_t>(board->target->history.failed * kPermille);
+          static_cast<std::uint32_t>(grade.failed * kPermille);
     }
     home.offer_due = false;
     board->actions.push_back(
--- a/coordinator/gate_parts.h
+++ b/coordinator/gate_parts.h
@@ -21,6 +21,9 @@
 /// difference of the clocks' rates.
 TargetClock EstimateClock(const Target& target, core::Time now);
 
+/// Time that the run has taken so far over what was expected.
+double SlownessOf(const GateRun& run, core::Time now);
+
 /// Removes the run, remembers its end and tells its entry.
 void EndRun(GateBoard* board, core::Time now, const RunRef& run, RunEnd end,
             RefusalReason reason);
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -1,4 +1,3 @@
-#include <cmath>
 #include <string>
 #include <utility>
 
@@ -31,29 +30,24 @@
 std::size_t OpenRuns(const GateBoard& board) { return board.runs.size(); }
 
 /// Takes a run that has ended into the target's history. A run that was stopped
-/// tells only that it was not quicker than so far.
-void NoteRun(GateBoard* board, core::Time now, const GateRun& run, RunEnd end) {
+/// tells only that it was not quicker than usual there.
+void NoteRun(GateBoard* board, core::Time now, const RunRef& ref,
+             const GateRun& run, RunEnd end) {
   if (!board->target.has_value()) return;
   TargetHistory& history = board->target->history;
-  const double ratio = run.expected.count() > 0
-                           ? static_cast<double>((now - run.started).count()) /
-                                 static_cast<double>(run.expected.count())
-                           : 1;
+  const double ratio = SlownessOf(run, now);
   const bool stopped = run.stop_wanted || end == RunEnd::kStopped;
-  if (stopped && ratio <= history.slowness) return;
-  // The longer nothing was seen, the more one run counts: a trial after a pause
-  // speaks for itself.
-  const double pause = static_cast<double>((now - history.noted).count());
-  const double memory =
-      static_cast<double>(board->policy.history_memory.count());
-  const double weight = 1 - std::exp(-pause / memory);
-  history.noted = now;
-  if (stopped || end == RunEnd::kDone) {
-    history.slowness += weight * (ratio - history.slowness);
-  }
-  if (stopped) return;
-  const double failed = end == RunEnd::kFailed ? 1 : 0;
-  history.failed += weight * (failed - history.failed);
+  if (stopped && ratio <= history.grade.slowness) return;
+  JobSample sample{ref.task.job, now, {}, false};
+  sample.failed = !stopped && end == RunEnd::kFailed;
+  if (!sample.failed) sample.slowness = ratio;
+  NoteSample(&history, sample);
+}
+
+double SlownessOf(const GateRun& run, core::Time now) {
+  if (run.expected.count() <= 0) return 1;
+  return static_cast<double>((now - run.started).count()) /
+         static_cast<double>(run.expected.count());
 }
 
 void EndRun(GateBoard* board, core::Time now, const RunRef& ref, RunEnd end,
@@ -65,7 +59,7 @@
   RunEnded ended{ref, end, reason, core::Duration{0}};
   if (run.phase == RunPhase::kRunning) {
     ended.run_time = now - run.started;
-    NoteRun(board, now, run, end);
+    NoteRun(board, now, ref, run, end);
   }
   board->past[ref] = {ended, now};
   ++board->counts.ends[end];
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -10,6 +10,7 @@
 
 #include "tarragon/coordinator/message.h"
 #include "tarragon/coordinator/policy.h"
+#include "tarragon/coordinator/target_history.h"
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
 
@@ -73,16 +74,6 @@
   std::optional<core::Time> stop_answered;
 };
 
-/// How the runs at a target have gone lately.
-struct TargetHistory {
-  /// Run times over the expected ones.
-  double slowness = 1;
-  /// Share of runs that failed.
-  double failed = 0;
-  /// When the last run was taken in.
-  core::Time noted;
-};
-
 /// The target and what is known of its present life.
 struct Target {
   Announcement said;
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -57,8 +57,8 @@
   /// refused. Covers a link with a queue, not a suspended machine.
   core::Duration start_window{std::chrono::milliseconds(400)};
 
-  /// How long a target's history reaches back: some ten runs of a busy target.
-  core::Duration history_memory{std::chrono::milliseconds(250)};
+  /// How long a target's history reaches back: several jobs of a busy target.
+  core::Duration history_memory{std::chrono::milliseconds(400)};
 
   /// Longest lease that targets grant.
   core::Duration lease{std::chrono::milliseconds(1000)};
@@ -114,6 +114,9 @@
   /// entries nor the true run times, each of which may double a wait; a job
   /// that just fits by it is late more often than not.
   double wait_margin = 3;
+  /// Gates that were found so lately are taken to have room until they are
+  /// heard. After a restart all of them answer within some 100 ms.
+  core::Duration settle_time{std::chrono::milliseconds(500)};
   /// Left for the way of an answer to its client.
   core::Duration answer_margin{std::chrono::milliseconds(40)};
   /// After a stop signal new jobs are taken for so long: the balancer goes on
--- /dev/null
+++ b/coordinator/target_history.cc
@@ -0,0 +1,80 @@
+#include "tarragon/coordinator/target_history.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace tarragon::coordinator {
+namespace {
+
+/// Fewer jobs than this may all be long by chance.
+constexpr std::size_t kLeastJobs = 3;
+/// Jobs that are kept; a target runs some ten at once.
+constexpr std::size_t kMaxSamples = 32;
+
+/// Takes `sample` in, in place of an older one of its job.
+void Merge(std::vector<JobSample>* samples, const JobSample& sample) {
+  for (JobSample& known : *samples) {
+    if (known.job != sample.job) continue;
+    known.slowness = std::max(known.slowness, sample.slowness);
+    return;
+  }
+  samples->push_back(sample);
+}
+
+/// The lower one of the two in the middle.
+double Middle(std::vector<double> values) {
+  const std::size_t middle = (values.size() - 1) / 2;
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(middle),
+                   values.end());
+  return values[middle];
+}
+
+}  // namespace
+
+void NoteSample(TargetHistory* history, const JobSample& sample) {
+  JobSample merged = sample;
+  const auto known = std::find_if(
+      history->samples.begin(), history->samples.end(),
+      [&sample](const JobSample& each) { return each.job == sample.job; });
+  if (known != history->samples.end()) {
+    merged.failed = merged.failed || known->failed;
+    if (!merged.slowness.has_value()) merged.slowness = known->slowness;
+    history->samples.erase(known);
+  }
+  history->samples.push_back(merged);
+  if (history->samples.size() > kMaxSamples) history->samples.pop_front();
+}
+
+TargetGrade Grade(TargetHistory* history, core::Time now, core::Duration memory,
+                  const std::vector<JobSample>& overdue) {
+  while (!history->samples.empty() &&
+         now - history->samples.front().at > memory) {
+    history->samples.pop_front();
+  }
+  std::vector<JobSample> samples(history->samples.begin(),
+                                 history->samples.end());
+  for (const JobSample& each : overdue) Merge(&samples, each);
+  if (samples.empty()) return history->grade;
+  std::vector<double> slowness;
+  double failed = 0;
+  for (const JobSample& each : samples) {
+    if (each.slowness.has_value()) slowness.push_back(*each.slowness);
+    if (each.failed) ++failed;
+  }
+  failed /= static_cast<double>(samples.size());
+  TargetGrade& grade = history->grade;
+  if (samples.size() >= kLeastJobs) {
+    if (!slowness.empty()) grade.slowness = Middle(slowness);
+    grade.failed = failed;
+    return grade;
+  }
+  if (!slowness.empty()) {
+    grade.slowness = std::min(
+        grade.slowness, *std::min_element(slowness.begin(), slowness.end()));
+  }
+  grade.failed = std::min(grade.failed, failed);
+  return grade;
+}
+
+}  // namespace tarragon::coordinator
--- a/coordinator/tests/entry_job_test.cc
+++ b/coordinator/tests/entry_job_test.cc
@@ -29,9 +29,34 @@
   CPPUNIT_TEST(AnswersAllWhenItMustStop);
   CPPUNIT_TEST(TakesNoJobLateInAStop);
   CPPUNIT_TEST(LimitsTasksOfAStepOnOneTarget);
+  CPPUNIT_TEST(WaitsForGatesThatWereJustFound);
+  CPPUNIT_TEST(RefusesWhenFoundGatesStaySilent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void WaitsForGatesThatWereJustFound() {
+    OnGateFound(&board_, now_, Gate(1).address);
+    OnGateFound(&board_, now_, Gate(2).address);
+    const CallId first = Submit("j1", 1);
+    CPPUNIT_ASSERT(!AnswerTo(first).has_value());
+    Report(Gate(1), 1600);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Starts().size());
+    // Many wait, but the other gate may have room for them.
+    for (int i = 0; i < 20; ++i) {
+      const CallId call = Submit("more" + std::to_string(i), 4);
+      CPPUNIT_ASSERT(!AnswerTo(call).has_value());
+    }
+  }
+
+  void RefusesWhenFoundGatesStaySilent() {
+    OnGateFound(&board_, now_, Gate(1).address);
+    const CallId early = Submit("j1", 1);
+    Advance(std::chrono::milliseconds(140));
+    AssertRefusal(early, Refusal::kExpired);
+    Advance(std::chrono::milliseconds(400));
+    AssertRefusal(Submit("j2", 1), Refusal::kNoTarget);
+  }
+
   void CompletesWhenAllTasksAreDone() {
     Report(Gate(1), 16000);
     const CallId call = Submit("j1", 3);
