Gate: keep the target in the platform's store; Soak: a slow store, lost answers

Change: a gate writes name, address and life of its target into the table targets when one of them changes, and reads its own row at its start. The stand-in of the store can be slow and lose answers; the soak uses both.

--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -148,6 +148,7 @@
     home.report_due = false;
     home.report_sent = now;
     TargetReport report;
+    if (board->target.has_value()) report = ReportOf(board->target->said);
     report.clock = now;
     report.starts_seen = home.starts_seen;
     report.usable = IsUsable(*board, now);
@@ -156,15 +157,6 @@
     if (board->target.has_value()) {
       report.runs_known = board->target->runs_known;
       report.entries = static_cast<std::uint32_t>(board->homes.size());
-      const Announcement& said = board->target->said;
-      report.target = said.target;
-      report.born = said.born;
-      report.sequence = said.sequence;
-      report.address = said.address;
-      report.draining = said.draining;
-      report.service = said.service;
-      report.labels = said.labels;
-      report.capacity = said.capacity;
       report.free = FreeRoom(*board) - OfferedToOthers(*board, home.node);
       report.offered = home.offer_due;
       const TargetGrade grade = GradeTarget(board, now);
@@ -275,24 +267,7 @@
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                TargetHint hint) {
   HeardFrom(board, now, from);
-  if (board->target.has_value() || hint.last.target.value().empty()) {
-    return Settle(board, now);
-  }
-  Tell(board, "An entry tells of the target.", hint.last.target.value(),
-       {{"entry", core::ToString(from)},
-        {"address", hint.last.address.value()}});
-  Announcement said;
-  said.target = std::move(hint.last.target);
-  said.born = hint.last.born;
-  said.sequence = hint.last.sequence;
-  said.address = std::move(hint.last.address);
-  said.service = std::move(hint.last.service);
-  said.domain = std::move(hint.last.domain);
-  said.labels = std::move(hint.last.labels);
-  said.capacity = hint.last.capacity;
-  said.draining = hint.last.draining;
-  // Its clock is told by the first poll.
-  OnAnnouncement(board, now, said);
+  OnTargetRecalled(board, now, std::move(hint.last), core::ToString(from));
 }
 
 void OnEntryFound(GateBoard* board, core::Time now,
--- a/coordinator/gate_parts.h
+++ b/coordinator/gate_parts.h
@@ -44,6 +44,17 @@
 /// The target has answered an order or a poll.
 void TakeSign(GateBoard* board, core::Time now);
 
+/// The target as entries are told of it, without its room.
+TargetReport ReportOf(const Announcement& said);
+
+/// Asks to keep the target if its name, life or address is new.
+void KeepLife(GateBoard* board, const Announcement& said);
+
+/// Takes in what the target says, or has said to an earlier process. False if
+/// it is older than what is known.
+bool TakeAnnouncement(GateBoard* board, core::Time now,
+                      const Announcement& said);
+
 /// Begins a poll of the target if one is due.
 void PollIfDue(GateBoard* board, core::Time now);
 
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -215,12 +215,17 @@
 
 void OnAnnouncement(GateBoard* board, core::Time now,
                     const Announcement& said) {
+  if (TakeAnnouncement(board, now, said)) KeepLife(board, said);
+}
+
+bool TakeAnnouncement(GateBoard* board, core::Time now,
+                      const Announcement& said) {
   if (board->target.has_value() && !IsNewer(said, *board->target)) {
     Tell(board, "Ignored an old announcement of the target.",
          said.target.value(),
          {{"sequence", std::to_string(said.sequence)},
           {"born", std::to_string(said.born.value())}});
-    return;
+    return false;
   }
   if (!board->target.has_value()) {
     board->target.emplace();
@@ -256,6 +261,7 @@
   }
   MarkReports(board);
   Settle(board, now);
+  return true;
 }
 
 void OnTargetLeft(GateBoard* board, core::Time now, const TargetId& target) {
--- a/coordinator/include/tarragon/coordinator/gate.h
+++ b/coordinator/include/tarragon/coordinator/gate.h
@@ -58,6 +58,10 @@
                const AskRun& ask);
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                TargetHint hint);
+/// The target that an earlier process here had. Ignored if the target is known.
+/// `source` is for the log.
+void OnTargetRecalled(GateBoard* board, core::Time now, TargetReport last,
+                      const std::string& source);
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                const RoomWanted& wanted);
 /// An entry may be found at this address.
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -96,6 +96,8 @@
   /// Latest moment on the target's clock up to which runs may hold a lease.
   TargetClock lease_until;
   TargetHistory history;
+  /// What a later process here will find.
+  std::optional<TargetReport> kept;
 };
 
 /// Room that an entry wants.
@@ -175,6 +177,11 @@
   std::uint64_t number = 0;
 };
 
+/// Keep the target where a later process at this address finds it.
+struct KeepTarget {
+  TargetReport target;
+};
+
 /// Send a message to an entry.
 template <typename Message>
 struct SendTo {
@@ -184,7 +191,7 @@
 
 using GateAction =
     std::variant<OrderStart, OrderStop, OrderPoll, SendTo<TargetReport>,
-                 SendTo<RunEnded>, SendTo<OperatorUpdate>>;
+                 SendTo<RunEnded>, SendTo<OperatorUpdate>, KeepTarget>;
 
 /// One line for the log: something that touches a run or changes what the
 /// process believes. `sentence` is constant.
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -275,6 +275,8 @@
   CPPUNIT_TEST(EndsFoundRunsThatNobodyClaims);
   CPPUNIT_TEST(ReachesForAnEntryThatItHasLost);
   CPPUNIT_TEST(FindsItsTargetByTheWordOfAnEntry);
+  CPPUNIT_TEST(AsksToKeepEachLifeOfItsTargetOnce);
+  CPPUNIT_TEST(FindsItsTargetByWhatWasKept);
   CPPUNIT_TEST(TrustsItsTargetMoreThanAnEntry);
   CPPUNIT_TEST_SUITE_END();
 
@@ -371,6 +373,34 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStart>().size());
   }
 
+  void AsksToKeepEachLifeOfItsTargetOnce() {
+    Take<KeepTarget>();
+    Announce(1, 2);
+    CPPUNIT_ASSERT(Take<KeepTarget>().empty());
+    Announce(2, 1);
+    const std::vector<KeepTarget> kept = Take<KeepTarget>();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, kept.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, kept[0].target.born.value());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:80"),
+                         kept[0].target.address.value());
+    // An old announcement that comes late changes nothing.
+    Announce(1, 3);
+    CPPUNIT_ASSERT(Take<KeepTarget>().empty());
+  }
+
+  void FindsItsTargetByWhatWasKept() {
+    OnAnnouncement(&board_, now_, board_.target->said);
+    const TargetReport kept = *board_.target->kept;
+    board_ = GateBoard{};
+    board_.domain = core::DomainId("szeged");
+    OnTargetRecalled(&board_, now_, kept, "store");
+    CPPUNIT_ASSERT(Take<KeepTarget>().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderPoll>().size());
+    AnswerPoll({}, {});
+    Start(Run(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStart>().size());
+  }
+
   void TrustsItsTargetMoreThanAnEntry() {
     TargetReport other;
     other.target = TargetId("t-2");
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -9,6 +9,7 @@
 #include "site_limits.h"
 #include "site_pages.h"
 #include "site_settings.h"
+#include "target_memory.h"
 #include "tarragon/coordinator/gate.h"
 #include "tarragon/core/exit_code.h"
 #include "tarragon/core/log.h"
@@ -87,6 +88,13 @@
     process_.emplace(
         io_, ProcessEvents{[this]() { Tick(); }, [this]() { Stop(); },
                            [this]() { End(); }, [this]() { Reload(); }});
+    memory_.emplace(io_, &*store_, node_.peers,
+                    [this](const coordinator::TargetReport& last) {
+                      coordinator::OnTargetRecalled(&board_, clock_.Now(), last,
+                                                    "store");
+                      Flush();
+                    });
+    memory_->Recall();
     membership_->Start();
     return true;
   }
@@ -182,6 +190,10 @@
     transport_.Send(send.to, std::move(send.message));
   }
 
+  void Carry(const coordinator::KeepTarget& keep) {
+    memory_->Keep(keep.target);
+  }
+
   void Carry(const coordinator::OrderStart& order) {
     target_.Start(
         order, board_.policy.order_timeout,
@@ -285,6 +297,7 @@
   SitePages pages_;
   std::optional<platform::StoreClient> store_;
   std::optional<Membership> membership_;
+  std::optional<TargetMemory> memory_;
   std::optional<ProcessRunner> process_;
   core::Time stop_requested_;
   core::Time log_flushed_;
--- a/tests/soak/fake_store.cc
+++ b/tests/soak/fake_store.cc
@@ -15,6 +15,8 @@
 
 constexpr std::chrono::milliseconds kFeedLook{20};
 constexpr int kFeedLooks = 50;
+/// Most rows of an answer.
+constexpr std::size_t kPageRows = 500;
 
 std::string ToBase64(const std::string& bytes) {
   namespace it = boost::archive::iterators;
@@ -66,9 +68,34 @@
   changes_.push_back({++revision_, table, key});
 }
 
+std::size_t FakeStore::CountRows(const std::string& table) const {
+  const auto found = tables_.find(table);
+  return found == tables_.end() ? 0 : found->second.size();
+}
+
+http::Responder FakeStore::Disturbed(const http::Responder& answer) {
+  if (losing_) {
+    // Kept, as an answer that is dropped would close the connection.
+    unanswered_.push_back(answer);
+    return [](const http::Response&) {};
+  }
+  if (delay_.count() == 0) return answer;
+  return [this, answer, delay = delay_](const http::Response& response) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
+    timer->async_wait(
+        [timer, answer, response](const boost::system::error_code& error) {
+          if (!error) answer(response);
+        });
+  };
+}
+
 void FakeStore::Handle(const http::Request& request,
-                       const http::Responder& answer) {
-  if (refusing_) return answer(Status(503));
+                       const http::Responder& done) {
+  if (refusing_) {
+    ++refusals_;
+    return done(Status(503));
+  }
+  const http::Responder answer = Disturbed(done);
   if (request.path == "/v1/rows-tx") return Transact(request, answer);
   if (request.path == "/v1/rows-get") return Get(request, answer);
   if (request.path == "/v1/rows-feed") return Feed(request, answer, kFeedLooks);
@@ -82,13 +109,14 @@
     const std::string table(row.at("table").as_string());
     const std::string key(row.at("key").as_string());
     tables_[table][key] = std::string(row.at("value").as_string());
+    ++writes_;
     changes_.push_back({++revision_, table, key});
   }
   answer(Status(200));
 }
 
-std::string FakeStore::Rows(const std::string& table,
-                            std::uint64_t after) const {
+std::string FakeStore::Rows(const std::string& table, std::uint64_t after,
+                            const std::string& from, std::size_t limit) const {
   std::set<std::string> keys;
   if (after == 0) {
     const auto found = tables_.find(table);
@@ -102,7 +130,11 @@
     }
   }
   json::array rows;
+  bool more = false;
   for (const std::string& key : keys) {
+    if (key < from) continue;
+    more = rows.size() == limit;
+    if (more) break;
     json::object row{{"table", table}, {"part", ""}, {"key", key}};
     const auto& known = tables_.at(table);
     const auto found = known.find(key);
@@ -115,13 +147,16 @@
   }
   if (after > 0 && rows.empty()) return {};
   return json::serialize(
-      json::object{{"rows", rows}, {"has_more", false}, {"ver", revision_}});
+      json::object{{"rows", rows}, {"has_more", more}, {"ver", revision_}});
 }
 
 void FakeStore::Get(const http::Request& request,
                     const http::Responder& answer) {
+  const std::string limit = Parameter(request, "limit");
   http::Response response;
-  response.body = Rows(Parameter(request, "table"), 0);
+  response.body = Rows(
+      Parameter(request, "table"), 0, Parameter(request, "from"),
+      limit.empty() ? kPageRows : static_cast<std::size_t>(std::stoul(limit)));
   answer(response);
 }
 
@@ -130,7 +165,7 @@
   const std::uint64_t after = std::stoull(Parameter(request, "after"));
   if (after < forgotten_) return answer(Status(410));
   http::Response response;
-  response.body = Rows(Parameter(request, "table"), after);
+  response.body = Rows(Parameter(request, "table"), after, "", kPageRows);
   if (response.body.empty() && waits_left == 0) {
     response.body = json::serialize(
         json::object{{"rows", json::array()}, {"ver", revision_}});
--- a/tests/soak/fake_store.h
+++ b/tests/soak/fake_store.h
@@ -3,11 +3,14 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "tarragon/http/server.h"
 
@@ -22,6 +25,14 @@
   std::string address() const { return address_; }
   /// Refuses all calls with 503 until it is turned off.
   void SetRefusing(bool refusing) { refusing_ = refusing; }
+  /// Answers after this time.
+  void SetDelay(std::chrono::milliseconds delay) { delay_ = delay; }
+  /// Carries out calls but does not answer them.
+  void SetLosing(bool losing) { losing_ = losing; }
+  std::size_t CountRows(const std::string& table) const;
+  /// Writes that were carried out for the programs.
+  int writes() const { return writes_; }
+  int refusals() const { return refusals_; }
   /// Forgets which rows have changed.
   void ForgetHistory();
 
@@ -37,12 +48,15 @@
     std::string key;
   };
 
-  void Handle(const http::Request& request, const http::Responder& answer);
+  void Handle(const http::Request& request, const http::Responder& done);
+  /// The answer as it goes out while the store is slow or loses answers.
+  http::Responder Disturbed(const http::Responder& answer);
   void Transact(const http::Request& request, const http::Responder& answer);
   void Get(const http::Request& request, const http::Responder& answer);
   void Feed(const http::Request& request, const http::Responder& answer,
             int waits_left);
-  std::string Rows(const std::string& table, std::uint64_t after) const;
+  std::string Rows(const std::string& table, std::uint64_t after,
+                   const std::string& from, std::size_t limit) const;
 
   boost::asio::io_context& io_;
   http::Server server_;
@@ -52,6 +66,11 @@
   std::uint64_t revision_ = 1;
   std::uint64_t forgotten_ = 0;
   bool refusing_ = false;
+  bool losing_ = false;
+  std::vector<http::Responder> unanswered_;
+  std::chrono::milliseconds delay_{0};
+  int writes_ = 0;
+  int refusals_ = 0;
 };
 
 }  // namespace tarragon::soak
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -71,6 +71,8 @@
   void WriteConfiguration();
   void ScheduleFaults();
   void Fault();
+  void DisturbStore(milliseconds length);
+  void MendStore();
   void SubmitNext();
   void Submit(const std::string& job, const std::string& body, int attempt);
   void Poll();
@@ -259,8 +261,7 @@
       After(length, [relay]() { relay->SetMode(RelayMode::kPass); });
       break;
     case 9:
-      store_.SetRefusing(true);
-      After(length, [this]() { store_.SetRefusing(false); });
+      DisturbStore(length);
       break;
     default:
       if (Draw(0, 1) == 0) store_.ForgetHistory();
@@ -276,6 +277,26 @@
   }
 }
 
+void Soak::DisturbStore(milliseconds length) {
+  switch (Draw(0, 2)) {
+    case 0:
+      store_.SetRefusing(true);
+      break;
+    case 1:
+      store_.SetDelay(milliseconds(Draw(20, 400)));
+      break;
+    default:
+      store_.SetLosing(true);
+  }
+  After(length, [this]() { MendStore(); });
+}
+
+void Soak::MendStore() {
+  store_.SetRefusing(false);
+  store_.SetDelay(milliseconds(0));
+  store_.SetLosing(false);
+}
+
 void Soak::SubmitNext() {
   char id[17];
   std::snprintf(id, sizeof id, "%016llx",
@@ -353,7 +374,7 @@
     target->SetLoss(0);
     target->SetSlowness(1);
   }
-  store_.SetRefusing(false);
+  MendStore();
   for (const auto& [domain, since] : drained_) {
     store_.Remove("op", "evacuate/" + domain);
   }
