Coordinator: the cost of a report does not grow with the gates

Cause, by reading: with waiting tasks each message of a gate made the entry look at all gates, twice, and each report took the middle of what all gates say.

Change: a message of a gate places tasks on that gate alone, unless tasks were queued since; gates are told of wants when tasks are queued, an offer is answered or a tick passes; the middle values are taken only for a target that could be suspect at all.

--- a/coordinator/entry_parts.h
+++ b/coordinator/entry_parts.h
@@ -49,8 +49,9 @@
 core::Duration ExpectedRun(const JobBoard& board, const Job& job,
                            const Task& task);
 
-/// Places waiting tasks on free room.
-void PlaceWaiting(JobBoard* board, core::Time now);
+/// Places waiting tasks on free room: of the gate `only`, or of all gates if it
+/// is null.
+void PlaceWaiting(JobBoard* board, core::Time now, GateLink* only);
 
 /// Tells gates of the most urgent task that waits for room.
 void WantRoom(JobBoard* board, core::Time now);
@@ -72,7 +73,12 @@
 void Ask(JobBoard* board, core::Time now, const GateLink& gate,
          const RunRef& ref, Placed* placed);
 
-/// What every event ends with.
+/// What a message of a gate ends with. What was believed of the other gates
+/// has not changed, so that they are looked at only if there are new tasks: the
+/// cost of a message does not grow with the number of gates.
+void SettleGate(JobBoard* board, core::Time now, GateLink* gate);
+
+/// What every other event ends with.
 void Settle(JobBoard* board, core::Time now);
 
 }  // namespace tarragon::coordinator
--- a/coordinator/gates.cc
+++ b/coordinator/gates.cc
@@ -193,6 +193,17 @@
   board->actions.push_back(SendTo<TargetHint>{from, {*gate->known_target}});
 }
 
+/// Notes when the entry becomes ready for clients, and when it is no more.
+void TellReadiness(JobBoard* board, core::Time now) {
+  const bool ready = IsReady(*board, now);
+  if (ready == board->was_ready) return;
+  board->was_ready = ready;
+  Tell(board, ready ? "Ready for clients." : "Not ready for clients.", "",
+       {{"version", std::to_string(board->operator_state.version)},
+        {"gates", std::to_string(board->gates.size())},
+        {"stopping", board->stopping ? "true" : "false"}});
+}
+
 }  // namespace
 
 void Ask(JobBoard* board, core::Time now, const GateLink& gate,
@@ -295,10 +306,12 @@
   }
   AskDoubtful(board, now, &gate);
   const std::uint64_t starts = board->last_start;
-  Settle(board, now);
+  SettleGate(board, now, &gate);
+  if (!offered) return;
+  WantRoom(board, now);
   const bool taken =
       !gate.uncounted.empty() && gate.uncounted.back().sequence > starts;
-  if (offered && !taken) AnswerOffer(board, &gate);
+  if (!taken) AnswerOffer(board, &gate);
 }
 
 void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
@@ -311,7 +324,7 @@
                const RunEnded& ended) {
   GateLink& gate = Heard(board, now, from);
   TakeEnd(board, now, &gate, ended);
-  Settle(board, now);
+  SettleGate(board, now, &gate);
 }
 
 void OnGateLost(JobBoard* board, core::Time now, const core::NodeId& node) {
@@ -349,16 +362,17 @@
   return false;
 }
 
+void SettleGate(JobBoard* board, core::Time now, GateLink* gate) {
+  if (board->queue_grew) return Settle(board, now);
+  PlaceWaiting(board, now, gate);
+  TellReadiness(board, now);
+}
+
 void Settle(JobBoard* board, core::Time now) {
-  PlaceWaiting(board, now);
+  board->queue_grew = false;
+  PlaceWaiting(board, now, nullptr);
   WantRoom(board, now);
-  const bool ready = IsReady(*board, now);
-  if (ready == board->was_ready) return;
-  board->was_ready = ready;
-  Tell(board, ready ? "Ready for clients." : "Not ready for clients.", "",
-       {{"version", std::to_string(board->operator_state.version)},
-        {"gates", std::to_string(board->gates.size())},
-        {"stopping", board->stopping ? "true" : "false"}});
+  TellReadiness(board, now);
 }
 
 }  // namespace tarragon::coordinator
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -239,6 +239,8 @@
   std::map<core::Address, GateLink> gates;
   std::map<JobId, std::unique_ptr<Job>> jobs;
   std::set<Waiting> waiting;
+  /// Tasks were queued since places were last looked for at all gates.
+  bool queue_grew = false;
   /// States of ended jobs, oldest first in `kept_order`.
   std::map<JobId, JobState> kept;
   std::deque<JobId> kept_order;
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -53,6 +53,11 @@
 /// Why the target is not to be trusted; null if it is.
 const char* Suspicion(const JobBoard& board, const TargetReport& report) {
   const Policy& policy = board.policy;
+  // Spares the look at all gates that the middle values take.
+  if (report.slowness_permille <= policy.suspect_slowness * kPermille &&
+      report.failed_permille <= policy.suspect_failed_permille) {
+    return nullptr;
+  }
   const double usual = std::max<double>(
       MedianReported(board, &TargetReport::slowness_permille), kPermille);
   if (report.slowness_permille > policy.suspect_slowness * usual) {
@@ -111,14 +116,19 @@
   return free;
 }
 
+void AddCandidate(const JobBoard& board, core::Time now, GateLink* gate,
+                  std::int64_t millicores, std::vector<Candidate>* candidates) {
+  if (!IsUsable(board, now, *gate) || now < gate->health.avoid_until) return;
+  if (!CountsStarts(board, now, *gate)) return;
+  const Room free = BelievedFree(*gate);
+  if (free.millicores >= millicores) candidates->push_back({gate, free});
+}
+
 std::vector<Candidate> FindCandidates(JobBoard* board, core::Time now,
                                       std::int64_t millicores) {
   std::vector<Candidate> candidates;
   for (auto& [address, gate] : board->gates) {
-    if (!IsUsable(*board, now, gate) || now < gate.health.avoid_until) continue;
-    if (!CountsStarts(*board, now, gate)) continue;
-    const Room free = BelievedFree(gate);
-    if (free.millicores >= millicores) candidates.push_back({&gate, free});
+    AddCandidate(*board, now, &gate, millicores, &candidates);
   }
   return candidates;
 }
--- a/coordinator/placing.h
+++ b/coordinator/placing.h
@@ -31,6 +31,10 @@
   Room free;
 };
 
+/// Adds the gate if it has at least `millicores` of room.
+void AddCandidate(const JobBoard& board, core::Time now, GateLink* gate,
+                  std::int64_t millicores, std::vector<Candidate>* candidates);
+
 /// The gates with at least `millicores` of room. So that the cost of placing
 /// grows with the gates that have room, not with all.
 std::vector<Candidate> FindCandidates(JobBoard* board, core::Time now,
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -89,6 +89,7 @@
   task->latest_start = job->objective - ExpectedRun(*board, *job, *task);
   task->late = task->latest_start < now && job->runs == 0;
   board->waiting.insert(KeyOf(*job, *task));
+  board->queue_grew = true;
 }
 
 void Dequeue(JobBoard* board, const Job& job, const Task& task) {
@@ -106,11 +107,16 @@
   }
 }
 
-void PlaceWaiting(JobBoard* board, core::Time now) {
+void PlaceWaiting(JobBoard* board, core::Time now, GateLink* only) {
   if (board->waiting.empty()) return;
   MarkLate(board, now);
-  std::vector<Candidate> candidates =
-      FindCandidates(board, now, LeastNeed(*board));
+  const std::int64_t need = LeastNeed(*board);
+  std::vector<Candidate> candidates;
+  if (only == nullptr) {
+    candidates = FindCandidates(board, now, need);
+  } else {
+    AddCandidate(*board, now, only, need, &candidates);
+  }
   std::size_t skipped = 0;
   auto at = board->waiting.begin();
   while (!candidates.empty() && at != board->waiting.end() &&
