Gate: stop found runs once all entries have claimed theirs

Change: an entry echoes the first report in which the runs are known, after its claims; when all known entries have, and 60 ms are over, unclaimed runs are stopped.

--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -176,6 +176,9 @@
   HomeLink& home = HeardFrom(board, now, from);
   home.operator_revision = notice.operator_revision;
   // An echo that lies ahead is of another VM that had this address.
+  if (notice.echo.since_start.count() > 0 && notice.echo <= now) {
+    home.echoed = std::max(home.echoed.value_or(notice.echo), notice.echo);
+  }
   if (notice.echo > home.confirmed && notice.echo <= now) {
     home.confirmed = notice.echo;
   }
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -12,6 +13,9 @@
 /// Entries may claim a run that was found at a target within this time: two
 /// notices.
 constexpr core::Duration kClaimTime = std::chrono::milliseconds(300);
+/// They have at least this time, in which a gate that was restarted reads from
+/// the store which entries there are.
+constexpr core::Duration kLeastClaimTime = std::chrono::milliseconds(60);
 /// A poll that is not answered so long after its wait is likely lost: the next
 /// is sent beside it.
 constexpr core::Duration kPollOverdue = std::chrono::milliseconds(40);
@@ -172,10 +176,23 @@
   return false;
 }
 
+/// True if every entry has seen a report since the target's runs are known: it
+/// has claimed what is its own.
+bool HaveAllEntriesClaimed(const GateBoard& board, core::Time now) {
+  if (board.homes.empty()) return false;
+  const core::Time known = board.target->runs_known_since;
+  if (now - known < kLeastClaimTime) return false;
+  return std::all_of(
+      board.homes.begin(), board.homes.end(), [known](const auto& entry) {
+        return entry.second.echoed.has_value() && *entry.second.echoed >= known;
+      });
+}
+
 void RepeatStops(GateBoard* board, core::Time now) {
   for (auto& [ref, run] : board->runs) {
     if (run.phase == RunPhase::kFound && !run.stop_wanted &&
-        now - run.ordered > kClaimTime) {
+        (now - run.ordered > kClaimTime ||
+         HaveAllEntriesClaimed(*board, now))) {
       StopRun(board, now, ref, &run);
     }
     const bool wants = run.stop_wanted || run.phase == RunPhase::kUnclear ||
@@ -345,7 +362,10 @@
     target.clock = poll->clock;
     target.clock_at = now;
   }
-  if (!target.runs_known) MarkReports(board);
+  if (!target.runs_known) {
+    MarkReports(board);
+    target.runs_known_since = now;
+  }
   target.runs_known = true;
   if (!is_new_life) {
     target.confirmed_end = std::max(target.confirmed_end, asked.last_end);
--- a/coordinator/gates.cc
+++ b/coordinator/gates.cc
@@ -24,6 +24,7 @@
     gate.node = from;
     gate.update_sent = false;
     gate.hint_sent = false;
+    gate.echo_due = true;
     gate.wanted.reset();
     gate.notice_sent = core::Time{};
     Tell(board, "A gate is there.", core::ToString(from),
@@ -300,11 +301,14 @@
         SendTo<OperatorUpdate>{from, {board->operator_state}});
   }
   if (known >= board->operator_state.revision) gate.update_sent = false;
-  if (known > board->operator_state.revision ||
+  AskDoubtful(board, now, &gate);
+  // Tells the gate that what was found at its target has been claimed.
+  const bool echo_due = gate.echo_due && gate.report->runs_known;
+  if (echo_due || known > board->operator_state.revision ||
       now - gate.notice_sent >= board->policy.notice_interval) {
+    gate.echo_due = gate.echo_due && !echo_due;
     SendNotice(board, now, &gate);
   }
-  AskDoubtful(board, now, &gate);
   const std::uint64_t starts = board->last_start;
   SettleGate(board, now, &gate);
   if (!offered) return;
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -86,6 +86,8 @@
   std::optional<core::Time> silent_since;
   /// Its runs are known: a poll was answered in this life.
   bool runs_known = false;
+  /// Since when they are.
+  core::Time runs_known_since;
   /// The target's clock when `clock_at` was the time here. Never ahead.
   TargetClock clock;
   core::Time clock_at;
@@ -120,6 +122,8 @@
   core::Time heard;
   /// Clock of this gate in the last report that the entry confirmed.
   core::Time confirmed;
+  /// The same; nothing before its first notice that names a report.
+  std::optional<core::Time> echoed;
   /// Sequence of the last order read.
   std::uint64_t starts_seen = 0;
   std::uint64_t operator_revision = 0;
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -184,6 +184,9 @@
   bool connected = false;
   /// The last report that named a target, also of an earlier process there.
   std::optional<TargetReport> known_target;
+  /// This process at the gate's address has not been sent a notice since it
+  /// knows the runs of its target.
+  bool echo_due = true;
   /// This process at the gate's address was told of that target.
   bool hint_sent = false;
   /// The gate was sent the operator state that is in force here.
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -272,6 +272,7 @@
   CPPUNIT_TEST(EndsTheRunsOfAReplacedEntry);
   CPPUNIT_TEST(HasNoRoomWhileFoundRunsAreUnclaimed);
   CPPUNIT_TEST(GivesFoundRunsToTheEntryThatClaimsThem);
+  CPPUNIT_TEST(EndsFoundRunsOnceAllEntriesHaveSpoken);
   CPPUNIT_TEST(EndsFoundRunsThatNobodyClaims);
   CPPUNIT_TEST(ReachesForAnEntryThatItHasLost);
   CPPUNIT_TEST(FindsItsTargetByTheWordOfAnEntry);
@@ -350,6 +351,20 @@
     AssertEnded(Run(0), RunEnd::kDone);
   }
 
+  void EndsFoundRunsOnceAllEntriesHaveSpoken() {
+    Restart({Run(0)});
+    const core::Time known = now_;
+    OnMessage(&board_, now_, kEntry, EntryNotice{});
+    OnMessage(&board_, now_, kOtherEntry, EntryNotice{});
+    Advance(std::chrono::milliseconds(80), false);
+    OnMessage(&board_, now_, kEntry, EntryNotice{known, 0});
+    Advance(std::chrono::milliseconds(20), false);
+    CPPUNIT_ASSERT(Take<OrderStop>().empty());
+    OnMessage(&board_, now_, kOtherEntry, EntryNotice{known, 0});
+    Advance(std::chrono::milliseconds(20), false);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStop>().size());
+  }
+
   void EndsFoundRunsThatNobodyClaims() {
     Restart({Run(0)});
     Advance(std::chrono::milliseconds(400));
