--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -282,7 +282,8 @@
   home.confirmed = now;
   home.connected = false;
   // The entry reaches for all gates as well; one connection is enough.
-  home.report_sent = now;
+  home.report_sent =
+      now - board->policy.reconnect_interval + board->policy.first_reach;
   Tell(board, "Learned of an entry.", address.value(), {});
   Settle(board, now);
 }
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -274,6 +274,7 @@
   CPPUNIT_TEST(GivesFoundRunsToTheEntryThatClaimsThem);
   CPPUNIT_TEST(EndsFoundRunsOnceAllEntriesHaveSpoken);
   CPPUNIT_TEST(EndsFoundRunsThatNobodyClaims);
+  CPPUNIT_TEST(ReachesForAnEntryThatDoesNotReachForIt);
   CPPUNIT_TEST(ReachesForAnEntryThatItHasLost);
   CPPUNIT_TEST(FindsItsTargetByTheWordOfAnEntry);
   CPPUNIT_TEST(AsksToKeepEachLifeOfItsTargetOnce);
@@ -425,6 +426,21 @@
                          board_.target->said.target.value());
   }
 
+  void ReachesForAnEntryThatDoesNotReachForIt() {
+    const core::Address silent("10.0.0.3:7000");
+    OnEntryFound(&board_, now_, silent);
+    Advance(std::chrono::milliseconds(140));
+    for (const auto& sent : Take<SendTo<TargetReport>>()) {
+      CPPUNIT_ASSERT(sent.to.address != silent);
+    }
+    Advance(std::chrono::milliseconds(20));
+    bool reached = false;
+    for (const auto& sent : Take<SendTo<TargetReport>>()) {
+      reached = reached || sent.to.address == silent;
+    }
+    CPPUNIT_ASSERT(reached);
+  }
+
   void ReachesForAnEntryThatItHasLost() {
     OnHomeLost(&board_, now_, kEntry);
     board_.actions.clear();
