--- a/coordinator/gate_offers.cc
+++ b/coordinator/gate_offers.cc
@@ -34,6 +34,7 @@
   for (auto& [address, home] : board->homes) {
     if (!home.offer.has_value() || now < home.offer->until) continue;
     home.offer.reset();
+    ++board->counts.lapsed_offers;
     MarkRoomChange(board, core::NodeId{});
   }
 }
@@ -57,6 +58,7 @@
   while (next != nullptr) {
     next->offer = RoomOffer{next->want->room, now + board->policy.offer_time};
     next->want.reset();
+    ++board->counts.offers;
     next->offer_due = true;
     next->report_due = true;
     free = free - next->offer->room;
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -215,6 +215,9 @@
   std::map<RunEnd, std::uint64_t> ends;
   std::uint64_t lost_polls = 0;
   std::uint64_t homes_silenced = 0;
+  /// Offers of room, and those that no entry has answered in time.
+  std::uint64_t offers = 0;
+  std::uint64_t lapsed_offers = 0;
 };
 
 /// The blackboard of a gate.
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -222,6 +222,9 @@
   std::uint64_t starts = 0;
   std::uint64_t replaced = 0;
   std::uint64_t given_up = 0;
+  /// Wants of room that gates were told of, and offers that were given back.
+  std::uint64_t wants = 0;
+  std::uint64_t returned_offers = 0;
   std::map<Refusal, std::uint64_t> refused;
   std::map<JobState, std::uint64_t> ended;
 };
--- a/coordinator/wants.cc
+++ b/coordinator/wants.cc
@@ -29,6 +29,7 @@
 void TellWant(JobBoard* board, core::Time now, GateLink* gate,
               const Waiting& next, const Room& room) {
   gate->wanted = ToldWant{next.late, next.latest_start};
+  ++board->counts.wants;
   board->actions.push_back(SendTo<RoomWanted>{
       gate->node, {room, next.late, next.latest_start - now}});
 }
@@ -65,6 +66,7 @@
 void AnswerOffer(JobBoard* board, GateLink* gate) {
   // A want or a start that was sent in answer to the report ends the offer too.
   if (gate->wanted.has_value()) return;
+  ++board->counts.returned_offers;
   board->actions.push_back(SendTo<RoomWanted>{gate->node, {}});
 }
 
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -337,6 +337,9 @@
     MirrorCount(&registry_, "clients_attached_total", {}, counts.attached);
     MirrorCount(&registry_, "starts_total", {}, counts.starts);
     MirrorCount(&registry_, "restarts_total", {}, counts.replaced);
+    MirrorCount(&registry_, "wants_total", {}, counts.wants);
+    MirrorCount(&registry_, "offers_returned_total", {},
+                counts.returned_offers);
     for (const auto& [refusal, count] : counts.refused) {
       MirrorCount(&registry_, "jobs_refused_total",
                   {{"reason", coordinator::Name(refusal)}}, count);
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -272,6 +272,8 @@
     MirrorCount(&registry_, "lost_polls_total", {}, counts.lost_polls);
     MirrorCount(&registry_, "entries_silenced_total", {},
                 counts.homes_silenced);
+    MirrorCount(&registry_, "offers_total", {}, counts.offers);
+    MirrorCount(&registry_, "offers_lapsed_total", {}, counts.lapsed_offers);
     for (const auto& [reason, count] : counts.refusals) {
       MirrorCount(&registry_, "starts_refused_total",
                   {{"reason", coordinator::Name(reason)}}, count);
