Coordinator: send the operators' state only where its content differs

Cause: revisions are the store's counter at a reading, which every member's registration raises. The cost grows with entries squared times gates.

Change: notices, reports and starts carry a digest of the content. Equal content is not sent; the newer revision is taken for it. A start is obeyed by equal content.

--- a/coordinator/gate_homes.cc
+++ b/coordinator/gate_homes.cc
@@ -38,7 +38,8 @@
   if (now > start.start_by) return RefusalReason::kStale;
   if (board.past.contains(start.run)) return RefusalReason::kSealed;
   if (TaskRuns(board, start.run.task)) return RefusalReason::kDuplicate;
-  if (board.operator_state.revision < start.operator_revision) {
+  if (board.operator_state.revision < start.operator_revision &&
+      board.operator_digest != start.operator_digest) {
     return RefusalReason::kStale;
   }
   if (IsDrained(board.operator_state, board.domain)) {
@@ -154,6 +155,7 @@
     report.usable = IsUsable(*board, now);
     report.domain = board->domain;
     report.operator_revision = board->operator_state.revision;
+    report.operator_digest = board->operator_digest;
     if (board->target.has_value()) {
       report.runs_known = board->target->runs_known;
       report.entries = static_cast<std::uint32_t>(board->homes.size());
@@ -186,7 +188,10 @@
     home.silenced = false;
     Tell(board, "A silent entry is heard again.", core::ToString(from), {});
   }
-  if (notice.operator_revision < board->operator_state.revision) {
+  std::uint64_t& revision = board->operator_state.revision;
+  if (notice.operator_digest == board->operator_digest) {
+    revision = std::max(revision, notice.operator_revision);
+  } else if (notice.operator_revision < revision) {
     board->actions.push_back(
         SendTo<OperatorUpdate>{from, {board->operator_state}});
   }
@@ -197,11 +202,17 @@
                OperatorUpdate update) {
   HeardFrom(board, now, from);
   if (update.state.revision <= board->operator_state.revision) return;
+  const std::uint64_t digest = ContentDigest(update.state);
+  if (digest == board->operator_digest) {
+    board->operator_state.revision = update.state.revision;
+    return;
+  }
   const bool was_drained = IsDrained(board->operator_state, board->domain);
   Tell(board, "Took in a newer operator state.", core::ToString(from),
        {{"revision", std::to_string(update.state.revision)},
         {"old_revision", std::to_string(board->operator_state.revision)},
         {"version", std::to_string(update.state.version)}});
+  board->operator_digest = digest;
   board->operator_state = std::move(update.state);
   const bool is_drained = IsDrained(board->operator_state, board->domain);
   if (was_drained != is_drained) {
--- a/coordinator/gates.cc
+++ b/coordinator/gates.cc
@@ -113,6 +113,7 @@
   EntryNotice notice;
   if (gate->report.has_value()) notice.echo = gate->report->clock;
   notice.operator_revision = board->operator_state.revision;
+  notice.operator_digest = board->operator_digest;
   core::NodeId to = gate->node;
   // Whoever lives at the address now.
   if (!gate->connected) to.incarnation = core::Incarnation(0);
@@ -260,6 +261,11 @@
 void OnOperatorState(JobBoard* board, core::Time now, OperatorState state,
                      const std::string& source) {
   if (state.revision <= board->operator_state.revision) return;
+  const std::uint64_t digest = ContentDigest(state);
+  if (digest == board->operator_digest) {
+    board->operator_state.revision = state.revision;
+    return;
+  }
   Tell(board, "Took in a newer operator state.", source,
        {{"revision", std::to_string(state.revision)},
         {"old_revision", std::to_string(board->operator_state.revision)},
@@ -269,6 +275,7 @@
   // The revision counts for all that the store holds; a version that falls
   // would mean a stale copy.
   state.version = std::max(state.version, board->operator_state.version);
+  board->operator_digest = digest;
   board->operator_state = std::move(state);
   for (auto& [address, gate] : board->gates) {
     gate.update_sent = gate.connected;
@@ -295,12 +302,18 @@
   gate.report = std::move(report);
   HintTarget(board, from, &gate);
   Rate(board, now, &gate);
-  if (known < board->operator_state.revision && !gate.update_sent) {
-    gate.update_sent = true;
+  const bool same_state =
+      gate.report->operator_digest == board->operator_digest;
+  if (same_state) {
+    std::uint64_t& revision = board->operator_state.revision;
+    revision = std::max(revision, known);
+  }
+  const bool behind = !same_state && known < board->operator_state.revision;
+  if (behind && !gate.update_sent) {
     board->actions.push_back(
         SendTo<OperatorUpdate>{from, {board->operator_state}});
   }
-  if (known >= board->operator_state.revision) gate.update_sent = false;
+  gate.update_sent = behind;
   AskDoubtful(board, now, &gate);
   // Tells the gate that what was found at its target has been claimed.
   const bool echo_due = gate.echo_due && gate.report->runs_known;
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -226,6 +226,8 @@
   /// Failure domain of this machine.
   core::DomainId domain;
   OperatorState operator_state;
+  /// Of its content.
+  std::uint64_t operator_digest = ContentDigest(OperatorState{});
   std::optional<Target> target;
   std::map<RunRef, GateRun> runs;
   std::map<RunRef, PastRun> past;
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -242,6 +242,8 @@
   /// Failure domain of this machine.
   core::DomainId domain;
   OperatorState operator_state;
+  /// Of its content.
+  std::uint64_t operator_digest = ContentDigest(OperatorState{});
   std::map<core::Address, GateLink> gates;
   std::map<JobId, std::unique_ptr<Job>> jobs;
   std::set<Waiting> waiting;
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -20,8 +20,9 @@
 struct EntryNotice {
   /// Clock of the gate in the last report that the entry has; zero for none.
   core::Time echo;
-  /// Revision of the operator state that the entry has.
+  /// Revision and digest of the operator state that the entry has.
   std::uint64_t operator_revision = 0;
+  std::uint64_t operator_digest = 0;
 
   bool operator==(const EntryNotice&) const = default;
 };
@@ -63,8 +64,9 @@
   std::uint32_t slowness_permille = 1000;
   /// Share of the runs lately that failed, in thousandths.
   std::uint32_t failed_permille = 0;
-  /// Revision of the operator state that the gate has.
+  /// Revision and digest of the operator state that the gate has.
   std::uint64_t operator_revision = 0;
+  std::uint64_t operator_digest = 0;
   /// Room of `free` is kept for the receiving entry, which wants it, until it
   /// answers by StartRun or RoomWanted, for a few milliseconds at most.
   bool offered = false;
@@ -109,6 +111,7 @@
   core::Duration expected_run{0};
   /// The operator state by which the entry decided.
   std::uint64_t operator_revision = 0;
+  std::uint64_t operator_digest = 0;
 
   bool operator==(const StartRun&) const = default;
 };
--- a/coordinator/include/tarragon/coordinator/operator_state.h
+++ b/coordinator/include/tarragon/coordinator/operator_state.h
@@ -50,6 +50,10 @@
   bool operator==(const OperatorState&) const = default;
 };
 
+/// The same for states that differ in nothing but the revision: the store's
+/// counter also counts changes of other rows.
+std::uint64_t ContentDigest(const OperatorState& state);
+
 /// The queue of a request; null if there is none.
 const Queue* FindQueue(const OperatorState& state, std::string_view host,
                        std::string_view path);
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -29,8 +29,9 @@
   core::Duration redial_after{std::chrono::milliseconds(800)};
   /// Between two attempts to reach a gate or entry that does not answer.
   core::Duration reconnect_interval{std::chrono::milliseconds(400)};
-  /// A gate reaches for an entry that it has learned of, and that has not reached
-  /// for the gate, after this time. An entry that can read the store needs less.
+  /// A gate reaches for an entry that it has learned of, and that has not
+  /// reached for the gate, after this time. An entry that can read the store
+  /// needs less.
   core::Duration first_reach{std::chrono::milliseconds(150)};
   /// For each entry that a gate knows: least pause between reports of room that
   /// others have taken or given back, while room is scarce and while it is
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -55,6 +55,7 @@
   start.start_by = gate_now + board->policy.start_window;
   start.expected_run = ExpectedRun(*board, *job, *task);
   start.operator_revision = board->operator_state.revision;
+  start.operator_digest = board->operator_digest;
   ++job->runs;
   ++board->counts.starts;
   if (gate->health.suspect) gate->health.last_trial = now;
--- a/coordinator/tests/entry_gate_test.cc
+++ b/coordinator/tests/entry_gate_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(TakesRunsOfASilentGateForOverInTime);
   CPPUNIT_TEST(DialsASilentGateAnew);
   CPPUNIT_TEST(GivesItsOperatorStateToGatesThatAreBehind);
+  CPPUNIT_TEST(SendsNoStateThatAGateHasUnderAnotherRevision);
   CPPUNIT_TEST(TakesANewerOperatorStateFromAGate);
   CPPUNIT_TEST(NeverGoesBackToAnOlderOperatorState);
   CPPUNIT_TEST(GivesASuspectTargetSingleTrials);
@@ -189,6 +190,26 @@
     CPPUNIT_ASSERT(Take<SendTo<OperatorUpdate>>().empty());
   }
 
+  void SendsNoStateThatAGateHasUnderAnotherRevision() {
+    Report(Gate(1), 16000);
+    Take<SendTo<OperatorUpdate>>();
+    TargetReport report = *board_.gates.at(Gate(1).address).report;
+    report.operator_revision = 0;
+    report.operator_digest = board_.operator_digest;
+    OnMessage(&board_, now_, Gate(1), report);
+    CPPUNIT_ASSERT(Take<SendTo<OperatorUpdate>>().empty());
+    // The store's counter has risen by other rows.
+    OperatorState same = board_.operator_state;
+    same.revision = 40;
+    OnOperatorState(&board_, now_, same, "store");
+    CPPUNIT_ASSERT(Take<SendTo<OperatorUpdate>>().empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, board_.operator_state.revision);
+    same.revision = 41;
+    same.drained = {core::DomainId("szeged")};
+    OnOperatorState(&board_, now_, same, "store");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<SendTo<OperatorUpdate>>().size());
+  }
+
   void TakesANewerOperatorStateFromAGate() {
     OperatorState state = board_.operator_state;
     state.revision = 9;
--- a/coordinator/tests/gate_start_test.cc
+++ b/coordinator/tests/gate_start_test.cc
@@ -13,6 +13,8 @@
   CPPUNIT_TEST(RefusesAnOldOrder);
   CPPUNIT_TEST(RefusesInADrainedDomain);
   CPPUNIT_TEST(RefusesByAnOlderOperatorState);
+  CPPUNIT_TEST(StartsByTheSameStateUnderAnotherRevision);
+  CPPUNIT_TEST(TakesTheNewerRevisionOfTheSameState);
   CPPUNIT_TEST(RefusesForALeavingTarget);
   CPPUNIT_TEST(RefusesAnotherService);
   CPPUNIT_TEST(RefusesWithoutTheLabel);
@@ -87,6 +89,31 @@
     AssertRefused(Run(0), RefusalReason::kStale);
   }
 
+  void StartsByTheSameStateUnderAnotherRevision() {
+    StartRun start;
+    start.run = Run(0);
+    start.service = core::ServiceId("carve");
+    start.room = {1600, 10, 0};
+    start.start_by = now_ + std::chrono::milliseconds(1);
+    start.operator_revision = 9;
+    start.operator_digest = board_.operator_digest;
+    OnMessage(&board_, now_, kEntry, start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Take<OrderStart>().size());
+  }
+
+  void TakesTheNewerRevisionOfTheSameState() {
+    OnMessage(&board_, now_, kEntry,
+              EntryNotice{{}, 9, board_.operator_digest});
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, board_.operator_state.revision);
+    // An old copy with another content in between is not taken.
+    OperatorState old;
+    old.revision = 8;
+    old.drained = {core::DomainId("szeged")};
+    OnMessage(&board_, now_, kOtherEntry, OperatorUpdate{old});
+    CPPUNIT_ASSERT(board_.operator_state.drained.empty());
+    CPPUNIT_ASSERT(Take<SendTo<OperatorUpdate>>().empty());
+  }
+
   void RefusesForALeavingTarget() {
     Announce(1, 2, true);
     Start(Run(0));
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -78,7 +78,7 @@
   const auto& [clock, starts_seen, usable, runs_known, target, born, sequence,
                address, draining, service, domain, labels, capacity, free,
                entries, slowness_permille, failed_permille, operator_revision,
-               offered] = message;
+               operator_digest, offered] = message;
   report->set_clock_us(ClockMicros(clock));
   report->set_starts_seen(starts_seen);
   report->set_usable(usable);
@@ -99,6 +99,7 @@
   report->set_slowness_permille(slowness_permille);
   report->set_failed_permille(failed_permille);
   report->set_operator_revision(operator_revision);
+  report->set_operator_digest(operator_digest);
   report->set_offered(offered);
 }
 
@@ -123,6 +124,7 @@
   out->slowness_permille = in->slowness_permille();
   out->failed_permille = in->failed_permille();
   out->operator_revision = in->operator_revision();
+  out->operator_digest = in->operator_digest();
   out->offered = in->offered();
   return ReadClock(in->clock_us(), &out->clock, reason);
 }
@@ -130,15 +132,17 @@
 }  // namespace
 
 void ToProto(const coordinator::EntryNotice& message, Envelope* out) {
-  const auto& [echo, operator_revision] = message;
+  const auto& [echo, operator_revision, operator_digest] = message;
   EntryNotice* notice = out->mutable_entry_notice();
   notice->set_echo_us(ClockMicros(echo));
   notice->set_operator_revision(operator_revision);
+  notice->set_operator_digest(operator_digest);
 }
 
 bool FromProto(EntryNotice* in, coordinator::EntryNotice* out,
                WireError* reason) {
   out->operator_revision = in->operator_revision();
+  out->operator_digest = in->operator_digest();
   return ReadClock(in->echo_us(), &out->echo, reason);
 }
 
@@ -208,7 +212,7 @@
 
 void ToProto(const coordinator::StartRun& message, Envelope* out) {
   const auto& [run, sequence, service, room, payload, required, start_by,
-               expected_run, operator_revision] = message;
+               expected_run, operator_revision, operator_digest] = message;
   StartRun* start = out->mutable_start_run();
   ToProto(run, start->mutable_run());
   start->set_sequence(sequence);
@@ -219,6 +223,7 @@
   start->set_start_by_us(ClockMicros(start_by));
   start->set_expected_run_us(ToMicros(expected_run));
   start->set_operator_revision(operator_revision);
+  start->set_operator_digest(operator_digest);
 }
 
 bool FromProto(StartRun* in, coordinator::StartRun* out, WireError* reason) {
@@ -231,6 +236,7 @@
   out->payload = std::move(*in->mutable_payload());
   out->required = TakeId<coordinator::Label>(in->mutable_required());
   out->operator_revision = in->operator_revision();
+  out->operator_digest = in->operator_digest();
   return ReadClock(in->start_by_us(), &out->start_by, reason) &&
          FromMicros(in->expected_run_us(), &out->expected_run, reason);
 }
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -186,6 +186,8 @@
   report.slowness_permille = 2200;
   report.failed_permille = 37;
   report.operator_revision = 34;
+  report.operator_digest = 0x8000000000000007ULL;
+  report.offered = true;
   return report;
 }
 
