--- a/coordinator/gates.cc
+++ b/coordinator/gates.cc
@@ -195,6 +195,26 @@
   board->actions.push_back(SendTo<TargetHint>{from, {*gate->known_target}});
 }
 
+/// Sends the operators' state to a gate that has an older one. True if the gate
+/// has a newer one, which it sends when it gets a notice.
+bool CompareOperatorState(JobBoard* board, const core::NodeId& from,
+                          GateLink* gate) {
+  const TargetReport& report = *gate->report;
+  std::uint64_t& revision = board->operator_state.revision;
+  if (report.operator_digest == board->operator_digest) {
+    revision = std::max(revision, report.operator_revision);
+    gate->update_sent = false;
+    return false;
+  }
+  const bool behind = report.operator_revision < revision;
+  if (behind && !gate->update_sent) {
+    board->actions.push_back(
+        SendTo<OperatorUpdate>{from, {board->operator_state}});
+  }
+  gate->update_sent = behind;
+  return report.operator_revision > revision;
+}
+
 /// Notes when the entry becomes ready for clients, and when it is no more.
 void TellReadiness(JobBoard* board, core::Time now) {
   const bool ready = IsReady(*board, now);
@@ -261,6 +281,9 @@
 void OnOperatorState(JobBoard* board, core::Time now, OperatorState state,
                      const std::string& source) {
   if (state.revision <= board->operator_state.revision) return;
+  // The revision counts for all that the store holds; a version that falls
+  // would mean a stale copy.
+  state.version = std::max(state.version, board->operator_state.version);
   const std::uint64_t digest = ContentDigest(state);
   if (digest == board->operator_digest) {
     board->operator_state.revision = state.revision;
@@ -272,9 +295,6 @@
         {"version", std::to_string(state.version)},
         {"queues", std::to_string(state.queues.size())},
         {"domains_out", std::to_string(state.drained.size())}});
-  // The revision counts for all that the store holds; a version that falls
-  // would mean a stale copy.
-  state.version = std::max(state.version, board->operator_state.version);
   board->operator_digest = digest;
   board->operator_state = std::move(state);
   for (auto& [address, gate] : board->gates) {
@@ -296,28 +316,16 @@
   if (gate.report.has_value() && gate.report->target != report.target) {
     gate.health = TargetHealth{};
   }
-  const std::uint64_t known = report.operator_revision;
   const bool offered = report.offered;
   if (offered) gate.wanted.reset();
   gate.report = std::move(report);
   HintTarget(board, from, &gate);
   Rate(board, now, &gate);
-  const bool same_state =
-      gate.report->operator_digest == board->operator_digest;
-  if (same_state) {
-    std::uint64_t& revision = board->operator_state.revision;
-    revision = std::max(revision, known);
-  }
-  const bool behind = !same_state && known < board->operator_state.revision;
-  if (behind && !gate.update_sent) {
-    board->actions.push_back(
-        SendTo<OperatorUpdate>{from, {board->operator_state}});
-  }
-  gate.update_sent = behind;
+  const bool knows_newer = CompareOperatorState(board, from, &gate);
   AskDoubtful(board, now, &gate);
   // Tells the gate that what was found at its target has been claimed.
   const bool echo_due = gate.echo_due && gate.report->runs_known;
-  if (echo_due || known > board->operator_state.revision ||
+  if (echo_due || knows_newer ||
       now - gate.notice_sent >= board->policy.notice_interval) {
     gate.echo_due = gate.echo_due && !echo_due;
     SendNotice(board, now, &gate);
--- a/coordinator/wants.cc
+++ b/coordinator/wants.cc
@@ -64,7 +64,7 @@
 }
 
 void AnswerOffer(JobBoard* board, GateLink* gate) {
-  // A want or a start that was sent in answer to the report ends the offer too.
+  // A want that was sent in answer to the report has ended the offer.
   if (gate->wanted.has_value()) return;
   ++board->counts.returned_offers;
   board->actions.push_back(SendTo<RoomWanted>{gate->node, {}});
