Coordinator: tasks of a job far beyond its objective wait behind jobs in time

Seven of nine gates lost their power at 14 s; the 90 tasks that were lost with them were proved over at 15.9 s, kept the rank of jobs that have begun, and filled the two targets that were left, for answers that were late in any case.

Ruled out: suspect or full targets before that (13 to 19 jobs each half second ended in time until 15.9 s).

Change: a job that has begun loses its rank when its latest start is past by half of the time that it may take.

--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -20,13 +20,24 @@
           job.request.id};
 }
 
-/// Marks tasks that can no longer be in time, so that others come first. A job
-/// that has begun keeps its rank: its other tasks hold room already.
+/// A job that has begun keeps its rank beyond its latest start for this part of
+/// the time that it may take: its other tasks hold room already, and it may be
+/// shorter than expected.
+constexpr int kBegunPart = 2;
+
+/// True if the job can no longer be in time, so that others come first.
+bool IsLate(const Job& job, const Task& task, core::Time now) {
+  if (job.runs == 0) return task.latest_start < now;
+  return task.latest_start + (job.objective - job.arrived) / kBegunPart < now;
+}
+
+/// Moves tasks that can no longer be in time behind the others.
 void MarkLate(JobBoard* board, core::Time now) {
   std::vector<Waiting> passed;
   for (const Waiting& each : board->waiting) {
     if (each.late || each.latest_start >= now) break;
-    if (board->jobs.at(each.job)->runs == 0) passed.push_back(each);
+    const Job& job = *board->jobs.at(each.job);
+    if (IsLate(job, job.tasks[each.task], now)) passed.push_back(each);
   }
   for (const Waiting& each : passed) {
     Job& job = *board->jobs.at(each.job);
@@ -88,7 +99,7 @@
 void Enqueue(JobBoard* board, core::Time now, Job* job, Task* task) {
   task->phase = TaskPhase::kQueued;
   task->latest_start = job->objective - ExpectedRun(*board, *job, *task);
-  task->late = task->latest_start < now && job->runs == 0;
+  task->late = IsLate(*job, *task, now);
   board->waiting.insert(KeyOf(*job, *task));
   board->queue_grew = true;
 }
--- a/coordinator/tests/entry_job_test.cc
+++ b/coordinator/tests/entry_job_test.cc
@@ -31,9 +31,27 @@
   CPPUNIT_TEST(LimitsTasksOfAStepOnOneTarget);
   CPPUNIT_TEST(WaitsForGatesThatWereJustFound);
   CPPUNIT_TEST(RefusesWhenFoundGatesStaySilent);
+  CPPUNIT_TEST(PutsALostTaskOfALateJobBehindJobsInTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void PutsALostTaskOfALateJobBehindJobsInTime() {
+    Report(Gate(1), 1600);
+    Submit("old", 1, std::chrono::milliseconds(100));
+    const std::vector<SendTo<StartRun>> old = Starts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, old.size());
+    // Far beyond its objective of 220 ms, but still of use.
+    now_ = now_ + std::chrono::milliseconds(450);
+    Report(Gate(1), 0);
+    Submit("new", 1, std::chrono::milliseconds(400));
+    End(old[0], RunEnd::kLapsed);
+    Report(Gate(1), 1600);
+    const std::vector<SendTo<StartRun>> next = Starts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("new"),
+                         next[0].message.run.task.job.value());
+  }
+
   void WaitsForGatesThatWereJustFound() {
     OnGateFound(&board_, now_, Gate(1).address);
     OnGateFound(&board_, now_, Gate(2).address);
