--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,11 +1,11 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -14,6 +14,7 @@
 #include "fake_store.h"
 #include "fake_target.h"
 #include "invariant_checker.h"
+#include "options.h"
 #include "process.h"
 #include "tarragon/http/client.h"
 
@@ -37,14 +38,6 @@
 /// busy machine.
 constexpr std::chrono::seconds kRecoveryTimeout{30};
 
-struct Options {
-  int seeds = 1;
-  std::uint64_t first_seed = 1;
-  int seconds = 10;
-  int entries = 3;
-  int gates = 5;
-};
-
 /// The run of one seed: processes, fake store and targets, clients and faults.
 class SoakRun {
  public:
@@ -430,27 +423,18 @@
   return violations.empty();
 }
 
-Options ParseOptions(int argc, char* argv[]) {
-  Options options;
-  for (int i = 1; i + 1 < argc; i += 2) {
-    const std::string name = argv[i];
-    const int value = std::atoi(argv[i + 1]);
-    if (name == "--seeds") options.seeds = value;
-    if (name == "--seed")
-      options.first_seed = static_cast<std::uint64_t>(value);
-    if (name == "--seconds") options.seconds = value;
-    if (name == "--entries") options.entries = value;
-    if (name == "--gates") options.gates = value;
-  }
-  return options;
-}
-
 }  // namespace
 }  // namespace tarragon::soak
 
 int main(int argc, char* argv[]) {
-  using tarragon::soak::Options;
-  const Options options = tarragon::soak::ParseOptions(argc, argv);
+  std::string reason;
+  const std::optional<tarragon::soak::Options> parsed =
+      tarragon::soak::ParseOptions({argv + 1, argv + argc}, &reason);
+  if (!parsed.has_value()) {
+    std::fprintf(stderr, "tarragon-soak: %s\n", reason.c_str());
+    return 2;
+  }
+  const tarragon::soak::Options& options = *parsed;
   int failed_seeds = 0;
   for (int i = 0; i < options.seeds; ++i) {
     const std::uint64_t seed =
--- a/tests/soak/relay.cc
+++ b/tests/soak/relay.cc
@@ -106,7 +106,8 @@
 }
 
 std::string Relay::address() const {
-  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  const Tcp::endpoint front = acceptor_.local_endpoint();
+  return front.address().to_string() + ":" + std::to_string(front.port());
 }
 
 void Relay::Accept() {
--- a/tests/soak/relay.h
+++ b/tests/soak/relay.h
@@ -36,7 +36,7 @@
   Relay(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint server,
         const boost::asio::ip::tcp::endpoint& front);
 
-  /// "127.0.0.1:port" where it listens, for the constructor without `front`.
+  /// "IP:port" on which it listens.
   std::string address() const;
   void SetMode(RelayMode mode) { *mode_ = mode; }
   /// Resets all connections.
