Wire, Dispatch, Daemons: reports without a repeated target, unknown keys by a value

Ruled out: fewer reports for pairs without runs, as an entry would find a dead gate later. Change: a connection leaves the target out while it is as in the previous report on it, once the peer has said in its greeting that it completes such reports; older processes get whole ones. The decisions see the same reports.

A malformed key gets 400 as from the client API. The second listener's error no longer replaces the first's. HomeTask's fields that were written and never read are gone. Tests: ApiTest.

--- a/daemons/agent_daemon.cc
+++ b/daemons/agent_daemon.cc
@@ -108,9 +108,13 @@
     http::HttpError error;
     const std::optional<core::Address> target = target_server_.Listen(
         settings_.Address("agent", "target_listen"), &error);
+    if (!target.has_value()) {
+      *reason = error.text;
+      return false;
+    }
     const std::optional<core::Address> pages = pages_server_.Listen(
         settings_.Address("agent", "pages_listen"), &error);
-    if (!target.has_value() || !pages.has_value()) {
+    if (!pages.has_value()) {
       *reason = error.text;
       return false;
     }
--- a/daemons/entry_daemon.cc
+++ b/daemons/entry_daemon.cc
@@ -145,9 +145,13 @@
     http::HttpError error;
     const std::optional<core::Address> clients =
         client_server_.Listen(settings_.Address("clients", "listen"), &error);
+    if (!clients.has_value()) {
+      *reason = error.text;
+      return false;
+    }
     const std::optional<core::Address> operators = operator_server_.Listen(
         settings_.Address("operators", "listen"), &error);
-    if (!clients.has_value() || !operators.has_value()) {
+    if (!operators.has_value()) {
       *reason = error.text;
       return false;
     }
--- a/daemons/operator_api.cc
+++ b/daemons/operator_api.cc
@@ -176,7 +176,7 @@
 void OperatorApi::ExplainJob(const std::string& key,
                              const http::Responder& respond) {
   if (!IsValidKey(key)) {
-    respond(MakeErrorResponse(http::kStatusNotFound, "not_found",
+    respond(MakeErrorResponse(http::kStatusBadRequest, "bad_request",
                               "The key must be 1 to 200 visible characters."));
     return;
   }
@@ -221,7 +221,7 @@
   if (found == pending_responses_.end()) return;
   const PendingResponse pending = std::move(found->second);
   pending_responses_.erase(found);
-  pending.respond(MakeExplainResponse(pending.subject, answer.lines));
+  pending.respond(MakeExplainResponse(pending.subject, answer));
 }
 
 }  // namespace tarragon::daemons
--- a/daemons/state_json.cc
+++ b/daemons/state_json.cc
@@ -12,9 +12,6 @@
 namespace json = boost::json;
 using dispatch::NoteState;
 
-/// The only line that the dispatch logic answers for an unknown key.
-constexpr char kUnknownKeyText[] = "No job is known under this key.";
-
 json::array ToJsonArray(const std::vector<core::ServiceId>& services) {
   json::array names;
   for (const core::ServiceId& service : services) {
@@ -168,10 +165,11 @@
 }
 
 http::Response MakeExplainResponse(const std::string& key,
-                                   const std::vector<std::string>& lines) {
-  if (lines.size() == 1 && lines.front() == kUnknownKeyText) {
+                                   const dispatch::AnswerExplain& answer) {
+  const std::vector<std::string>& lines = answer.lines;
+  if (answer.history == dispatch::KeyHistory::kUnknownKey) {
     return MakeErrorResponse(http::kStatusNotFound, "unknown_key",
-                             lines.front());
+                             lines.empty() ? "" : lines.front());
   }
   http::Response response;
   response.body = json::serialize(
--- a/daemons/state_json.h
+++ b/daemons/state_json.h
@@ -27,7 +27,7 @@
 
 /// Makes the response with the history of a job; 404 if the key is unknown.
 http::Response MakeExplainResponse(const std::string& key,
-                                   const std::vector<std::string>& lines);
+                                   const dispatch::AnswerExplain& answer);
 
 }  // namespace tarragon::daemons
 
--- a/daemons/tests/api_test.cc
+++ b/daemons/tests/api_test.cc
@@ -7,6 +7,7 @@
 #include "operator_api.h"
 #include "state_json.h"
 #include "tarragon/dispatch/agent.h"
+#include "tarragon/dispatch/entry.h"
 
 namespace tarragon::daemons {
 namespace {
@@ -16,6 +17,8 @@
   CPPUNIT_TEST(ClientApiRejectsWrongMethodsAndPaths);
   CPPUNIT_TEST(OperatorApiRejectsWrongMethodsAndPaths);
   CPPUNIT_TEST(ExplainOfUnknownKeyReturns404);
+  CPPUNIT_TEST(ExplainOfUnknownPlainKeyReturns404);
+  CPPUNIT_TEST(ExplainOfMalformedKeyReturns400);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -60,17 +63,73 @@
     for (const dispatch::AgentAction& action : home.actions) {
       const auto* send = std::get_if<dispatch::SendMessage>(&action);
       if (send == nullptr) continue;
-      const auto* lines = std::get_if<dispatch::Explanation>(&send->message);
-      if (lines == nullptr) continue;
+      const auto* found = std::get_if<dispatch::Explanation>(&send->message);
+      if (found == nullptr) continue;
       seen = true;
-      CPPUNIT_ASSERT_EQUAL(404, MakeExplainResponse("k", lines->lines).status);
+      const dispatch::AnswerExplain answer{1, found->history, found->lines};
+      CPPUNIT_ASSERT_EQUAL(404, MakeExplainResponse("k", answer).status);
     }
     CPPUNIT_ASSERT(seen);
-    CPPUNIT_ASSERT_EQUAL(200,
-                         MakeExplainResponse("k", {"+0ms Took in."}).status);
+    const dispatch::AnswerExplain known{
+        1, dispatch::KeyHistory::kKnown, {"+0ms Took in."}};
+    CPPUNIT_ASSERT_EQUAL(200, MakeExplainResponse("k", known).status);
+  }
+
+  void ExplainOfMalformedKeyReturns400() {
+    OperatorApi api(
+        &board_, &clock_, "t", []() {}, []() { return std::string("m"); });
+    for (const std::string& key :
+         {std::string(), std::string("a b"), std::string("a\x01"),
+          std::string(201, 'k')}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          key, 400, Call(&api, "GET", "/v1/explain/" + key).status);
+    }
+  }
+
+  void ExplainOfUnknownPlainKeyReturns404() {
+    dispatch::InitEntry(&board_, clock_.Now(), Node("127.0.0.1:3"),
+                        core::DomainId("d"), 1);
+    http::Response response;
+    response.status = 0;
+    OperatorApi api(
+        &board_, &clock_, "t", []() {}, []() { return std::string("m"); });
+    http::Request request;
+    request.method = "GET";
+    request.path = "/v1/explain/plain-key";
+    request.headers["authorization"] = "Bearer t";
+    api.HandleRequest(request,
+                      [&response](const http::Response& r) { response = r; });
+    AnswerTableReads(dispatch::TableStatus::kMissing);
+    SendExplainAnswers(&api);
+    CPPUNIT_ASSERT_EQUAL(404, response.status);
   }
 
  private:
+  static core::NodeId Node(const char* address) {
+    return {core::Address(address), core::Incarnation(1)};
+  }
+
+  /// Answers every call to the table that the entry has requested so far.
+  void AnswerTableReads(dispatch::TableStatus status) {
+    std::vector<dispatch::EntryAction> actions;
+    actions.swap(board_.actions);
+    for (const dispatch::EntryAction& action : actions) {
+      const auto* call = std::get_if<dispatch::TableCall>(&action);
+      if (call == nullptr) continue;
+      dispatch::TableReply reply;
+      reply.number = call->number;
+      reply.status = status;
+      dispatch::OnTableReply(&board_, clock_.Now(), reply);
+    }
+  }
+
+  void SendExplainAnswers(OperatorApi* api) {
+    for (const dispatch::EntryAction& action : board_.actions) {
+      const auto* answer = std::get_if<dispatch::AnswerExplain>(&action);
+      if (answer != nullptr) api->SendAnswer(*answer);
+    }
+  }
+
   template <typename Api>
   http::Response Call(Api* api, const std::string& method,
                       const std::string& path) {
--- a/dispatch/entry_requests.cc
+++ b/dispatch/entry_requests.cc
@@ -27,7 +27,14 @@
   }
   ++board->counters.answers[std::string(Name(answer.outcome))];
   if (found->second.kind == RequestKind::kExplain) {
-    board->actions.emplace_back(AnswerExplain{number, {answer.detail}});
+    // Of the answers that an entry gives itself, only that of a plain key
+    // without a row is "not run" without a reason.
+    const bool unknown =
+        answer.outcome == Outcome::kNotRun && answer.reason == Reason::kNone;
+    board->actions.emplace_back(
+        AnswerExplain{number,
+                      unknown ? KeyHistory::kUnknownKey : KeyHistory::kKnown,
+                      {answer.detail}});
   } else {
     board->actions.emplace_back(AnswerClient{number, std::move(answer)});
   }
@@ -263,7 +270,7 @@
   if (found == board->requests.end() || found->second.destination != from)
     return;
   board->actions.emplace_back(
-      AnswerExplain{number, std::move(explanation.lines)});
+      AnswerExplain{number, explanation.history, std::move(explanation.lines)});
   board->requests.erase(found);
 }
 
@@ -292,7 +299,7 @@
   }
   if (reply.status == TableStatus::kMissing) {
     FinishWithOutcome(board, number, Outcome::kNotRun, Reason::kNone,
-                      "No job is known under this key.", core::Duration(0));
+                      kUnknownKeyDetail, core::Duration(0));
     return;
   }
   // After a conflict or a lost reply, the row shows which write succeeded.
--- a/dispatch/heir.cc
+++ b/dispatch/heir.cc
@@ -315,10 +315,10 @@
 
 bool AnswerIfInherited(AgentBoard* board, core::Time now,
                        const core::NodeId& entry, const Query& query) {
-  return AnswerFromSnapshot(
-      board, now, entry, query.request, LookUpKey(*board, query.key),
-      MakeAnswer(query.key, Outcome::kNotRun, Reason::kNone,
-                 "No job is known under this key."));
+  return AnswerFromSnapshot(board, now, entry, query.request,
+                            LookUpKey(*board, query.key),
+                            MakeAnswer(query.key, Outcome::kNotRun,
+                                       Reason::kNone, kUnknownKeyDetail));
 }
 
 bool AnswerIfInherited(AgentBoard* board, core::Time now,
@@ -333,11 +333,16 @@
                        const Explain& explain) {
   const SnapshotLookup lookup = LookUpKey(*board, explain.key);
   if (lookup.snapshot == nullptr) return false;
+  if (lookup.record == nullptr) {
+    Post(board, entry,
+         Explanation{
+             explain.request, KeyHistory::kUnknownKey, {kUnknownKeyDetail}});
+    return true;
+  }
   Post(board, entry,
-       Explanation{
-           explain.request,
-           {lookup.record != nullptr ? "Ended; the history is no longer kept."
-                                     : "No job is known under this key."}});
+       Explanation{explain.request,
+                   KeyHistory::kKnown,
+                   {"Ended; the history is no longer kept."}});
   return true;
 }
 
--- a/dispatch/home_requests.cc
+++ b/dispatch/home_requests.cc
@@ -244,8 +244,7 @@
   }
   if (AnswerIfKeyUnknowable(board, now, waiter, query.key)) return;
   SendAnswerWithoutJob(board, waiter, query.key, Outcome::kNotRun,
-                       Reason::kNone, "No job is known under this key.",
-                       core::Duration(0));
+                       Reason::kNone, kUnknownKeyDetail, core::Duration(0));
 }
 
 void HandleCancel(AgentBoard* board, core::Time now, const core::NodeId& entry,
@@ -288,7 +287,8 @@
   } else if (board->tombstones.count(explain.key) > 0) {
     explanation.lines = {"Ended; the history is no longer kept."};
   } else {
-    explanation.lines = {"No job is known under this key."};
+    explanation.history = KeyHistory::kUnknownKey;
+    explanation.lines = {kUnknownKeyDetail};
   }
   Post(board, entry, std::move(explanation));
 }
--- a/dispatch/home_task_events.cc
+++ b/dispatch/home_task_events.cc
@@ -44,8 +44,7 @@
   return &task;
 }
 
-void RecordExecutorReply(HomeTask* task, core::Time now) {
-  task->last_heard_at = now;
+void RecordExecutorReply(HomeTask* task) {
   task->seals_unanswered_since.reset();
 }
 
@@ -225,8 +224,7 @@
   UpdatePeerLoad(board, now, executor, started.load);
   HomeTask* task = FindPlaced(board, started.ref, executor);
   if (task == nullptr) return;
-  RecordExecutorReply(task, now);
-  task->started = true;
+  RecordExecutorReply(task);
   task->next_seal_at = now + board->policy.seal_after;
   ScheduleNoLaterThan(board, &board->jobs.at(started.ref.key),
                       task->next_seal_at);
--- a/dispatch/include/tarragon/dispatch/entry_board.h
+++ b/dispatch/include/tarragon/dispatch/entry_board.h
@@ -198,6 +198,7 @@
 };
 struct AnswerExplain {
   std::uint64_t request = 0;
+  KeyHistory history = KeyHistory::kKnown;
   std::vector<std::string> lines;
 };
 struct AnswerNote {
--- a/dispatch/include/tarragon/dispatch/home_records.h
+++ b/dispatch/include/tarragon/dispatch/home_records.h
@@ -35,12 +35,8 @@
   core::NodeId executor;
   /// When it was sent last.
   core::Time placed_at;
-  /// The executor reported that it has started.
-  bool started = false;
   /// A queued task is not placed before this time.
   core::Time not_before;
-  /// When the executor last reported about this task.
-  core::Time last_heard_at;
   /// When the next seal is sent, and since when seals have not been answered. A
   /// seal asks the executor about the task and forbids it to start an attempt
   /// that it has not started yet.
--- a/dispatch/include/tarragon/dispatch/message.h
+++ b/dispatch/include/tarragon/dispatch/message.h
@@ -156,9 +156,24 @@
   bool operator==(const Explain&) const = default;
 };
 
+/// What is known about a key that was asked to be explained.
+enum class KeyHistory : std::uint8_t {
+  /// The lines of the explanation tell what has happened to the job, or why
+  /// its history is not available.
+  kKnown = 0,
+  /// No job was ever submitted under the key. One line says so.
+  kUnknownKey,
+};
+/// The line of the explanation of an unknown key, and the detail of an answer
+/// about it.
+inline constexpr char kUnknownKeyDetail[] = "No job is known under this key.";
+inline constexpr std::uint32_t kLastKeyHistory =
+    static_cast<std::uint32_t>(KeyHistory::kUnknownKey);
+
 /// Home to entry: the history, oldest first, one line for each event.
 struct Explanation {
   std::uint64_t request = 0;
+  KeyHistory history = KeyHistory::kKnown;
   std::vector<std::string> lines;
 
   bool operator==(const Explanation&) const = default;
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -212,8 +212,6 @@
   ++task.placements;
   task.executor = executor;
   task.placed_at = now;
-  task.started = false;
-  task.last_heard_at = now;
   task.seals_unanswered_since.reset();
   task.next_seal_at =
       now + std::max(board->policy.seal_after,
--- a/wire/codec.cc
+++ b/wire/codec.cc
@@ -21,7 +21,28 @@
   return message;
 }
 
-std::optional<dispatch::Message> ReadEnvelope(Envelope* in, WireError* reason) {
+/// Reads a report, which is completed from `previous` if it leaves out its
+/// target.
+std::optional<dispatch::Message> ReadReport(
+    TargetReport* in, WireError* reason,
+    const coordinator::TargetReport* previous) {
+  const bool same_target = in->same_target();
+  std::optional<dispatch::Message> message =
+      Read<coordinator::TargetReport>(in, reason);
+  if (!same_target || !message.has_value()) return message;
+  if (previous == nullptr) {
+    Fail(WireErrorCode::kMalformed,
+         "A report leaves out its target, and there is no earlier one.",
+         reason);
+    return std::nullopt;
+  }
+  CopyTarget(*previous, &std::get<coordinator::TargetReport>(*message));
+  return message;
+}
+
+std::optional<dispatch::Message> ReadEnvelope(
+    Envelope* in, WireError* reason,
+    const coordinator::TargetReport* previous) {
   switch (in->message_case()) {
     case Envelope::kHeartbeat:
       return Read<dispatch::Heartbeat>(in->mutable_heartbeat(), reason);
@@ -79,8 +100,7 @@
       return Read<coordinator::OperatorUpdate>(in->mutable_operator_update(),
                                                reason);
     case Envelope::kTargetReport:
-      return Read<coordinator::TargetReport>(in->mutable_target_report(),
-                                             reason);
+      return ReadReport(in->mutable_target_report(), reason, previous);
     case Envelope::kStartRun:
       return Read<coordinator::StartRun>(in->mutable_start_run(), reason);
     case Envelope::kAskRun:
@@ -100,10 +120,7 @@
 
 /// The encoding behind `header` bytes that the caller fills. Empty if it is too
 /// large for protobuf.
-std::string EncodeBehind(std::size_t header, const dispatch::Message& message) {
-  Envelope envelope;
-  std::visit([&envelope](const auto& held) { ToProto(held, &envelope); },
-             message);
+std::string EncodeBehind(std::size_t header, const Envelope& envelope) {
   const std::size_t size = envelope.ByteSizeLong();
   if (size > static_cast<std::size_t>(INT_MAX)) return {};
   std::string bytes(header + size, '\0');
@@ -112,14 +129,15 @@
   return bytes;
 }
 
-}  // namespace
-
-std::string Encode(const dispatch::Message& message) {
-  return EncodeBehind(0, message);
+Envelope MakeEnvelope(const dispatch::Message& message) {
+  Envelope envelope;
+  std::visit([&envelope](const auto& held) { ToProto(held, &envelope); },
+             message);
+  return envelope;
 }
 
-std::string EncodeFrame(const dispatch::Message& message) {
-  std::string frame = EncodeBehind(kFrameHeaderBytes, message);
+std::string MakeFrame(const Envelope& envelope) {
+  std::string frame = EncodeBehind(kFrameHeaderBytes, envelope);
   if (frame.empty()) return frame;
   std::size_t length = frame.size() - kFrameHeaderBytes;
   for (std::size_t i = kFrameHeaderBytes; i > 0; --i) {
@@ -129,15 +147,38 @@
   return frame;
 }
 
-std::optional<dispatch::Message> Decode(std::string_view bytes,
-                                        WireError* reason) {
+}  // namespace
+
+std::string Encode(const dispatch::Message& message) {
+  return EncodeBehind(0, MakeEnvelope(message));
+}
+
+std::string EncodeRepeatedTarget(const coordinator::TargetReport& report) {
+  Envelope envelope;
+  WriteRepeatedTarget(report, &envelope);
+  return EncodeBehind(0, envelope);
+}
+
+std::string EncodeFrame(const dispatch::Message& message) {
+  return MakeFrame(MakeEnvelope(message));
+}
+
+std::string EncodeRepeatedTargetFrame(const coordinator::TargetReport& report) {
+  Envelope envelope;
+  WriteRepeatedTarget(report, &envelope);
+  return MakeFrame(envelope);
+}
+
+std::optional<dispatch::Message> Decode(
+    std::string_view bytes, WireError* reason,
+    const coordinator::TargetReport* previous) {
   Envelope envelope;
   if (bytes.size() > static_cast<std::size_t>(INT_MAX) ||
       !envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     Fail(WireErrorCode::kMalformed, "The bytes are no message.", reason);
     return std::nullopt;
   }
-  return ReadEnvelope(&envelope, reason);
+  return ReadEnvelope(&envelope, reason, previous);
 }
 
 }  // namespace tarragon::wire
--- a/wire/connection.cc
+++ b/wire/connection.cc
@@ -7,6 +7,9 @@
 #include <boost/asio/post.hpp>
 #include <string_view>
 #include <utility>
+#include <variant>
+
+#include "tarragon/wire/codec.h"
 
 namespace tarragon::wire {
 namespace {
@@ -107,6 +110,16 @@
   ScheduleFlush();
 }
 
+std::string Connection::Encode(const dispatch::Message& message) {
+  const auto* report = std::get_if<coordinator::TargetReport>(&message);
+  if (report == nullptr) return EncodeFrame(message);
+  const bool repeats = session_.reads_repeated_targets() &&
+                       last_report_.has_value() &&
+                       DescribesSameTarget(*last_report_, *report);
+  last_report_ = *report;
+  return repeats ? EncodeRepeatedTargetFrame(*report) : EncodeFrame(message);
+}
+
 void Connection::Send(Channel channel, std::string frame) {
   session_.Queue(channel, std::move(frame));
   last_sent_ = SteadyClock::now();
--- a/wire/connection.h
+++ b/wire/connection.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,9 @@
   void Dial(const boost::asio::ip::tcp::endpoint& endpoint);
   /// Starts to serve an accepted socket.
   void Accept(boost::asio::ip::tcp::socket socket);
+  /// Makes the frame of a message that is sent over this connection next. It
+  /// must be queued, as later frames may refer to it.
+  std::string Encode(const dispatch::Message& message);
   /// Queues a frame. All that is queued in one turn of the io_context is
   /// written at once.
   void Send(Channel channel, std::string frame);
@@ -118,6 +122,8 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   Http2Session session_;
+  /// The last report that was encoded.
+  std::optional<coordinator::TargetReport> last_report_;
   /// Bytes of the session that the socket has not yet taken.
   std::string unsent_;
   std::chrono::steady_clock::time_point last_sent_;
--- a/wire/frame.h
+++ b/wire/frame.h
@@ -18,6 +18,9 @@
 /// A message behind its length. Empty if it does not fit a protobuf message.
 std::string EncodeFrame(const dispatch::Message& message);
 
+/// The same for a report without the fields that describe its target.
+std::string EncodeRepeatedTargetFrame(const coordinator::TargetReport& report);
+
 /// Splits the bytes of one stream into frames.
 class FrameReader {
  public:
--- a/wire/hello.cc
+++ b/wire/hello.cc
@@ -83,6 +83,7 @@
   if (name == ":status") headers->status = value;
   if (name == kNodeHeader) headers->node = value;
   if (name == kExpectsHeader) headers->expects = value;
+  if (name == kFeaturesHeader) headers->features = value;
 }
 
 std::optional<core::NodeId> ReadNode(const HelloHeaders& headers,
--- a/wire/hello.h
+++ b/wire/hello.h
@@ -25,6 +25,11 @@
 
 inline constexpr char kNodeHeader[] = "tarragon-node";
 inline constexpr char kExpectsHeader[] = "tarragon-expects";
+/// What the sender of the header can read, beyond the first version of the
+/// protocol.
+inline constexpr char kFeaturesHeader[] = "tarragon-features";
+/// Reports that leave out their target if it is as in the previous report.
+inline constexpr char kRepeatedTargetFeature[] = "repeated-target";
 /// The node that was asked for is here.
 inline constexpr char kStatusOk[] = "200";
 /// Another incarnation is here.
@@ -43,6 +48,7 @@
   std::string status;
   std::string node;
   std::string expects;
+  std::string features;
 };
 
 /// Keeps `value` if the protocol reads the header `name`.
--- a/wire/http2_receive.cc
+++ b/wire/http2_receive.cc
@@ -2,6 +2,7 @@
 #include <array>
 #include <optional>
 #include <utility>
+#include <variant>
 
 #include "http2_header.h"
 #include "http2_session.h"
@@ -26,6 +27,7 @@
   const HelloHeaders headers = std::exchange(headers_, HelloHeaders());
   const std::optional<Hello> hello = ReadHello(headers, &reason_);
   if (!hello) return false;
+  reads_repeated_targets_ = headers.features == kRepeatedTargetFeature;
   Stream& stream = At(hello->channel);
   if (stream.id != 0) return Violate("The peer opened a stream twice.");
   stream.id = stream_id;
@@ -45,6 +47,7 @@
   if (stream == nullptr) return Violate("The peer answers no request.");
   const std::optional<core::NodeId> node = ReadNode(headers, &reason_);
   if (!node) return false;
+  reads_repeated_targets_ = headers.features == kRepeatedTargetFeature;
   if (headers.status == kStatusOk) return Greet(stream, *node);
   if (headers.status != kStatusMisdirected) {
     return Violate("The peer's status is not known.");
@@ -73,8 +76,9 @@
 
 bool Http2Session::SendOk(std::int32_t stream_id) {
   const std::string node = core::ToString(self_);
-  const std::array<nghttp2_nv, 2> headers = {MakeHeader(":status", kStatusOk),
-                                             MakeHeader(kNodeHeader, node)};
+  const std::array<nghttp2_nv, 3> headers = {
+      MakeHeader(":status", kStatusOk), MakeHeader(kNodeHeader, node),
+      MakeHeader(kFeaturesHeader, kRepeatedTargetFeature)};
   nghttp2_data_provider provider{};
   provider.read_callback = OnReadData;
   const int result = nghttp2_submit_response(
@@ -107,8 +111,11 @@
     return Violate("The peer sent data before its greeting.");
   }
   const FrameReader::Sink take = [this](std::string_view content) {
-    std::optional<dispatch::Message> message = Decode(content, &reason_);
+    std::optional<dispatch::Message> message = Decode(
+        content, &reason_, last_report_.has_value() ? &*last_report_ : nullptr);
     if (!message) return false;
+    const auto* report = std::get_if<coordinator::TargetReport>(&*message);
+    if (report != nullptr) last_report_ = *report;
     inbox_->push_back(
         {std::move(*message), content.size() + kFrameHeaderBytes});
     return true;
--- a/wire/http2_session.cc
+++ b/wire/http2_session.cc
@@ -95,11 +95,12 @@
   const std::string node = core::ToString(self_);
   const std::string expected = FormatExpects(expects);
   for (const Channel channel : {Channel::kControl, Channel::kWork}) {
-    std::array<nghttp2_nv, 6> headers = {
+    std::array<nghttp2_nv, 7> headers = {
         MakeHeader(":method", "POST"), MakeHeader(":scheme", "http"),
         // nghttp2 refuses a request that names no authority.
         MakeHeader(":authority", "tarragon"),
         MakeHeader(":path", PathOf(channel)), MakeHeader(kNodeHeader, node),
+        MakeHeader(kFeaturesHeader, kRepeatedTargetFeature),
         MakeHeader(kExpectsHeader, expected)};
     const bool any = expects == core::Incarnation();
     const std::size_t count = headers.size() - (any ? 1 : 0);
--- a/wire/http2_session.h
+++ b/wire/http2_session.h
@@ -65,6 +65,9 @@
   void EndSending();
 
   Greeting greeting() const { return greeting_; }
+  /// The peer completes a report that leaves out its target. False until the
+  /// peer has said so in its greeting.
+  bool reads_repeated_targets() const { return reads_repeated_targets_; }
   /// Who is at the other end; set once the greeting is not pending.
   const core::NodeId& peer() const { return peer_; }
   /// The peer will send no more on at least one stream.
@@ -133,6 +136,9 @@
   /// Why the session is of no more use.
   WireError reason_;
   std::array<Stream, kChannels> streams_;
+  bool reads_repeated_targets_ = false;
+  /// The last report that was received, which completes the next one.
+  std::optional<coordinator::TargetReport> last_report_;
   /// Headers of the block that is being read; blocks never interleave.
   HelloHeaders headers_;
   /// Where Receive puts messages while it runs.
--- a/wire/proto_jobs.cc
+++ b/wire/proto_jobs.cc
@@ -141,15 +141,20 @@
 }
 
 void ToProto(const dispatch::Explanation& message, Envelope* out) {
-  const auto& [request, lines] = message;
+  const auto& [request, history, lines] = message;
   Explanation* explanation = out->mutable_explanation();
   explanation->set_request(request);
+  explanation->set_history(static_cast<std::uint32_t>(history));
   for (const std::string& line : lines) explanation->add_lines(line);
 }
 
-bool FromProto(Explanation* in, dispatch::Explanation* out,
-               WireError* /*reason*/) {
+bool FromProto(Explanation* in, dispatch::Explanation* out, WireError* reason) {
   out->request = in->request();
+  if (in->history() > dispatch::kLastKeyHistory) {
+    return Fail(WireErrorCode::kUnknownValue,
+                "The history of a key is of an unknown kind.", reason);
+  }
+  out->history = static_cast<dispatch::KeyHistory>(in->history());
   out->lines.reserve(static_cast<std::size_t>(in->lines_size()));
   for (std::string& line : *in->mutable_lines()) {
     out->lines.push_back(std::move(line));
--- a/wire/proto_messages.h
+++ b/wire/proto_messages.h
@@ -86,6 +86,12 @@
 void ToProto(const coordinator::RunEnded& message, Envelope* out);
 void ToProto(const coordinator::TargetHint& message, Envelope* out);
 void ToProto(const coordinator::RoomWanted& message, Envelope* out);
+/// Writes a report without the fields that describe its target.
+void WriteRepeatedTarget(const coordinator::TargetReport& message,
+                         Envelope* out);
+/// Copies the fields that describe a target.
+void CopyTarget(const coordinator::TargetReport& from,
+                coordinator::TargetReport* to);
 
 bool FromProto(EntryNotice* in, coordinator::EntryNotice* out,
                WireError* reason);
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -2,6 +2,7 @@
 
 #include "proto_messages.h"
 #include "proto_state.h"
+#include "tarragon/wire/codec.h"
 
 // The structured bindings name every field of a struct, so that a field which
 // is added there does not compile here until it is encoded.
@@ -103,6 +104,19 @@
   report->set_offered(offered);
 }
 
+void OmitTarget(TargetReport* report) {
+  report->clear_target();
+  report->clear_born();
+  report->clear_address();
+  report->clear_service();
+  report->clear_domain();
+  report->clear_labels();
+  report->clear_capacity();
+  report->clear_entries();
+  report->clear_operator_digest();
+  report->set_same_target(true);
+}
+
 bool ReadReport(TargetReport* in, coordinator::TargetReport* out,
                 WireError* reason) {
   out->starts_seen = in->starts_seen();
@@ -185,6 +199,36 @@
   return ReadReport(in, out, reason);
 }
 
+void WriteRepeatedTarget(const coordinator::TargetReport& message,
+                         Envelope* out) {
+  TargetReport* report = out->mutable_target_report();
+  WriteReport(message, report);
+  OmitTarget(report);
+}
+
+void CopyTarget(const coordinator::TargetReport& from,
+                coordinator::TargetReport* to) {
+  to->target = from.target;
+  to->born = from.born;
+  to->address = from.address;
+  to->service = from.service;
+  to->domain = from.domain;
+  to->labels = from.labels;
+  to->capacity = from.capacity;
+  to->entries = from.entries;
+  to->operator_digest = from.operator_digest;
+}
+
+bool DescribesSameTarget(const coordinator::TargetReport& previous,
+                         const coordinator::TargetReport& next) {
+  return previous.target == next.target && previous.born == next.born &&
+         previous.address == next.address && previous.service == next.service &&
+         previous.domain == next.domain && previous.labels == next.labels &&
+         previous.capacity == next.capacity &&
+         previous.entries == next.entries &&
+         previous.operator_digest == next.operator_digest;
+}
+
 void ToProto(const coordinator::RoomWanted& message, Envelope* out) {
   const auto& [room, late, slack] = message;
   RoomWanted* wanted = out->mutable_room_wanted();
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -30,6 +30,8 @@
   CPPUNIT_TEST(RefusesAbsentParts);
   CPPUNIT_TEST(RefusesNamesTwice);
   CPPUNIT_TEST(CutsAndRefusesLongDurations);
+  CPPUNIT_TEST(CompletesRepeatedTarget);
+  CPPUNIT_TEST(RefusesRepeatedTargetWithoutEarlierReport);
   CPPUNIT_TEST(SurvivesMutations);
   CPPUNIT_TEST(SurvivesGarbage);
   CPPUNIT_TEST_SUITE_END();
@@ -170,6 +172,60 @@
 
   /// Changes, cuts and lengthens real messages. What is still read must be a
   /// message that round-trips.
+  static coordinator::TargetReport MakeReport() {
+    coordinator::TargetReport report;
+    report.clock = core::Time{std::chrono::seconds(5)};
+    report.starts_seen = 7;
+    report.usable = true;
+    report.runs_known = true;
+    report.target = coordinator::TargetId("t-1");
+    report.born = coordinator::TargetIncarnation(1700000000000);
+    report.sequence = 3;
+    report.address = core::Address("10.0.0.9:80");
+    report.service = core::ServiceId("carve");
+    report.domain = core::DomainId("szeged");
+    report.labels = {coordinator::Label("a"), coordinator::Label("r1-3")};
+    report.capacity = {16000, 32768, 0};
+    report.free = {8000, 32000, 0};
+    report.entries = 35;
+    report.operator_revision = 1200;
+    report.operator_digest = 0x1234567890abcdefULL;
+    return report;
+  }
+
+  void CompletesRepeatedTarget() {
+    const coordinator::TargetReport first = MakeReport();
+    coordinator::TargetReport second = first;
+    second.clock = core::Time{std::chrono::seconds(6)};
+    second.free = {1000, 500, 0};
+    second.sequence = 4;
+    second.draining = true;
+    second.operator_revision = 1300;
+    CPPUNIT_ASSERT(DescribesSameTarget(first, second));
+    const std::string bytes = EncodeRepeatedTarget(second);
+    CPPUNIT_ASSERT(2 * bytes.size() < Encode(second).size());
+    WireError reason;
+    const std::optional<dispatch::Message> read =
+        Decode(bytes, &reason, &first);
+    CPPUNIT_ASSERT_MESSAGE(reason.detail, read.has_value());
+    CPPUNIT_ASSERT(dispatch::Message(second) == *read);
+    coordinator::TargetReport other = first;
+    other.labels.pop_back();
+    CPPUNIT_ASSERT(!DescribesSameTarget(first, other));
+    other = first;
+    other.operator_digest = 1;
+    CPPUNIT_ASSERT(!DescribesSameTarget(first, other));
+    other = first;
+    other.born = coordinator::TargetIncarnation(2);
+    CPPUNIT_ASSERT(!DescribesSameTarget(first, other));
+  }
+
+  void RefusesRepeatedTargetWithoutEarlierReport() {
+    WireError reason;
+    CPPUNIT_ASSERT(!Decode(EncodeRepeatedTarget(MakeReport()), &reason));
+    CPPUNIT_ASSERT(!reason.detail.empty());
+  }
+
   void SurvivesMutations() {
     std::mt19937 random(kSeed);
     std::vector<std::string> originals;
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -222,7 +222,8 @@
       dispatch::Cancel{3, key},
       dispatch::Answer{4, SampleAnswer(), 0x1122334455667788},
       dispatch::Explain{5, key},
-      dispatch::Explanation{6, {"submitted", "", kBinaryText}},
+      dispatch::Explanation{
+          6, dispatch::KeyHistory::kUnknownKey, {"submitted", "", kBinaryText}},
       SampleAssign(7, 300),
       dispatch::Refused{SampleRef(), dispatch::Reason::kNoSlot, wait,
                         SampleLoad()},
--- a/wire/tests/transport_test.cc
+++ b/wire/tests/transport_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(DropRaisesNothing);
   CPPUNIT_TEST(CloseMayBeCalledFromAnEvent);
   CPPUNIT_TEST(CountsByName);
+  CPPUNIT_TEST(ReportsLeaveOutRepeatedTarget);
   CPPUNIT_TEST(RefusesBadAddresses);
   CPPUNIT_TEST_SUITE_END();
 
@@ -321,6 +322,48 @@
     CPPUNIT_ASSERT(sent.bytes_sent >= received.bytes_received);
   }
 
+  void ReportsLeaveOutRepeatedTarget() {
+    boost::asio::io_context io;
+    TestNode gate(io);
+    TestNode entry(io);
+    coordinator::TargetReport report;
+    report.target = coordinator::TargetId("i-0123456789");
+    report.address = core::Address("10.0.0.9:8080");
+    report.born = coordinator::TargetIncarnation(1700000000000);
+    report.service = core::ServiceId("last-shaping");
+    report.domain = core::DomainId("kecskemet");
+    report.capacity = {16000, 32768, 0};
+    report.operator_digest = 0x1234567890abcdefULL;
+    report.labels = {coordinator::Label("a"), coordinator::Label("r1-3")};
+    std::vector<std::uint64_t> sizes;
+    std::uint64_t bytes = 0;
+    const auto send = [&](std::int64_t at_ms) {
+      report.clock = core::Time{std::chrono::milliseconds(at_ms)};
+      gate.transport().Send(entry.id(), report);
+      const std::size_t count = entry.received.size() + 1;
+      RunUntil(io, [&] { return entry.received.size() == count; });
+      CPPUNIT_ASSERT(dispatch::Message(report) == entry.received.back().second);
+      const std::uint64_t now =
+          entry.counters().received.at("target_report").bytes;
+      sizes.push_back(now - bytes);
+      bytes = now;
+    };
+    // The target is left out once the entry's greeting has arrived.
+    std::int64_t millis = 0;
+    do {
+      send(++millis);
+    } while (sizes.back() >= sizes[0] / 2 && millis < 1000);
+    CPPUNIT_ASSERT(sizes.back() < sizes[0] / 2);
+    // Another target is described again.
+    report.target = coordinator::TargetId("i-9876543210");
+    send(++millis);
+    CPPUNIT_ASSERT_EQUAL(sizes[0], sizes.back());
+    // So is the same one on another connection.
+    gate.transport().Drop(entry.id());
+    send(++millis);
+    CPPUNIT_ASSERT_EQUAL(sizes[0], sizes.back());
+  }
+
   void RefusesBadAddresses() {
     boost::asio::io_context io;
     Transport transport(io, core::RandomIncarnation(), {}, {});
--- a/wire/transport_state.cc
+++ b/wire/transport_state.cc
@@ -42,13 +42,14 @@
     ++counters.dropped_messages;
     return;
   }
-  std::string frame = EncodeFrame(message);
+  Connection* connection = peers_.Choose(to);
+  std::string frame = connection != nullptr ? connection->Encode(message)
+                                            : EncodeFrame(message);
   const std::size_t bytes = frame.size();
   const bool fits = bytes >= kFrameHeaderBytes &&
                     bytes - kFrameHeaderBytes <= shared_.limits.max_frame_bytes;
-  Connection* connection = fits ? peers_.Choose(to) : nullptr;
   if (fits && connection == nullptr) connection = Dial(to);
-  if (connection == nullptr) {
+  if (!fits || connection == nullptr) {
     if (!fits) {
       log_.Warn("Dropped a message that is too large.",
                 {{"peer", core::ToString(to)},
