Coordinator, Daemons: stalled entries, drained targets after a restart, errors of one event

Stalled entries. Cause: an entry that was paused, or was too busy to look at its connections, started waiting jobs at the first report of a gate, before it had read that their clients had gone; 1.3 s after that they are resubmitted elsewhere. It also placed tasks of expired jobs between two ticks. Change: nothing is started while the last tick is older than 300 ms, nor within 60 ms after such a gap.

Restarted gates. Cause: the stored copy of a target was not renewed when it began to drain or left, so a restarted gate gave it new work until its next announcement. Change: it is stored then, and a newer hint of an entry counts.

Unexpected errors. An exception from one handler ended the process.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -386,6 +386,7 @@
 }
 
 void OnTick(JobBoard* board, core::Time now) {
+  RecordTick(board, now);
   for (auto& [address, gate] : board->gates) TickGate(board, now, &gate);
   std::erase_if(board->gates, [board, now](const auto& entry) {
     return now - entry.second.last_heard_at > board->policy.forget_peer_after;
--- a/coordinator/entry_internal.h
+++ b/coordinator/entry_internal.h
@@ -53,6 +53,14 @@
 /// is null.
 void PlaceWaitingTasks(JobBoard* board, core::Time now, GateLink* only);
 
+/// Records a tick. Notices when the last one was so long ago that the entry was
+/// stalled.
+void RecordTick(JobBoard* board, core::Time now);
+
+/// False while the entry is stalled or may not have read yet what its
+/// connections have received during a stall.
+bool IsCaughtUp(const JobBoard& board, core::Time now);
+
 /// Requests room for the most urgent waiting task at some gates.
 void RequestRoom(JobBoard* board, core::Time now);
 
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -337,6 +337,14 @@
   FinishEvent(board, now);
 }
 
+void ChangeDomain(GateBoard* board, core::Time now,
+                  const core::DomainId& domain) {
+  if (domain == board->domain) return;
+  board->domain = domain;
+  MarkAllReportsDue(board);
+  FinishEvent(board, now);
+}
+
 void RequestStop(GateBoard* board, core::Time now) {
   board->stopping = true;
   MarkAllReportsDue(board);
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -50,8 +50,8 @@
 /// Makes a report of the announced target; its free room is left zero.
 TargetReport MakeReport(const Announcement& announcement);
 
-/// Requests that the target is stored if its id, incarnation or address has
-/// changed.
+/// Requests that the target is stored if its id, incarnation, address or
+/// draining has changed.
 void StoreTargetIfChanged(GateBoard* board, const Announcement& announcement);
 
 /// Applies an announcement that the target made to this process or to an
--- a/coordinator/gate_stored_target.cc
+++ b/coordinator/gate_stored_target.cc
@@ -27,15 +27,38 @@
   const bool is_kept = target.stored_report.has_value() &&
                        target.stored_report->target == announcement.target &&
                        target.stored_report->born == announcement.born &&
-                       target.stored_report->address == announcement.address;
+                       target.stored_report->address == announcement.address &&
+                       target.stored_report->draining == announcement.draining;
   if (is_kept) return;
   target.stored_report = MakeReport(announcement);
   board->actions.push_back(StoreTarget{*target.stored_report});
 }
 
+namespace {
+
+/// Applies that the target was draining when an earlier gate process last heard
+/// it. The copies of that process's knowledge differ in age and arrive in any
+/// order.
+void ApplyEarlierDraining(GateBoard* board, const TargetReport& last) {
+  Announcement& known = board->target->announcement;
+  const bool applies = last.draining && !known.draining &&
+                       last.target == known.target && last.born == known.born &&
+                       last.sequence >= known.sequence;
+  if (!applies) return;
+  known.draining = true;
+  AddLogLine(board, "The target was draining before the gate was restarted.",
+             last.target.value(),
+             {{"sequence", std::to_string(last.sequence)}});
+  MarkAllReportsDue(board);
+}
+
+}  // namespace
+
 void OnPreviousTargetFound(GateBoard* board, core::Time now, TargetReport last,
                            const std::string& source) {
-  if (board->target.has_value() || last.target.value().empty()) {
+  if (last.target.value().empty()) return FinishEvent(board, now);
+  if (board->target.has_value()) {
+    ApplyEarlierDraining(board, last);
     return FinishEvent(board, now);
   }
   AddLogLine(board, "Restored the target of an earlier gate process.",
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -301,6 +301,7 @@
   AddLogLine(board, "The target reported that it is shutting down.",
              target.value(), {});
   board->target->announcement.draining = true;
+  StoreTargetIfChanged(board, board->target->announcement);
   MarkAllReportsDue(board);
   FinishEvent(board, now);
 }
--- a/coordinator/include/tarragon/coordinator/gate.h
+++ b/coordinator/include/tarragon/coordinator/gate.h
@@ -90,6 +90,10 @@
 
 void OnTick(GateBoard* board, core::Time now);
 
+/// The settings of the process name another failure domain.
+void ChangeDomain(GateBoard* board, core::Time now,
+                  const core::DomainId& domain);
+
 /// Refuses new starts; current runs go on, and their lease is renewed, until
 /// they end.
 void RequestStop(GateBoard* board, core::Time now);
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -228,6 +228,8 @@
   std::uint64_t attached = 0;
   std::uint64_t starts = 0;
   std::uint64_t restarted_tasks = 0;
+  /// Times at which the entry found itself stalled.
+  std::uint64_t stalls = 0;
   std::uint64_t given_up = 0;
   /// Requests for room sent to gates, and unused offers that were returned.
   std::uint64_t wants = 0;
@@ -262,6 +264,10 @@
   RunTimes run_times;
   std::uint64_t last_job_serial = 0;
   std::uint64_t last_start_sequence = 0;
+  /// Empty until the first tick.
+  std::optional<core::Time> last_tick_at;
+  /// After a stall nothing is started before this time.
+  core::Time caught_up_at;
   bool stopping = false;
   core::Time stop_requested;
   bool was_ready = false;
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -150,6 +150,16 @@
   /// A job is useful to its client until this multiple of the time that its
   /// objective allows.
   std::uint32_t useful_factor = 3;
+  /// An entry whose last tick is older than this was stalled: paused, or busy
+  /// for so long that it has not looked at its connections. Clients may have
+  /// left meanwhile and resubmitted elsewhere, so it starts nothing before it
+  /// has caught up. Ending the runs of a client that leaves takes up to
+  /// `home_silence` and a stop, so this leaves 500 ms of the 1.3 s until the
+  /// resubmission.
+  core::Duration stall_limit{std::chrono::milliseconds(300)};
+  /// Time after a stall within which the entry reads what has arrived on its
+  /// connections meanwhile, such as their end.
+  core::Duration stall_recovery{std::chrono::milliseconds(60)};
   /// How many waiting tasks that fit nowhere are skipped in search of one that
   /// fits.
   std::size_t place_lookahead = 12;
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -126,7 +126,7 @@
 }
 
 void PlaceWaitingTasks(JobBoard* board, core::Time now, GateLink* only) {
-  if (board->waiting_tasks.empty()) return;
+  if (board->waiting_tasks.empty() || !IsCaughtUp(*board, now)) return;
   MarkLateTasks(board, now);
   const std::int64_t need = FindLeastMillicores(*board);
   std::vector<Candidate> candidates;
@@ -142,6 +142,11 @@
     const WaitingTask next = *at;
     Job* job = board->jobs.at(next.job).get();
     Task* task = &job->tasks[next.task_index];
+    if (now > job->useful_until) {
+      // The next tick ends the job. Its client may have resubmitted it.
+      ++at;
+      continue;
+    }
     Candidate* best = ChooseGate(board, now, *job, *task, &candidates);
     if (best == nullptr) {
       ++skipped;
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -7,6 +7,7 @@
 #include "decision_log.h"
 #include "membership.h"
 #include "metrics_page_server.h"
+#include "node_settings_reload.h"
 #include "operator_watch.h"
 #include "platform_daemon_limits.h"
 #include "platform_daemon_settings.h"
@@ -324,15 +325,19 @@
   }
 
   void ReloadSettings() {
-    const std::optional<core::Settings> next = load_settings_();
     std::string reason;
     const std::optional<platform::NodeSettings> node =
         platform::LoadNodeSettings(&reason);
-    if (!node.has_value()) {
+    if (node.has_value()) {
+      ReloadNodeSettings(*node, EntryLog(), &node_);
+      board_.domain = node_.domain;
+      store_->SetAddress(node_.store_address);
+    } else {
       EntryLog().Warn(
           "Cannot load the node file; kept the previous node settings.",
           {{"why", reason}});
     }
+    const std::optional<core::Settings> next = load_settings_();
     if (!next.has_value()) {
       EntryLog().Warn("The settings are invalid; kept the previous ones.");
       return;
@@ -349,6 +354,7 @@
     SetCounterTotal(&registry_, "clients_attached_total", {}, counts.attached);
     SetCounterTotal(&registry_, "starts_total", {}, counts.starts);
     SetCounterTotal(&registry_, "restarts_total", {}, counts.restarted_tasks);
+    SetCounterTotal(&registry_, "stalls_total", {}, counts.stalls);
     SetCounterTotal(&registry_, "wants_total", {}, counts.wants);
     SetCounterTotal(&registry_, "offers_returned_total", {},
                     counts.returned_offers);
--- a/daemons/daemon_main.h
+++ b/daemons/daemon_main.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "event_loop.h"
 #include "tarragon/core/command_line.h"
 #include "tarragon/core/exit_code.h"
 #include "tarragon/core/log.h"
@@ -47,9 +48,9 @@
     return core::kExitFailure;
   }
   std::cout << daemon.ReadyLine() << std::endl;
-  io.run();
+  const bool ended_normally = RunEventLoop(io, core::Log("main"));
   core::FlushLog();
-  return daemon.exit_code();
+  return ended_normally ? daemon.exit_code() : core::kExitFailure;
 }
 
 }  // namespace tarragon::daemons
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -6,6 +6,7 @@
 #include "decision_log.h"
 #include "membership.h"
 #include "metrics_page_server.h"
+#include "node_settings_reload.h"
 #include "platform_daemon_limits.h"
 #include "platform_daemon_settings.h"
 #include "process_runner.h"
@@ -258,6 +259,19 @@
   }
 
   void ReloadSettings() {
+    std::string reason;
+    const std::optional<platform::NodeSettings> node =
+        platform::LoadNodeSettings(&reason);
+    if (node.has_value()) {
+      ReloadNodeSettings(*node, GateLog(), &node_);
+      coordinator::ChangeDomain(&board_, clock_.Now(), node_.domain);
+      store_->SetAddress(node_.store_address);
+      ExecuteActions();
+    } else {
+      GateLog().Warn(
+          "Cannot load the node file; kept the previous node settings.",
+          {{"why", reason}});
+    }
     const std::optional<core::Settings> next = load_settings_();
     if (!next.has_value()) {
       GateLog().Warn("The settings are invalid; kept the previous ones.");
--- /dev/null
+++ b/daemons/node_settings_reload.cc
@@ -0,0 +1,47 @@
+#include "node_settings_reload.h"
+
+#include <string>
+
+namespace tarragon::daemons {
+namespace {
+
+using platform::NodeSettings;
+
+struct ListenField {
+  const char* name;
+  core::Address NodeSettings::*member;
+};
+
+constexpr ListenField kListenFields[] = {
+    {"client_address", &NodeSettings::client_address},
+    {"readiness_address", &NodeSettings::readiness_address},
+    {"announcement_address", &NodeSettings::announcement_address},
+    {"peer_address", &NodeSettings::peer_address},
+};
+
+}  // namespace
+
+void ReloadNodeSettings(const NodeSettings& next, const core::Log& log,
+                        NodeSettings* current) {
+  for (const ListenField& field : kListenFields) {
+    if (next.*field.member == current->*field.member) continue;
+    log.Warn("A changed address takes effect only after a restart.",
+             {{"field", field.name},
+              {"in_use", (current->*field.member).value()},
+              {"new", (next.*field.member).value()}});
+  }
+  if (next.domain != current->domain) {
+    log.Info("Changed the failure domain of this process.",
+             {{"old", current->domain.value()}, {"new", next.domain.value()}});
+  }
+  if (next.store_address != current->store_address) {
+    log.Info("Changed the address of the store.",
+             {{"old", current->store_address.value()},
+              {"new", next.store_address.value()}});
+  }
+  current->vm_name = next.vm_name;
+  current->domain = next.domain;
+  current->store_address = next.store_address;
+}
+
+}  // namespace tarragon::daemons
--- a/daemons/platform_daemon_main.h
+++ b/daemons/platform_daemon_main.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "event_loop.h"
 #include "platform_daemon_settings.h"
 #include "tarragon/core/command_line.h"
 #include "tarragon/core/exit_code.h"
@@ -40,10 +41,10 @@
     return core::kExitFailure;
   }
   core::Log("main").Info("Started.", {{"listens", daemon.ReadyLine()}});
-  io.run();
+  const bool ended_normally = RunEventLoop(io, core::Log("main"));
   core::FlushLog();
   core::SendLog();
-  return daemon.exit_code();
+  return ended_normally ? daemon.exit_code() : core::kExitFailure;
 }
 
 }  // namespace tarragon::daemons
--- a/daemons/process_runner.cc
+++ b/daemons/process_runner.cc
@@ -17,7 +17,14 @@
   timer_.expires_after(kTickInterval);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
-    events_.tick();
+    // An exception from the tick must not end the ticking. The pause counts
+    // from the end of the tick, so that slow ticks leave time for other events.
+    try {
+      events_.tick();
+    } catch (...) {
+      ScheduleTick();
+      throw;
+    }
     ScheduleTick();
   });
 }
@@ -26,6 +33,7 @@
   signals_.async_wait(
       [this](const boost::system::error_code& error, int signal) {
         if (error) return;
+        ScheduleSignalWait();
         if (signal == SIGHUP) {
           events_.reload();
         } else if (stopping_) {
@@ -34,7 +42,6 @@
           stopping_ = true;
           events_.stop();
         }
-        ScheduleSignalWait();
       });
 }
 
