Coordinator: send a large configuration by few entries, and domains apart from it

Cause: at each change of an operators' row every entry sent the whole state to every gate. Ruled out: a pull by the gates (another message, and a choice of whom to ask), compression (still entries x gates copies to read), no configuration at gates (an entry without the store would have none). Change: the state has two parts. The domains out of service, which gates enforce, go out at once and by themselves; the configuration, which gates only pass on, is sent after a random time that grows with its size, unless the peer has it by then. A small one goes out at once as before. StartRun names the domains' digest, so that a gate that waits for a configuration refuses nothing. ContentDigest and its test are replaced: the configuration is told apart by its version, which the operators only increase, the domains by DomainsDigest; MergeOperatorState's tests say for each part that an older one is never taken. The fixture's notices now name the digest of no domains, as those of real entries do; KeepsNewerOperatorState asks for exactly one update as before, which now goes out without waiting for a notice.

--- a/coordinator/admission.cc
+++ b/coordinator/admission.cc
@@ -51,6 +51,10 @@
 /// True if many gates were found so recently that their first report may be
 /// outstanding, so the total room is unknown.
 bool IsDiscoveringGates(const JobBoard& board, core::Time now) {
+  // A restarted entry gets clients before it has read which gates there are.
+  if (board.gates.empty()) {
+    return now - board.started_at <= board.policy.gate_discovery_time;
+  }
   std::size_t unheard = 0;
   for (const auto& [address, gate] : board.gates) {
     if (!gate.report.has_value() &&
--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "entry_internal.h"
+#include "operator_sync.h"
 #include "placing.h"
 
 namespace tarragon::coordinator {
@@ -24,7 +25,7 @@
     for (auto& [ref, placed] : gate.runs) placed.unconfirmed = true;
     gate.uncounted_starts.clear();
     gate.node = from;
-    gate.operator_update_sent = false;
+    gate.operator_sync = OperatorSync{};
     gate.hint_sent = false;
     gate.echo_due = true;
     gate.sent_want.reset();
@@ -43,7 +44,7 @@
 
 void MarkDisconnected(GateLink* gate) {
   gate->connected = false;
-  gate->operator_update_sent = false;
+  gate->operator_sync = OperatorSync{};
   gate->uncounted_starts.clear();
   gate->sent_want.reset();
   for (auto& [ref, placed] : gate->runs) placed.unconfirmed = true;
@@ -120,13 +121,25 @@
   EntryNotice notice;
   if (gate->report.has_value()) notice.echo = gate->report->clock;
   notice.operator_revision = board->operator_state.revision;
-  notice.operator_digest = board->operator_digest;
+  notice.domains_digest = board->domains_digest;
+  notice.config_version = board->operator_state.version;
   core::NodeId to = gate->node;
   // Addresses any incarnation, as the gate may have been restarted.
   if (!gate->connected) to.incarnation = core::Incarnation(0);
   board->actions.push_back(SendTo<EntryNotice>{to, notice});
 }
 
+/// Sends the gate what it lacks of the operator state, once that is due.
+void SendOperatorUpdate(JobBoard* board, core::Time now, GateLink* gate) {
+  if (!gate->connected || !gate->operator_copy.has_value()) return;
+  std::optional<OperatorUpdate> update = NextOperatorUpdate(
+      board->operator_state, board->domains_digest, *gate->operator_copy, now,
+      NextRandom(board), &gate->operator_sync);
+  if (!update.has_value()) return;
+  board->actions.push_back(
+      SendTo<OperatorUpdate>{gate->node, std::move(*update)});
+}
+
 /// Drops starts that the gate will refuse as stale if it reads them now, so
 /// they take no room.
 void ForgetStaleStarts(const JobBoard& board, core::Time now, GateLink* gate) {
@@ -152,6 +165,7 @@
                                    ? board->policy.notice_interval
                                    : board->policy.reconnect_interval;
   if (now - gate->notice_sent_at >= pause) SendNotice(board, now, gate);
+  SendOperatorUpdate(board, now, gate);
   QueryUnconfirmedRuns(board, now, gate);
   StopStalledRuns(board, now, gate);
   EndLostRuns(board, now, gate);
@@ -206,24 +220,18 @@
       SendTo<TargetHint>{from, {*gate->last_target_report}});
 }
 
-/// Sends the operator state to a gate that has an older one. True if the gate
-/// has a newer one, which it sends in answer to a notice.
-bool SyncOperatorState(JobBoard* board, const core::NodeId& from,
-                       GateLink* gate) {
+/// Compares the gate's copy of the operator state with the entry's own. True if
+/// the gate has a newer one, which it sends in answer to a notice.
+bool SyncOperatorState(JobBoard* board, core::Time now, GateLink* gate) {
   const TargetReport& report = *gate->report;
+  gate->operator_copy = OperatorCopy{
+      report.operator_revision, report.domains_digest, report.config_version};
   std::uint64_t& revision = board->operator_state.revision;
-  if (report.operator_digest == board->operator_digest) {
-    revision = std::max(revision, report.operator_revision);
-    gate->operator_update_sent = false;
-    return false;
-  }
-  const bool behind = report.operator_revision < revision;
-  if (behind && !gate->operator_update_sent) {
-    board->actions.push_back(
-        SendTo<OperatorUpdate>{from, {board->operator_state}});
-  }
-  gate->operator_update_sent = behind;
-  return report.operator_revision > revision;
+  const bool same_domains = report.domains_digest == board->domains_digest;
+  if (same_domains) revision = std::max(revision, report.operator_revision);
+  SendOperatorUpdate(board, now, gate);
+  return (!same_domains && report.operator_revision > revision) ||
+         report.config_version > board->operator_state.version;
 }
 
 /// Logs when the entry becomes ready for clients, or stops being ready.
@@ -237,6 +245,31 @@
               {"stopping", board->stopping ? "true" : "false"}});
 }
 
+/// Takes over the parts of an operator state that are newer than the entry's.
+void ApplyOperatorState(JobBoard* board, core::Time now, OperatorState state,
+                        bool domains_only, const std::string& source) {
+  const std::uint64_t old_revision = board->operator_state.revision;
+  const OperatorChange change = MergeOperatorState(
+      std::move(state), domains_only, &board->operator_state);
+  if (!change.configuration && !change.domains) return;
+  const OperatorState& applied = board->operator_state;
+  AddLogLine(board, "Applied a newer operator state.", source,
+             {{"revision", std::to_string(applied.revision)},
+              {"old_revision", std::to_string(old_revision)},
+              {"version", std::to_string(applied.version)},
+              {"queues", std::to_string(applied.queues.size())},
+              {"domains_out", std::to_string(applied.drained.size())}});
+  board->domains_digest = DomainsDigest(applied.drained);
+  for (auto& [address, gate] : board->gates) {
+    gate.operator_sync = OperatorSync{};
+    SendOperatorUpdate(board, now, &gate);
+    // The next tick tells the gate which configuration the entry has, so that
+    // it neither sends the entry a copy nor waits long for one.
+    if (change.configuration) gate.notice_sent_at = core::Time{};
+  }
+  FinishEvent(board, now);
+}
+
 }  // namespace
 
 void QueryRun(JobBoard* board, core::Time now, const GateLink& gate,
@@ -291,30 +324,7 @@
 
 void OnOperatorState(JobBoard* board, core::Time now, OperatorState state,
                      const std::string& source) {
-  if (state.revision <= board->operator_state.revision) return;
-  // The revision covers everything in the store. A lower version would come
-  // from a stale copy, so the version never decreases.
-  state.version = std::max(state.version, board->operator_state.version);
-  const std::uint64_t digest = ContentDigest(state);
-  if (digest == board->operator_digest) {
-    board->operator_state.revision = state.revision;
-    return;
-  }
-  AddLogLine(board, "Applied a newer operator state.", source,
-             {{"revision", std::to_string(state.revision)},
-              {"old_revision", std::to_string(board->operator_state.revision)},
-              {"version", std::to_string(state.version)},
-              {"queues", std::to_string(state.queues.size())},
-              {"domains_out", std::to_string(state.drained.size())}});
-  board->operator_digest = digest;
-  board->operator_state = std::move(state);
-  for (auto& [address, gate] : board->gates) {
-    gate.operator_update_sent = gate.connected;
-    if (!gate.connected) continue;
-    board->actions.push_back(
-        SendTo<OperatorUpdate>{gate.node, {board->operator_state}});
-  }
-  FinishEvent(board, now);
+  ApplyOperatorState(board, now, std::move(state), false, source);
 }
 
 void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
@@ -332,7 +342,7 @@
   gate.report = std::move(report);
   SendTargetHint(board, from, &gate);
   UpdateSuspicion(board, now, &gate);
-  const bool knows_newer = SyncOperatorState(board, from, &gate);
+  const bool knows_newer = SyncOperatorState(board, now, &gate);
   QueryUnconfirmedRuns(board, now, &gate);
   // This notice follows the claims of the gate's unclaimed runs and tells the
   // gate that this entry has no others.
@@ -353,8 +363,11 @@
 
 void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
                OperatorUpdate update) {
-  RecordGateContact(board, now, from);
-  OnOperatorState(board, now, std::move(update.state), core::ToString(from));
+  GateLink& gate = RecordGateContact(board, now, from);
+  if (!gate.operator_copy.has_value()) gate.operator_copy.emplace();
+  RecordOperatorUpdate(update, &*gate.operator_copy);
+  ApplyOperatorState(board, now, std::move(update.state), update.domains_only,
+                     core::ToString(from));
 }
 
 void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
--- a/coordinator/entry_internal.h
+++ b/coordinator/entry_internal.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "pseudo_random.h"
 #include "tarragon/coordinator/entry.h"
 
 /// Internal functions shared by the source files of the coordinating entry.
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "gate_internal.h"
+#include "operator_sync.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -39,7 +40,7 @@
   if (board.ended_runs.contains(start.run)) return RefusalReason::kSealed;
   if (HasRunOfTask(board, start.run.task)) return RefusalReason::kDuplicate;
   if (board.operator_state.revision < start.operator_revision &&
-      board.operator_digest != start.operator_digest) {
+      board.domains_digest != start.domains_digest) {
     return RefusalReason::kStale;
   }
   if (IsDrained(board.operator_state, board.domain)) {
@@ -145,6 +146,18 @@
   return home.room_changed && pause >= ComputeRoomReportPause(board);
 }
 
+void SendOperatorUpdates(GateBoard* board, core::Time now) {
+  for (auto& [address, home] : board->homes) {
+    if (!home.connected || !home.operator_copy.has_value()) continue;
+    std::optional<OperatorUpdate> update = NextOperatorUpdate(
+        board->operator_state, board->domains_digest, *home.operator_copy, now,
+        NextRandom(&board->random), &home.operator_sync);
+    if (!update.has_value()) continue;
+    board->actions.push_back(
+        SendTo<OperatorUpdate>{home.node, std::move(*update)});
+  }
+}
+
 void SendReports(GateBoard* board, core::Time now) {
   for (auto& [address, home] : board->homes) {
     if (!IsReportDue(*board, now, home)) continue;
@@ -159,7 +172,8 @@
     report.usable = IsUsable(*board, now);
     report.domain = board->domain;
     report.operator_revision = board->operator_state.revision;
-    report.operator_digest = board->operator_digest;
+    report.domains_digest = board->domains_digest;
+    report.config_version = board->operator_state.version;
     if (board->target.has_value()) {
       report.runs_known = board->target->runs_known;
       report.entries = static_cast<std::uint32_t>(board->homes.size());
@@ -181,7 +195,8 @@
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                const EntryNotice& notice) {
   HomeLink& home = RecordEntryContact(board, now, from);
-  home.operator_revision = notice.operator_revision;
+  home.operator_copy = OperatorCopy{
+      notice.operator_revision, notice.domains_digest, notice.config_version};
   // An echo from the future belongs to another VM that had this address.
   if (notice.echo.since_start.count() > 0 && notice.echo <= now) {
     home.echoed_report_at =
@@ -197,31 +212,29 @@
                {});
   }
   std::uint64_t& revision = board->operator_state.revision;
-  if (notice.operator_digest == board->operator_digest) {
+  if (notice.domains_digest == board->domains_digest) {
     revision = std::max(revision, notice.operator_revision);
-  } else if (notice.operator_revision < revision) {
-    board->actions.push_back(
-        SendTo<OperatorUpdate>{from, {board->operator_state}});
   }
   FinishEvent(board, now);
 }
 
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                OperatorUpdate update) {
-  RecordEntryContact(board, now, from);
-  if (update.state.revision <= board->operator_state.revision) return;
-  const std::uint64_t digest = ContentDigest(update.state);
-  if (digest == board->operator_digest) {
-    board->operator_state.revision = update.state.revision;
-    return;
-  }
+  HomeLink& sender = RecordEntryContact(board, now, from);
+  if (!sender.operator_copy.has_value()) sender.operator_copy.emplace();
+  RecordOperatorUpdate(update, &*sender.operator_copy);
   const bool was_drained = IsDrained(board->operator_state, board->domain);
+  const std::uint64_t old_revision = board->operator_state.revision;
+  const OperatorChange change = MergeOperatorState(
+      std::move(update.state), update.domains_only, &board->operator_state);
+  if (!change.configuration && !change.domains) return;
+  const OperatorState& applied = board->operator_state;
   AddLogLine(board, "Applied a newer operator state.", core::ToString(from),
-             {{"revision", std::to_string(update.state.revision)},
-              {"old_revision", std::to_string(board->operator_state.revision)},
-              {"version", std::to_string(update.state.version)}});
-  board->operator_digest = digest;
-  board->operator_state = std::move(update.state);
+             {{"revision", std::to_string(applied.revision)},
+              {"old_revision", std::to_string(old_revision)},
+              {"version", std::to_string(applied.version)}});
+  board->domains_digest = DomainsDigest(applied.drained);
+  for (auto& [address, home] : board->homes) home.operator_sync = {};
   const bool is_drained = IsDrained(board->operator_state, board->domain);
   if (was_drained != is_drained) {
     AddLogLine(board,
@@ -320,6 +333,7 @@
             std::to_string(core::Millis(now - link.last_heard_at)) + "ms"}});
     }
     link.connected = false;
+    link.operator_sync = OperatorSync{};
     link.want.reset();
     link.offer.reset();
   }
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "pseudo_random.h"
 #include "tarragon/coordinator/gate.h"
 
 /// Internal functions shared by the source files of the gate.
@@ -76,6 +77,9 @@
 /// Sums up the room that is offered to entries other than `home`.
 Room SumRoomOfferedToOthers(const GateBoard& board, const core::NodeId& home);
 
+/// Sends the entries what they lack of the operator state, once that is due.
+void SendOperatorUpdates(GateBoard* board, core::Time now);
+
 /// Sends the reports that are due.
 void SendReports(GateBoard* board, core::Time now);
 
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -435,6 +435,7 @@
   }
   PollIfDue(board, now);
   OfferFreeRoom(board, now);
+  SendOperatorUpdates(board, now);
   SendReports(board, now);
 }
 
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "tarragon/coordinator/message.h"
+#include "tarragon/coordinator/operator_sync_state.h"
 #include "tarragon/coordinator/policy.h"
 #include "tarragon/coordinator/target_history.h"
 #include "tarragon/core/clock.h"
@@ -133,7 +134,10 @@
   std::optional<core::Time> echoed_report_at;
   /// Sequence number of the last StartRun that was read.
   std::uint64_t starts_seen = 0;
-  std::uint64_t operator_revision = 0;
+  /// The entry's copy of the operator state, from its last notice; empty until
+  /// then.
+  std::optional<OperatorCopy> operator_copy;
+  OperatorSync operator_sync;
   core::Time report_sent_at;
   bool report_due = false;
   /// Runs of other entries have taken or released room since the last report.
@@ -235,8 +239,8 @@
   /// Failure domain of this VM.
   core::DomainId domain;
   OperatorState operator_state;
-  /// Digest of the content of `operator_state`.
-  std::uint64_t operator_digest = ContentDigest(OperatorState{});
+  /// Digest of `operator_state.drained`.
+  std::uint64_t domains_digest = DomainsDigest({});
   std::optional<Target> target;
   std::map<RunRef, GateRun> runs;
   std::map<RunRef, EndedRun> ended_runs;
@@ -245,6 +249,8 @@
   /// Polls that are not answered yet, by number.
   std::map<std::uint64_t, OpenPoll> polls;
   std::uint64_t last_poll = 0;
+  /// State of the pseudo-random generator that spreads updates over time.
+  std::uint64_t random = 0x9e3779b97f4a7c15ULL;
   bool stopping = false;
   /// Usability of the target as last logged.
   bool was_usable = false;
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -14,6 +14,7 @@
 
 #include "tarragon/coordinator/gate_board.h"
 #include "tarragon/coordinator/message.h"
+#include "tarragon/coordinator/operator_sync_state.h"
 #include "tarragon/coordinator/policy.h"
 #include "tarragon/coordinator/run_times.h"
 #include "tarragon/core/clock.h"
@@ -195,8 +196,9 @@
   bool echo_due = true;
   /// A TargetHint was sent to this incarnation of the gate.
   bool hint_sent = false;
-  /// The entry's current operator state was sent to the gate.
-  bool operator_update_sent = false;
+  /// The gate's copy of the operator state; empty until it has told.
+  std::optional<OperatorCopy> operator_copy;
+  OperatorSync operator_sync;
   std::deque<UncountedStart> uncounted_starts;
   std::map<RunRef, PlacedRun> runs;
   TargetHealth health;
@@ -251,8 +253,8 @@
   /// Failure domain of this VM.
   core::DomainId domain;
   OperatorState operator_state;
-  /// Digest of the content of `operator_state`.
-  std::uint64_t operator_digest = ContentDigest(OperatorState{});
+  /// Digest of `operator_state.drained`.
+  std::uint64_t domains_digest = DomainsDigest({});
   std::map<core::Address, GateLink> gates;
   std::map<JobId, std::unique_ptr<Job>> jobs;
   std::set<WaitingTask> waiting_tasks;
@@ -264,6 +266,8 @@
   RunTimes run_times;
   std::uint64_t last_job_serial = 0;
   std::uint64_t last_start_sequence = 0;
+  /// When the process started.
+  core::Time started_at;
   /// Empty until the first tick.
   std::optional<core::Time> last_tick_at;
   /// After a stall nothing is started before this time.
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -21,9 +21,11 @@
   /// Clock of the gate in the last report that the entry has received; zero for
   /// none.
   core::Time echo;
-  /// Revision and digest of the operator state that the entry has.
+  /// Revision and digest of the drained domains that the entry knows, and the
+  /// version of its configuration.
   std::uint64_t operator_revision = 0;
-  std::uint64_t operator_digest = 0;
+  std::uint64_t domains_digest = 0;
+  std::uint64_t config_version = 0;
 
   bool operator==(const EntryNotice&) const = default;
 };
@@ -31,6 +33,8 @@
 /// Entry to gate or gate to entry: a newer copy of the operator state.
 struct OperatorUpdate {
   OperatorState state;
+  /// The state has no configuration, only the drained domains.
+  bool domains_only = false;
 
   bool operator==(const OperatorUpdate&) const = default;
 };
@@ -68,9 +72,11 @@
   std::uint32_t slowness_permille = 1000;
   /// Share of recent jobs with a failed run, in thousandths.
   std::uint32_t failed_permille = 0;
-  /// Revision and digest of the operator state that the gate has.
+  /// Revision and digest of the drained domains that the gate knows, and the
+  /// version of its copy of the configuration.
   std::uint64_t operator_revision = 0;
-  std::uint64_t operator_digest = 0;
+  std::uint64_t domains_digest = 0;
+  std::uint64_t config_version = 0;
   /// Part of `free` is reserved for the receiving entry, which has requested
   /// room, until it answers with StartRun or RoomWanted, for a few milliseconds
   /// at most.
@@ -115,9 +121,9 @@
   /// On the gate's clock; a StartRun that is read later is refused.
   core::Time start_by;
   core::Duration expected_run{0};
-  /// The operator state by which the entry decided.
+  /// The drained domains by which the entry decided.
   std::uint64_t operator_revision = 0;
-  std::uint64_t operator_digest = 0;
+  std::uint64_t domains_digest = 0;
 
   bool operator==(const StartRun&) const = default;
 };
--- a/coordinator/include/tarragon/coordinator/operator_state.h
+++ b/coordinator/include/tarragon/coordinator/operator_state.h
@@ -38,12 +38,14 @@
   bool operator==(const Queue&) const = default;
 };
 
-/// Configuration set by the operators. A copy with a higher revision is newer.
+/// What the operators have set, in two parts that are passed on separately: the
+/// configuration, which may be large, and the failure domains out of service.
 struct OperatorState {
-  /// Value of the store's revision counter when this copy was read; zero for
-  /// none.
+  /// Value of the store's revision counter when `drained` was read; zero for
+  /// none. A copy of `drained` with a higher revision is newer.
   std::uint64_t revision = 0;
-  /// Version of the configuration; zero for none.
+  /// Version of the configuration; zero for none. The operators only increase
+  /// it.
   std::uint64_t version = 0;
   std::vector<Queue> queues;
   /// Failure domains in which nothing may start.
@@ -52,9 +54,21 @@
   bool operator==(const OperatorState&) const = default;
 };
 
-/// Digest of everything but the revision, which the store also increments for
-/// changes of unrelated rows.
-std::uint64_t ContentDigest(const OperatorState& state);
+/// Digest of the failure domains out of service. Copies with the same digest
+/// need no update, although the store increments the revision for changes of
+/// unrelated rows as well.
+std::uint64_t DomainsDigest(const std::vector<core::DomainId>& drained);
+
+/// The parts of an operator state that have changed.
+struct OperatorChange {
+  bool configuration = false;
+  bool domains = false;
+};
+
+/// Takes over each part of `incoming` that is newer. With `domains_only` its
+/// configuration is absent.
+OperatorChange MergeOperatorState(OperatorState incoming, bool domains_only,
+                                  OperatorState* own);
 
 /// The queue to which a request belongs; null if there is none.
 const Queue* FindQueue(const OperatorState& state, std::string_view host,
--- a/coordinator/operator_state.cc
+++ b/coordinator/operator_state.cc
@@ -1,6 +1,7 @@
 #include "tarragon/coordinator/operator_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tarragon::coordinator {
 
@@ -49,30 +50,27 @@
 
 }  // namespace
 
-std::uint64_t ContentDigest(const OperatorState& state) {
+std::uint64_t DomainsDigest(const std::vector<core::DomainId>& drained) {
   Digest digest;
-  digest.Add(state.version);
-  digest.Add(state.queues.size());
-  for (const Queue& queue : state.queues) {
-    const auto& [name, host, path_prefix, service, priority, max_attempts,
-                 stretch_permille, latency_target, timeout, needs_advice] =
-        queue;
-    digest.Add(name.value());
-    digest.Add(host);
-    digest.Add(path_prefix);
-    digest.Add(service.value());
-    digest.Add(std::uint64_t{priority});
-    digest.Add(std::uint64_t{max_attempts});
-    digest.Add(std::uint64_t{stretch_permille});
-    digest.Add(static_cast<std::uint64_t>(latency_target.count()));
-    digest.Add(static_cast<std::uint64_t>(timeout.count()));
-    digest.Add(std::uint64_t{needs_advice});
+  digest.Add(drained.size());
+  for (const core::DomainId& domain : drained) digest.Add(domain.value());
+  return digest.value();
+}
+
+OperatorChange MergeOperatorState(OperatorState incoming, bool domains_only,
+                                  OperatorState* own) {
+  OperatorChange change;
+  if (!domains_only && incoming.version > own->version) {
+    change.configuration = true;
+    own->version = incoming.version;
+    own->queues = std::move(incoming.queues);
   }
-  digest.Add(state.drained.size());
-  for (const core::DomainId& domain : state.drained) {
-    digest.Add(domain.value());
+  if (incoming.revision > own->revision) {
+    change.domains = incoming.drained != own->drained;
+    own->revision = incoming.revision;
+    own->drained = std::move(incoming.drained);
   }
-  return digest.value();
+  return change;
 }
 
 }  // namespace tarragon::coordinator
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -90,13 +90,7 @@
 
 }  // namespace
 
-std::uint64_t NextRandom(JobBoard* board) {
-  // xorshift64: cheap, and random enough to break ties.
-  board->random ^= board->random << 13;
-  board->random ^= board->random >> 7;
-  board->random ^= board->random << 17;
-  return board->random;
-}
+std::uint64_t NextRandom(JobBoard* board) { return NextRandom(&board->random); }
 
 bool IsUsable(const JobBoard& board, core::Time now, const GateLink& gate) {
   return gate.connected && gate.report.has_value() && gate.report->usable &&
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -69,7 +69,7 @@
   start.start_by = gate_now + board->policy.start_window;
   start.expected_run = EstimateRunTime(*board, *job, *task);
   start.operator_revision = board->operator_state.revision;
-  start.operator_digest = board->operator_digest;
+  start.domains_digest = board->domains_digest;
   ++job->ordered_runs;
   ++board->counts.starts;
   if (gate->health.suspect) gate->health.last_trial_at = now;
--- a/coordinator/tests/entry_gate_test.cc
+++ b/coordinator/tests/entry_gate_test.cc
@@ -196,7 +196,7 @@
     TakeActions<SendTo<OperatorUpdate>>();
     TargetReport report = *board_.gates.at(GateId(1).address).report;
     report.operator_revision = 0;
-    report.operator_digest = board_.operator_digest;
+    report.domains_digest = board_.domains_digest;
     OnMessage(&board_, now_, GateId(1), report);
     CPPUNIT_ASSERT(TakeActions<SendTo<OperatorUpdate>>().empty());
     // Changes of other rows have increased the store's revision.
--- a/coordinator/tests/entry_job_test.cc
+++ b/coordinator/tests/entry_job_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(LimitsTasksOfStepPerTarget);
   CPPUNIT_TEST(WaitsForNewlyFoundGates);
   CPPUNIT_TEST(RefusesWhenFoundGatesStaySilent);
+  CPPUNIT_TEST(WaitsForGatesAfterStart);
   CPPUNIT_TEST(QueuesLostTaskOfLateJobBehindJobsInTime);
   CPPUNIT_TEST_SUITE_END();
 
@@ -52,6 +53,20 @@
                          next[0].message.run.task.job.value());
   }
 
+  void WaitsForGatesAfterStart() {
+    board_.started_at = now_;
+    const CallId early = Submit("j1", 1);
+    CPPUNIT_ASSERT(!TakeAnswerTo(early).has_value());
+    OnGateFound(&board_, now_, GateId(1).address);
+    Report(GateId(1), 16000);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeStarts().size());
+    setUp();
+    board_.started_at = now_;
+    now_ = now_ + std::chrono::milliseconds(501);
+    const CallId late = Submit("j1", 1);
+    AssertRefusal(late, Refusal::kNoTarget);
+  }
+
   void WaitsForNewlyFoundGates() {
     OnGateFound(&board_, now_, GateId(1).address);
     OnGateFound(&board_, now_, GateId(2).address);
--- a/coordinator/tests/gate_fixture.h
+++ b/coordinator/tests/gate_fixture.h
@@ -30,8 +30,8 @@
     now_ = core::Time{std::chrono::seconds(100)};
     Announce(1, 1);
     AnswerPoll({}, {});
-    OnMessage(&board_, now_, kEntry, EntryNotice{});
-    OnMessage(&board_, now_, kOtherEntry, EntryNotice{});
+    OnMessage(&board_, now_, kEntry, MakeNotice({}));
+    OnMessage(&board_, now_, kOtherEntry, MakeNotice({}));
     TakeActions<OrderPoll>();
     board_.actions.clear();
   }
@@ -61,13 +61,18 @@
     while (now_ < end) {
       now_ = std::min(now_ + kStep, end);
       if (entries_heard) {
-        OnMessage(&board_, now_, kEntry, EntryNotice{now_, 0});
-        OnMessage(&board_, now_, kOtherEntry, EntryNotice{now_, 0});
+        OnMessage(&board_, now_, kEntry, MakeNotice(now_));
+        OnMessage(&board_, now_, kOtherEntry, MakeNotice(now_));
       }
       OnTick(&board_, now_);
     }
   }
 
+  /// The notice of an entry that knows of no drained domain.
+  static EntryNotice MakeNotice(core::Time echo) {
+    return {echo, 0, DomainsDigest({}), 0};
+  }
+
   static RunRef MakeRun(std::uint32_t index, std::uint32_t number = 1) {
     return {{JobId("job"), 0, index}, number};
   }
--- a/coordinator/tests/gate_start_test.cc
+++ b/coordinator/tests/gate_start_test.cc
@@ -98,14 +98,13 @@
     start.room = {1600, 10, 0};
     start.start_by = now_ + std::chrono::milliseconds(1);
     start.operator_revision = 9;
-    start.operator_digest = board_.operator_digest;
+    start.domains_digest = board_.domains_digest;
     OnMessage(&board_, now_, kEntry, start);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeActions<OrderStart>().size());
   }
 
   void AdoptsNewerRevisionOfSameState() {
-    OnMessage(&board_, now_, kEntry,
-              EntryNotice{{}, 9, board_.operator_digest});
+    OnMessage(&board_, now_, kEntry, EntryNotice{{}, 9, board_.domains_digest});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, board_.operator_state.revision);
     // An older revision with other content is ignored.
     OperatorState old;
@@ -175,12 +174,14 @@
     state.version = 2;
     OnMessage(&board_, now_, kOtherEntry, OperatorUpdate{state});
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, board_.operator_state.version);
-    // The entry with the older state is sent the newer one.
-    TakeActions<SendTo<OperatorUpdate>>();
-    OnMessage(&board_, now_, kOtherEntry, EntryNotice{now_, 4});
+    OnMessage(&board_, now_, kOtherEntry,
+              EntryNotice{now_, 4, DomainsDigest({}), 2});
+    // The entry with the older state is sent the newer one, and the other one
+    // nothing.
     const auto updates = TakeActions<SendTo<OperatorUpdate>>();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, updates.size());
     CPPUNIT_ASSERT(kOtherEntry == updates[0].to);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, updates[0].message.state.version);
   }
 
   void IgnoresDelayedAnnouncement() {
--- a/coordinator/tests/operator_state_test.cc
+++ b/coordinator/tests/operator_state_test.cc
@@ -7,54 +7,95 @@
 namespace tarragon::coordinator {
 namespace {
 
-/// When two copies of the operator state have the same digest.
+/// How two copies of the operator state are compared and merged.
 class OperatorStateTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OperatorStateTest);
-  CPPUNIT_TEST(ExcludesRevisionFromDigest);
-  CPPUNIT_TEST(DetectsEveryOtherDifference);
+  CPPUNIT_TEST(DigestTellsDomainsApart);
+  CPPUNIT_TEST(TakesNewerParts);
+  CPPUNIT_TEST(KeepsPartsThatAreNotNewer);
+  CPPUNIT_TEST(TakesEachPartByItself);
+  CPPUNIT_TEST(DomainsAloneKeepConfiguration);
+  CPPUNIT_TEST(ReportsNoChangeOfSameDomains);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  static OperatorState State() {
+  static OperatorState State(std::uint64_t revision, std::uint64_t version,
+                             const char* domain) {
     OperatorState state;
-    state.revision = 3;
-    state.version = 2;
+    state.revision = revision;
+    state.version = version;
     Queue queue;
-    queue.name = QueueId("checks");
-    queue.host = "q.example";
-    queue.path_prefix = "/checks/";
-    queue.service = core::ServiceId("carve");
+    queue.name = QueueId("checks-" + std::to_string(version));
     state.queues = {queue};
-    state.drained = {core::DomainId("szeged")};
+    state.drained = {core::DomainId(domain)};
     return state;
   }
 
-  void ExcludesRevisionFromDigest() {
-    OperatorState later = State();
-    later.revision = 9;
-    CPPUNIT_ASSERT_EQUAL(ContentDigest(State()), ContentDigest(later));
+  void DigestTellsDomainsApart() {
+    const core::DomainId a("szeged");
+    const core::DomainId b("bekes");
+    const std::vector<std::vector<core::DomainId>> lists = {
+        {}, {a}, {b}, {a, b}, {b, a}, {core::DomainId("szegedbekes")}};
+    std::set<std::uint64_t> digests;
+    for (const std::vector<core::DomainId>& list : lists) {
+      digests.insert(DomainsDigest(list));
+    }
+    CPPUNIT_ASSERT_EQUAL(lists.size(), digests.size());
+    CPPUNIT_ASSERT_EQUAL(DomainsDigest({a}), DomainsDigest({a}));
   }
 
-  void DetectsEveryOtherDifference() {
-    std::vector<OperatorState> states(14, State());
-    states[1].version = 3;
-    states[2].queues[0].name = QueueId("check");
-    states[3].queues[0].host = "r.example";
-    states[4].queues[0].path_prefix = "/check/";
-    states[5].queues[0].service = core::ServiceId("mill");
-    states[6].queues[0].priority = 1;
-    states[7].queues[0].max_attempts = 2;
-    states[8].queues[0].stretch_permille = 1600;
-    states[9].queues[0].latency_target = std::chrono::milliseconds(1);
-    states[10].queues[0].timeout = std::chrono::milliseconds(1);
-    states[11].queues[0].needs_advice = true;
-    states[12].drained = {core::DomainId("bekes")};
-    states[13].queues.push_back(states[13].queues[0]);
-    std::set<std::uint64_t> digests;
-    for (const OperatorState& state : states) {
-      digests.insert(ContentDigest(state));
+  void TakesNewerParts() {
+    OperatorState own = State(3, 2, "szeged");
+    const OperatorState newer = State(4, 3, "bekes");
+    const OperatorChange change = MergeOperatorState(newer, false, &own);
+    CPPUNIT_ASSERT(change.configuration && change.domains);
+    CPPUNIT_ASSERT(newer == own);
+  }
+
+  void KeepsPartsThatAreNotNewer() {
+    const OperatorState before = State(3, 2, "szeged");
+    for (const std::uint64_t revision : {2, 3}) {
+      for (const std::uint64_t version : {1, 2}) {
+        OperatorState own = before;
+        const OperatorChange change =
+            MergeOperatorState(State(revision, version, "bekes"), false, &own);
+        CPPUNIT_ASSERT(!change.configuration && !change.domains);
+        CPPUNIT_ASSERT(before == own);
+      }
     }
-    CPPUNIT_ASSERT_EQUAL(states.size(), digests.size());
+  }
+
+  void TakesEachPartByItself() {
+    OperatorState own = State(3, 2, "szeged");
+    CPPUNIT_ASSERT(
+        MergeOperatorState(State(2, 5, "bekes"), false, &own).configuration);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, own.version);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, own.revision);
+    CPPUNIT_ASSERT_EQUAL(std::string("szeged"), own.drained.at(0).value());
+    CPPUNIT_ASSERT(
+        MergeOperatorState(State(7, 4, "bekes"), false, &own).domains);
+    CPPUNIT_ASSERT_EQUAL(std::string("bekes"), own.drained.at(0).value());
+    CPPUNIT_ASSERT_EQUAL(std::string("checks-5"),
+                         own.queues.at(0).name.value());
+  }
+
+  void DomainsAloneKeepConfiguration() {
+    OperatorState own = State(3, 2, "szeged");
+    OperatorState domains;
+    domains.revision = 4;
+    domains.version = 9;
+    CPPUNIT_ASSERT(MergeOperatorState(domains, true, &own).domains);
+    CPPUNIT_ASSERT(own.drained.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, own.version);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, own.queues.size());
+  }
+
+  void ReportsNoChangeOfSameDomains() {
+    OperatorState own = State(3, 2, "szeged");
+    const OperatorChange change =
+        MergeOperatorState(State(9, 2, "szeged"), false, &own);
+    CPPUNIT_ASSERT(!change.configuration && !change.domains);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, own.revision);
   }
 };
 
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -87,6 +87,7 @@
     if (!node.has_value()) return false;
     node_ = *node;
     board_.domain = node_.domain;
+    board_.started_at = clock_.Now();
     board_.random ^= core::RandomIncarnation().value();
     wire::WireError wire_error;
     if (!transport_.Listen(ReadPeerListenAddress(settings_, node_.peer_address),
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -67,6 +67,7 @@
     if (!node.has_value()) return false;
     node_ = *node;
     board_.domain = node_.domain;
+    board_.random ^= core::RandomIncarnation().value();
     wire::WireError wire_error;
     if (!transport_.Listen(ReadPeerListenAddress(settings_, node_.peer_address),
                            node_.peer_address, &wire_error)) {
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -79,7 +79,7 @@
   const auto& [clock, starts_seen, usable, runs_known, target, born, sequence,
                address, draining, service, domain, labels, capacity, free,
                entries, slowness_permille, failed_permille, operator_revision,
-               operator_digest, offered] = message;
+               domains_digest, config_version, offered] = message;
   report->set_clock_us(ClockMicros(clock));
   report->set_starts_seen(starts_seen);
   report->set_usable(usable);
@@ -100,7 +100,8 @@
   report->set_slowness_permille(slowness_permille);
   report->set_failed_permille(failed_permille);
   report->set_operator_revision(operator_revision);
-  report->set_operator_digest(operator_digest);
+  report->set_domains_digest(domains_digest);
+  report->set_config_version(config_version);
   report->set_offered(offered);
 }
 
@@ -113,7 +114,8 @@
   report->clear_labels();
   report->clear_capacity();
   report->clear_entries();
-  report->clear_operator_digest();
+  report->clear_domains_digest();
+  report->clear_config_version();
   report->set_same_target(true);
 }
 
@@ -138,7 +140,8 @@
   out->slowness_permille = in->slowness_permille();
   out->failed_permille = in->failed_permille();
   out->operator_revision = in->operator_revision();
-  out->operator_digest = in->operator_digest();
+  out->domains_digest = in->domains_digest();
+  out->config_version = in->config_version();
   out->offered = in->offered();
   return ReadClock(in->clock_us(), &out->clock, reason);
 }
@@ -146,22 +149,27 @@
 }  // namespace
 
 void ToProto(const coordinator::EntryNotice& message, Envelope* out) {
-  const auto& [echo, operator_revision, operator_digest] = message;
+  const auto& [echo, operator_revision, domains_digest, config_version] =
+      message;
   EntryNotice* notice = out->mutable_entry_notice();
   notice->set_echo_us(ClockMicros(echo));
   notice->set_operator_revision(operator_revision);
-  notice->set_operator_digest(operator_digest);
+  notice->set_domains_digest(domains_digest);
+  notice->set_config_version(config_version);
 }
 
 bool FromProto(EntryNotice* in, coordinator::EntryNotice* out,
                WireError* reason) {
   out->operator_revision = in->operator_revision();
-  out->operator_digest = in->operator_digest();
+  out->domains_digest = in->domains_digest();
+  out->config_version = in->config_version();
   return ReadClock(in->echo_us(), &out->echo, reason);
 }
 
 void ToProto(const coordinator::OperatorUpdate& message, Envelope* out) {
-  const auto& [revision, version, queues, drained] = message.state;
+  const auto& [whole, domains_only] = message;
+  const auto& [revision, version, queues, drained] = whole;
+  out->mutable_operator_update()->set_domains_only(domains_only);
   OperatorState* state = out->mutable_operator_update()->mutable_state();
   state->set_revision(revision);
   state->set_version(version);
@@ -176,6 +184,7 @@
 bool FromProto(OperatorUpdate* in, coordinator::OperatorUpdate* out,
                WireError* reason) {
   if (!Require(in->has_state(), "state", reason)) return false;
+  out->domains_only = in->domains_only();
   OperatorState* state = in->mutable_state();
   out->state.revision = state->revision();
   out->state.version = state->version();
@@ -216,7 +225,8 @@
   to->labels = from.labels;
   to->capacity = from.capacity;
   to->entries = from.entries;
-  to->operator_digest = from.operator_digest;
+  to->domains_digest = from.domains_digest;
+  to->config_version = from.config_version;
 }
 
 bool DescribesSameTarget(const coordinator::TargetReport& previous,
@@ -226,7 +236,8 @@
          previous.domain == next.domain && previous.labels == next.labels &&
          previous.capacity == next.capacity &&
          previous.entries == next.entries &&
-         previous.operator_digest == next.operator_digest;
+         previous.domains_digest == next.domains_digest &&
+         previous.config_version == next.config_version;
 }
 
 void ToProto(const coordinator::RoomWanted& message, Envelope* out) {
@@ -256,7 +267,7 @@
 
 void ToProto(const coordinator::StartRun& message, Envelope* out) {
   const auto& [run, sequence, service, room, payload, required, start_by,
-               expected_run, operator_revision, operator_digest] = message;
+               expected_run, operator_revision, domains_digest] = message;
   StartRun* start = out->mutable_start_run();
   ToProto(run, start->mutable_run());
   start->set_sequence(sequence);
@@ -267,7 +278,7 @@
   start->set_start_by_us(ClockMicros(start_by));
   start->set_expected_run_us(ToMicros(expected_run));
   start->set_operator_revision(operator_revision);
-  start->set_operator_digest(operator_digest);
+  start->set_domains_digest(domains_digest);
 }
 
 bool FromProto(StartRun* in, coordinator::StartRun* out, WireError* reason) {
@@ -280,7 +291,7 @@
   out->payload = std::move(*in->mutable_payload());
   out->required = TakeId<coordinator::Label>(in->mutable_required());
   out->operator_revision = in->operator_revision();
-  out->operator_digest = in->operator_digest();
+  out->domains_digest = in->domains_digest();
   return ReadClock(in->start_by_us(), &out->start_by, reason) &&
          FromMicros(in->expected_run_us(), &out->expected_run, reason);
 }
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -189,7 +189,7 @@
     report.free = {8000, 32000, 0};
     report.entries = 35;
     report.operator_revision = 1200;
-    report.operator_digest = 0x1234567890abcdefULL;
+    report.domains_digest = 0x1234567890abcdefULL;
     return report;
   }
 
@@ -213,7 +213,7 @@
     other.labels.pop_back();
     CPPUNIT_ASSERT(!DescribesSameTarget(first, other));
     other = first;
-    other.operator_digest = 1;
+    other.domains_digest = 1;
     CPPUNIT_ASSERT(!DescribesSameTarget(first, other));
     other = first;
     other.born = coordinator::TargetIncarnation(2);
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -163,7 +163,7 @@
   queue.latency_target = microseconds(60000);
   queue.timeout = microseconds(1500000);
   queue.needs_advice = true;
-  return {{7, 8, {queue}, {core::DomainId("szeged")}}};
+  return {{7, 8, {queue}, {core::DomainId("szeged")}}, true};
 }
 
 coordinator::TargetReport SampleTargetReport() {
@@ -186,7 +186,8 @@
   report.slowness_permille = 2200;
   report.failed_permille = 37;
   report.operator_revision = 34;
-  report.operator_digest = 0x8000000000000007ULL;
+  report.domains_digest = 0x8000000000000007ULL;
+  report.config_version = 12;
   report.offered = true;
   return report;
 }
--- a/wire/tests/transport_test.cc
+++ b/wire/tests/transport_test.cc
@@ -333,7 +333,7 @@
     report.service = core::ServiceId("last-shaping");
     report.domain = core::DomainId("kecskemet");
     report.capacity = {16000, 32768, 0};
-    report.operator_digest = 0x1234567890abcdefULL;
+    report.domains_digest = 0x1234567890abcdefULL;
     report.labels = {coordinator::Label("a"), coordinator::Label("r1-3")};
     std::vector<std::uint64_t> sizes;
     std::uint64_t bytes = 0;
