Daemons: report the operators' rows only after a full read

Cause, found by reading: with more than a page of rows (500) the state was reported after each page, so that a drained domain on the second was in service meanwhile; and if the second page failed, the watch went on from the first one's revision and never read it. Change: the state is reported and the watch begun after the last page; a failed page begins the read anew. Tests: OperatorWatchTest::KeepsDomainsOutWhileReadingSeveralPages and ReadsInFullAgainAfterFailedPage.

--- a/daemons/operator_watch.cc
+++ b/daemons/operator_watch.cc
@@ -31,13 +31,18 @@
                      RecordStoreAnswer(*page);
                      if (from.empty()) {
                        platform::BeginFullRead(&rows_);
-                       watched_revision_ = page->revision;
+                       watched_revision_.reset();
+                       full_read_revision_ = page->revision;
                      }
                      ApplyPage(*page);
                      if (page->has_more && !page->rows.empty()) {
                        // The smallest key after the last one that was read.
                        return ReadAllRows(page->rows.back().key + '\0');
                      }
+                     // Not before the last page: until then drained domains
+                     // may be missing.
+                     watched_revision_ = full_read_revision_;
+                     on_state_(rows_.state);
                      WatchChanges();
                    });
 }
@@ -50,7 +55,10 @@
                   RecordStoreAnswer(*page);
                   if (page->revision > *watched_revision_)
                     watched_revision_ = page->revision;
-                  if (!page->rows.empty()) ApplyPage(*page);
+                  if (!page->rows.empty()) {
+                    ApplyPage(*page);
+                    on_state_(rows_.state);
+                  }
                   WatchChanges();
                 });
 }
@@ -62,7 +70,6 @@
     WatchLog().Warn("Skipped an invalid row of the operators' table.",
                     {{"fault", error}});
   }
-  on_state_(rows_.state);
 }
 
 void OperatorWatch::RecordStoreAnswer(const platform::StorePage& page) {
--- a/daemons/operator_watch.h
+++ b/daemons/operator_watch.h
@@ -17,7 +17,7 @@
 /// has the history since the last known revision.
 class OperatorWatch {
  public:
-  /// Called with the whole state after each page that was applied.
+  /// Called with the whole state after each full read and each change.
   using StateCallback = std::function<void(const coordinator::OperatorState&)>;
 
   OperatorWatch(boost::asio::io_context& io, platform::StoreClient* store,
@@ -36,9 +36,11 @@
   StateCallback on_state_;
   boost::asio::steady_timer timer_;
   platform::OperatorRows rows_;
-  /// Revision of the store up to which all changes are known. Nothing before
-  /// the first page of the first full read.
+  /// Revision of the store up to which all changes are known. Nothing until a
+  /// full read is complete.
   std::optional<std::uint64_t> watched_revision_;
+  /// Revision of the store at the first page of the full read in progress.
+  std::uint64_t full_read_revision_ = 0;
   bool store_available_ = true;
 };
 
--- a/daemons/tests/operator_watch_test.cc
+++ b/daemons/tests/operator_watch_test.cc
@@ -25,6 +25,8 @@
   CPPUNIT_TEST(ReportsChangedRows);
   CPPUNIT_TEST(ReadsInFullWhenHistoryIsMissing);
   CPPUNIT_TEST(ResumesWatchAfterOutage);
+  CPPUNIT_TEST(KeepsDomainsOutWhileReadingSeveralPages);
+  CPPUNIT_TEST(ReadsInFullAgainAfterFailedPage);
   CPPUNIT_TEST(FindsOtherMembers);
   CPPUNIT_TEST(RegistersAfterOutage);
   CPPUNIT_TEST(ReadsPolicyFromSettings);
@@ -108,6 +110,48 @@
     return found;
   }
 
+  /// Puts a drained domain on the second page of the table.
+  void FillTwoPages() {
+    for (int i = 0; i < 600; ++i) {
+      store_->Put("op", "aside/" + std::to_string(i), "{}");
+    }
+    store_->Put("op", "evacuate/szeged", "{}");
+  }
+
+  void ReadsInFullAgainAfterFailedPage() {
+    FillTwoPages();
+    watch_ = std::make_unique<OperatorWatch>(
+        *io_, client_.get(),
+        [this](const coordinator::OperatorState& state) { state_ = state; });
+    watch_->Start();
+    RunUntil([this]() { return store_->reads() == 1; });
+    store_->SetRefusing(true);
+    RunUntil([this]() { return store_->refusals() > 0; });
+    store_->SetRefusing(false);
+    RunUntil([this]() { return state_.version == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state_.drained.size());
+  }
+
+  void KeepsDomainsOutWhileReadingSeveralPages() {
+    FillTwoPages();
+    int states_without_domain = 0;
+    watch_ = std::make_unique<OperatorWatch>(
+        *io_, client_.get(),
+        [this,
+         &states_without_domain](const coordinator::OperatorState& state) {
+          state_ = state;
+          if (state.drained.empty()) ++states_without_domain;
+        });
+    watch_->Start();
+    RunUntil([this]() { return !state_.drained.empty(); });
+    CPPUNIT_ASSERT_EQUAL(0, states_without_domain);
+    // The same when the history has gone and the table is read again.
+    store_->DiscardHistory();
+    store_->Put("op", "config", Config(2));
+    RunUntil([this]() { return state_.version == 2; });
+    CPPUNIT_ASSERT_EQUAL(0, states_without_domain);
+  }
+
   void FindsOtherMembers() {
     FindMembers(MemberKind::kGate, "10.0.0.1:1");
     const std::set<std::string> found =
--- a/tests/soak/fake_store.cc
+++ b/tests/soak/fake_store.cc
@@ -155,6 +155,7 @@
 
 void FakeStore::HandleGet(const http::Request& request,
                           const http::Responder& answer) {
+  ++reads_;
   const std::string limit = QueryParameter(request, "limit");
   http::Response response;
   response.body = SerializeRows(
--- a/tests/soak/fake_store.h
+++ b/tests/soak/fake_store.h
@@ -34,6 +34,8 @@
   std::size_t CountRows(const std::string& table) const;
   /// Rows that the programs have written.
   int writes() const { return writes_; }
+  /// Reads of tables that were answered.
+  int reads() const { return reads_; }
   /// Requests that were answered with 503.
   int refusals() const { return refusals_; }
   /// Discards the change feed: readers that are behind get status 410 and must
@@ -79,6 +81,7 @@
   std::chrono::milliseconds delay_{0};
   int writes_ = 0;
   int refusals_ = 0;
+  int reads_ = 0;
 };
 
 }  // namespace tarragon::soak
