Coordinator: send domains again that a peer does not show to have

Cause, found by reading the diff: an update of the drained domains that was lost with a connection whose end the sender did not notice was never repeated, as the peer stays behind and the sender took it for sent. Change: it is sent again after 500 ms, as a configuration is after 3 s. Test: OperatorSyncTest::SendsLostDomainsAgain.

--- a/coordinator/include/tarragon/coordinator/operator_sync_state.h
+++ b/coordinator/include/tarragon/coordinator/operator_sync_state.h
@@ -21,8 +21,9 @@
 
 /// What was sent to a peer over the present connection.
 struct OperatorSync {
-  /// The domains were sent, and the peer has not shown yet that it has them.
-  bool domains_sent = false;
+  /// When the domains were sent; empty once the peer has shown that it has
+  /// them.
+  std::optional<core::Time> domains_sent_at;
   /// When the configuration is sent, unless the peer has it by then.
   std::optional<core::Time> config_due_at;
   std::optional<core::Time> config_sent_at;
--- a/coordinator/operator_sync.cc
+++ b/coordinator/operator_sync.cc
@@ -10,8 +10,9 @@
 /// of so many bytes. One that takes less than `kMinSpread` is sent at once.
 constexpr std::size_t kSpreadBytesPerMs = 128;
 constexpr core::Duration kMinSpread = std::chrono::milliseconds(20);
-/// A configuration that the peer does not show to have after this time is sent
-/// again.
+/// What the peer does not show to have after these times is sent again: it may
+/// have been lost with a connection whose end was not noticed here.
+constexpr core::Duration kDomainsResend = std::chrono::milliseconds(500);
 constexpr core::Duration kConfigResend = std::chrono::seconds(3);
 /// Encoded size of a queue without its texts.
 constexpr std::size_t kQueueBytes = 32;
@@ -34,6 +35,18 @@
       random % static_cast<std::uint64_t>(spread.count())));
 }
 
+/// True if the drained domains are to be sent now.
+bool AreDomainsDue(const OperatorState& own, std::uint64_t domains_digest,
+                   const OperatorCopy& peer, core::Time now,
+                   OperatorSync* sync) {
+  if (peer.domains_digest == domains_digest || peer.revision >= own.revision) {
+    sync->domains_sent_at.reset();
+    return false;
+  }
+  return !sync->domains_sent_at.has_value() ||
+         now - *sync->domains_sent_at >= kDomainsResend;
+}
+
 /// True if the configuration is to be sent now.
 bool IsConfigDue(const OperatorState& own, const OperatorCopy& peer,
                  core::Time now, std::uint64_t random, OperatorSync* sync) {
@@ -70,16 +83,15 @@
                                                  core::Time now,
                                                  std::uint64_t random,
                                                  OperatorSync* sync) {
-  const bool domains_behind =
-      peer.domains_digest != domains_digest && peer.revision < own.revision;
-  const bool send_domains = domains_behind && !sync->domains_sent;
-  sync->domains_sent = domains_behind;
-  if (IsConfigDue(own, peer, now, random, sync)) {
+  const bool domains_due = AreDomainsDue(own, domains_digest, peer, now, sync);
+  const bool config_due = IsConfigDue(own, peer, now, random, sync);
+  if (!config_due && !domains_due) return std::nullopt;
+  if (domains_due) sync->domains_sent_at = now;
+  if (config_due) {
     sync->config_due_at.reset();
     sync->config_sent_at = now;
     return OperatorUpdate{own, false};
   }
-  if (!send_domains) return std::nullopt;
   return OperatorUpdate{{own.revision, 0, {}, own.drained}, true};
 }
 
--- a/coordinator/tests/operator_sync_test.cc
+++ b/coordinator/tests/operator_sync_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(SendsNothingToPeerThatIsUpToDate);
   CPPUNIT_TEST(FewOfManySendersSendLargeConfiguration);
   CPPUNIT_TEST(SendsLostConfigurationAgain);
+  CPPUNIT_TEST(SendsLostDomainsAgain);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -138,6 +139,19 @@
     }
     CPPUNIT_ASSERT_EQUAL(4, sent);
   }
+
+  void SendsLostDomainsAgain() {
+    OperatorState own = State(1400);
+    own.drained = {core::DomainId("szeged")};
+    const OperatorCopy peer{8, DomainsDigest({}), own.version};
+    OperatorSync sync;
+    int sent = 0;
+    for (core::Time now; now < core::Time{std::chrono::seconds(2)};
+         now = now + milliseconds(20)) {
+      if (Next(own, peer, now, &sync)) ++sent;
+    }
+    CPPUNIT_ASSERT_EQUAL(4, sent);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OperatorSyncTest);
