Daemons, Platform, Http: log how a call to the store failed, and requests without a queue

A failed read names neither its reason nor the kind of its connection, a read in full not its revision, and a request that belongs to no queue leaves no line at all.

--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -40,6 +40,8 @@
 /// so that their clients get an answer before the platform kills the process,
 /// 6 s after the signal.
 constexpr core::Duration kEndJobsAfterStop = std::chrono::milliseconds(4800);
+/// Bytes of a request's path in a log line.
+constexpr std::size_t kMaxLoggedPath = 120;
 
 const core::Log& EntryLog() {
   static const core::Log log("entry");
@@ -103,11 +105,12 @@
     }
     metrics_page_.Listen(node_.peer_address, ReadMetricsPort(settings_));
     store_.emplace(io_, node_.store_address);
-    operator_watch_.emplace(
-        io_, &*store_, [this](const coordinator::OperatorState& state) {
-          coordinator::OnOperatorState(&board_, clock_.Now(), state, "store");
-          ExecuteActions();
-        });
+    operator_watch_.emplace(io_, &clock_, &*store_,
+                            [this](const coordinator::OperatorState& state) {
+                              coordinator::OnOperatorState(
+                                  &board_, clock_.Now(), state, "store");
+                              ExecuteActions();
+                            });
     membership_.emplace(io_, &*store_, MemberKind::kEntry, node_.peer_address,
                         [this](MemberKind kind, const core::Address& address) {
                           if (kind != MemberKind::kGate) return;
@@ -188,7 +191,7 @@
     const Queue* queue = coordinator::FindQueue(
         board_.operator_state, platform::HostWithoutPort(request),
         request.path);
-    if (queue == nullptr) return RefuseCall(call, Refusal::kNoQueue);
+    if (queue == nullptr) return RefuseUnknownQueue(call, request);
     const std::string id = request.path.substr(queue->path_prefix.size());
     const core::Time now = clock_.Now();
     if (request.method == "GET" && id.empty()) {
@@ -206,6 +209,17 @@
     SubmitJob(call, Queue(*queue), id, request);
   }
 
+  /// Logs what decides it, as it depends on how new the configuration is.
+  void RefuseUnknownQueue(CallId call, const http::Request& request) {
+    EntryLog().Info("Refused a request that belongs to no queue.",
+                    {{"method", request.method},
+                     {"host", platform::HostWithoutPort(request)},
+                     {"path", request.path.substr(0, kMaxLoggedPath)},
+                     {"version", board_.operator_state.version},
+                     {"answer_age", operator_watch_->answer_age()}});
+    RefuseCall(call, Refusal::kNoQueue);
+  }
+
   void SubmitJob(CallId call, const Queue& queue, const std::string& id,
                  const http::Request& request) {
     std::string error;
@@ -373,6 +387,13 @@
     registry_.Set("gates", {}, static_cast<double>(board_.gates.size()));
     registry_.Set("operator_revision", {},
                   static_cast<double>(board_.operator_state.revision));
+    registry_.Set("config_version", {},
+                  static_cast<double>(board_.operator_state.version));
+    registry_.Set(
+        "operator_answer_age_ms", {},
+        static_cast<double>(core::Millis(operator_watch_->answer_age())));
+    SetCounterTotal(&registry_, "operator_reads_failed_total", {},
+                    operator_watch_->failed_reads());
   }
 
   /// A client request that has not been answered yet.
--- a/daemons/operator_watch.cc
+++ b/daemons/operator_watch.cc
@@ -17,9 +17,14 @@
 }  // namespace
 
 OperatorWatch::OperatorWatch(boost::asio::io_context& io,
+                             const core::Clock* clock,
                              platform::StoreClient* store,
                              StateCallback on_state)
-    : store_(store), on_state_(std::move(on_state)), timer_(io) {}
+    : clock_(clock),
+      store_(store),
+      on_state_(std::move(on_state)),
+      timer_(io),
+      answered_at_(clock->Now()) {}
 
 void OperatorWatch::Start() { ReadAllRows(""); }
 
@@ -41,6 +46,10 @@
                      }
                      // Not before the last page: until then drained domains
                      // may be missing.
+                     WatchLog().Info(
+                         "Read the operators' table in full.",
+                         {{"revision", full_read_revision_},
+                          {"known_revision", rows_.state.revision}});
                      watched_revision_ = full_read_revision_;
                      on_state_(rows_.state);
                      WatchChanges();
@@ -73,10 +82,14 @@
 }
 
 void OperatorWatch::RecordStoreAnswer(const platform::StorePage& page) {
-  if (store_available_) return;
-  store_available_ = true;
-  WatchLog().Info("The store is available again.",
-                  {{"revision", page.revision}});
+  if (failures_in_a_row_ > 0) {
+    WatchLog().Info("The store is available again.",
+                    {{"revision", page.revision},
+                     {"failed_reads", failures_in_a_row_},
+                     {"answer_age", answer_age()}});
+  }
+  failures_in_a_row_ = 0;
+  answered_at_ = clock_->Now();
 }
 
 void OperatorWatch::HandleStoreError(platform::StoreError error) {
@@ -86,11 +99,12 @@
         "full.");
     return ReadAllRows("");
   }
-  if (store_available_) {
-    store_available_ = false;
-    WatchLog().Warn(
-        "A read of the operators' table failed; retrying.",
-        {{"error", platform::Name(error)}, {"revision", rows_.state.revision}});
+  ++failed_reads_;
+  if (++failures_in_a_row_ == 1) {
+    WatchLog().Warn("A read of the operators' table failed; retrying.",
+                    {{"error", platform::Name(error)},
+                     {"revision", rows_.state.revision},
+                     {"answer_age", answer_age()}});
   }
   timer_.expires_after(RandomStoreRetryDelay());
   timer_.async_wait([this](const boost::system::error_code& failure) {
--- a/daemons/operator_watch.h
+++ b/daemons/operator_watch.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "tarragon/core/clock.h"
 #include "tarragon/platform/operator_rows.h"
 #include "tarragon/platform/store_client.h"
 
@@ -20,11 +21,17 @@
   /// Called with the whole state after each full read and each change.
   using StateCallback = std::function<void(const coordinator::OperatorState&)>;
 
-  OperatorWatch(boost::asio::io_context& io, platform::StoreClient* store,
-                StateCallback on_state);
+  OperatorWatch(boost::asio::io_context& io, const core::Clock* clock,
+                platform::StoreClient* store, StateCallback on_state);
 
   void Start();
 
+  /// Time since the store last answered a read; since the start of the watch if
+  /// it never has.
+  core::Duration answer_age() const { return clock_->Now() - answered_at_; }
+  /// Reads that have failed, in total.
+  std::uint64_t failed_reads() const { return failed_reads_; }
+
  private:
   void ReadAllRows(const std::string& from);
   void WatchChanges();
@@ -32,6 +39,7 @@
   void RecordStoreAnswer(const platform::StorePage& page);
   void HandleStoreError(platform::StoreError error);
 
+  const core::Clock* clock_;
   platform::StoreClient* store_;
   StateCallback on_state_;
   boost::asio::steady_timer timer_;
@@ -41,7 +49,10 @@
   std::optional<std::uint64_t> watched_revision_;
   /// Revision of the store at the first page of the full read in progress.
   std::uint64_t full_read_revision_ = 0;
-  bool store_available_ = true;
+  core::Time answered_at_;
+  std::uint64_t failed_reads_ = 0;
+  /// Reads that have failed since the store last answered.
+  std::uint64_t failures_in_a_row_ = 0;
 };
 
 }  // namespace tarragon::daemons
--- a/daemons/tests/operator_watch_test.cc
+++ b/daemons/tests/operator_watch_test.cc
@@ -58,7 +58,7 @@
 
   void StartWatch() {
     watch_ = std::make_unique<OperatorWatch>(
-        *io_, client_.get(),
+        *io_, &clock_, client_.get(),
         [this](const coordinator::OperatorState& state) { state_ = state; });
     watch_->Start();
     RunUntil([this]() { return state_.version == 1; });
@@ -121,7 +121,7 @@
   void ReadsInFullAgainAfterFailedPage() {
     FillTwoPages();
     watch_ = std::make_unique<OperatorWatch>(
-        *io_, client_.get(),
+        *io_, &clock_, client_.get(),
         [this](const coordinator::OperatorState& state) { state_ = state; });
     watch_->Start();
     RunUntil([this]() { return store_->reads() == 1; });
@@ -136,7 +136,7 @@
     FillTwoPages();
     int states_without_domain = 0;
     watch_ = std::make_unique<OperatorWatch>(
-        *io_, client_.get(),
+        *io_, &clock_, client_.get(),
         [this,
          &states_without_domain](const coordinator::OperatorState& state) {
           state_ = state;
@@ -189,6 +189,7 @@
   std::unique_ptr<boost::asio::io_context> io_;
   std::unique_ptr<soak::FakeStore> store_;
   std::unique_ptr<platform::StoreClient> client_;
+  core::ManualClock clock_;
   std::unique_ptr<OperatorWatch> watch_;
   coordinator::OperatorState state_;
 };
--- a/http/connection.cc
+++ b/http/connection.cc
@@ -29,6 +29,7 @@
   nothing_sent_ = false;
   exchange_.emplace(std::move(exchange));
   if (phase_ == Phase::kConnecting) return Connect();
+  reused_ = true;
   ErrorCode ignored;
   socket_.cancel(ignored);  // The wait of the idle time.
   Transmit();
@@ -175,7 +176,8 @@
   if (phase_ == Phase::kConnecting) {
     return Fail(HttpErrorKind::kNotSent, "Connect: timed out.");
   }
-  Fail(FailureKind(), "The answer timed out.");
+  Fail(FailureKind(), reused_ ? "The answer timed out on a reused connection."
+                              : "The answer timed out.");
 }
 
 HttpErrorKind Connection::FailureKind() const {
--- a/http/connection.h
+++ b/http/connection.h
@@ -71,6 +71,8 @@
   Phase phase_ = Phase::kConnecting;
   /// Changes with each exchange, so that handlers of an earlier one are known.
   std::uint64_t generation_ = 0;
+  /// Carries a request after an earlier one.
+  bool reused_ = false;
   Watchdog::Moment idle_until_;
   bool write_done_ = false;
   /// The write failed before the first byte.
