Http: close idle connections that may have gone silent with a timed-out one

Cause: all connections of an entry to the store went silent at once. The watch of the operators' table timed out after 2.7 s and its repetition took the connection that had been idle since the start, silent as well, for another 2.7 s. The pool prefers what it has to a new connection and learns nothing from a timeout. Change: when an answer times out, connections to the address whose last answer is older than the request are closed. Those that have answered since are kept, so a single slow request costs no connection that is in use. Not chosen: a retry inside the client (it must never send a request twice), and keep-alive probes on idle connections (packets for each pool; not tried). Tests: ClientFailureTest::UsesNoConnectionThatWentSilentWhileIdle failed before (expected connection 3, actual 1); KeepsConnectionsThatAnsweredAfterALostRequest.

--- a/http/client.cc
+++ b/http/client.cc
@@ -56,9 +56,10 @@
     connection = std::make_shared<Connection>(state_, address, *endpoint);
   }
   state_->busy[id.value()] = connection;
-  connection->Run(Exchange{
-      id.value(), std::make_shared<const BeastRequest>(std::move(*message)),
-      MomentAfter(timeout), std::move(done)});
+  connection->Run(
+      Exchange{id.value(), std::chrono::steady_clock::now(),
+               std::make_shared<const BeastRequest>(std::move(*message)),
+               MomentAfter(timeout), std::move(done)});
   return id;
 }
 
--- a/http/client_state.cc
+++ b/http/client_state.cc
@@ -42,6 +42,19 @@
   }
 }
 
+void CloseIdleSince(ClientState* state, const core::Address& address,
+                    Watchdog::Moment moment) {
+  const auto host = state->idle.find(address);
+  if (host == state->idle.end()) return;
+  std::vector<std::shared_ptr<Connection>>& idle = host->second;
+  std::erase_if(idle, [moment](const std::shared_ptr<Connection>& connection) {
+    if (connection->answered_at() >= moment) return false;
+    connection->Close();
+    return true;
+  });
+  if (idle.empty()) state->idle.erase(host);
+}
+
 void PostFailure(const std::shared_ptr<ClientState>& state, HttpErrorKind kind,
                  std::string text, Client::Done done) {
   asio::post(*state->io, [state, done = std::move(done),
--- a/http/client_state.h
+++ b/http/client_state.h
@@ -11,6 +11,7 @@
 
 #include "net.h"
 #include "tarragon/http/client.h"
+#include "watchdog.h"
 
 namespace tarragon::http {
 
@@ -41,6 +42,11 @@
 std::shared_ptr<Connection> TakeIdle(ClientState* state,
                                      const core::Address& address);
 
+/// Closes the idle connections to `address` whose last answer came before
+/// `moment`.
+void CloseIdleSince(ClientState* state, const core::Address& address,
+                    Watchdog::Moment moment);
+
 /// Calls `done` with an error from the io_context, unless the client is
 /// destroyed by then.
 void PostFailure(const std::shared_ptr<ClientState>& state, HttpErrorKind kind,
--- a/http/connection.cc
+++ b/http/connection.cc
@@ -146,6 +146,7 @@
   phase_ = Phase::kIdle;
   buffer_.shrink_to_fit();
   if (!AddIdle(client_.get(), shared_from_this())) return Close();
+  answered_at_ = std::chrono::steady_clock::now();
   idle_until_ = MomentAfter(client_->limits.max_idle_age);
   watchdog_->SetAt(idle_until_);
   socket_.async_wait(Socket::wait_read, [self = shared_from_this(),
@@ -176,6 +177,8 @@
   if (phase_ == Phase::kConnecting) {
     return Fail(HttpErrorKind::kNotSent, "Connect: timed out.");
   }
+  // A path that has silently broken breaks all connections that use it.
+  CloseIdleSince(client_.get(), address_, exchange_->sent_at);
   Fail(FailureKind(), reused_ ? "The answer timed out on a reused connection."
                               : "The answer timed out.");
 }
--- a/http/connection.h
+++ b/http/connection.h
@@ -17,6 +17,7 @@
 /// One request on its way.
 struct Exchange {
   std::uint64_t id = 0;
+  Watchdog::Moment sent_at;
   /// Shared with the write, which may outlast the exchange.
   std::shared_ptr<const BeastRequest> request;
   /// When the whole exchange times out.
@@ -41,6 +42,8 @@
   bool Reusable();
 
   const core::Address& address() const { return address_; }
+  /// When the last answer was complete.
+  Watchdog::Moment answered_at() const { return answered_at_; }
 
  private:
   enum class Phase : std::uint8_t { kConnecting, kExchanging, kIdle, kClosed };
@@ -73,6 +76,7 @@
   std::uint64_t generation_ = 0;
   /// Carries a request after an earlier one.
   bool reused_ = false;
+  Watchdog::Moment answered_at_;
   Watchdog::Moment idle_until_;
   bool write_done_ = false;
   /// The write failed before the first byte.
--- a/http/include/tarragon/http/client.h
+++ b/http/include/tarragon/http/client.h
@@ -30,7 +30,9 @@
 };
 
 /// HTTP/1.1 client. It never sends a request twice. Each request takes an idle
-/// connection to its address or opens a new one; requests are not queued.
+/// connection to its address or opens a new one; requests are not queued. When
+/// an answer times out, the connections that have been idle since before the
+/// request are closed, as they may have gone silent too.
 ///
 /// An answer must state its length or be chunked: one that ends with the
 /// connection cannot be told from a truncated one and is kNoAnswer.
--- a/http/tests/client_failure_test.cc
+++ b/http/tests/client_failure_test.cc
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
 #include <random>
+#include <vector>
 
 #include "tests/client_fixture.h"
 
@@ -19,6 +21,8 @@
   CPPUNIT_TEST(CloseBeforeTheAnswerIsNoAnswer);
   CPPUNIT_TEST(ResetBeforeTheAnswerIsNoAnswer);
   CPPUNIT_TEST(BrokenReusedConnectionIsNoAnswer);
+  CPPUNIT_TEST(UsesNoConnectionThatWentSilentWhileIdle);
+  CPPUNIT_TEST(KeepsConnectionsThatAnsweredAfterALostRequest);
   CPPUNIT_TEST(TruncatedAnswersAreNoAnswer);
   CPPUNIT_TEST(AnswerWithoutLengthIsNoAnswer);
   CPPUNIT_TEST(MalformedAnswersAreNoAnswer);
@@ -124,6 +128,51 @@
                          CountOf(peer_.connections[1]->received, "/2"));
   }
 
+  /// Opens connections to the peer that are idle afterwards.
+  void OpenIdleConnections(std::size_t count) {
+    std::vector<std::shared_ptr<Result>> results;
+    for (std::size_t i = 0; i < count; ++i) results.push_back(Send(Get("/0")));
+    for (std::size_t i = 0; i < count; ++i) {
+      AwaitRequest(i, "/0")->Write(Ok("x"));
+    }
+    for (const auto& result : results) ExpectBody(result, "x");
+  }
+
+  /// The connection of the peer on which `text` arrives.
+  std::size_t AwaitOnAny(const std::string& text) {
+    std::size_t found = 0;
+    RunUntil(io_, [&] {
+      for (std::size_t i = 0; i < peer_.connections.size(); ++i) {
+        if (CountOf(peer_.connections[i]->received, text) == 0) continue;
+        found = i;
+        return true;
+      }
+      return false;
+    });
+    return found;
+  }
+
+  void UsesNoConnectionThatWentSilentWhileIdle() {
+    MakeClient(Patient());
+    OpenIdleConnections(3);
+    ExpectFailure(Send(Get("/lost"), kShort), HttpErrorKind::kNoAnswer);
+    Send(Get("/next"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, AwaitOnAny("/next"));
+  }
+
+  void KeepsConnectionsThatAnsweredAfterALostRequest() {
+    MakeClient(Patient());
+    OpenIdleConnections(2);
+    const auto lost = Send(Get("/lost"), kShort);
+    const auto meanwhile = Send(Get("/meanwhile"));
+    peer_.connections[AwaitOnAny("/meanwhile")]->Write(Ok("y"));
+    ExpectBody(meanwhile, "y");
+    ExpectFailure(lost, HttpErrorKind::kNoAnswer);
+    Send(Get("/next"));
+    AwaitOnAny("/next");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peer_.connections.size());
+  }
+
   void TruncatedAnswersAreNoAnswer() {
     MakeClient(Patient());
     const std::string whole =
