Platform, Daemons: notice a dead watch of the store within the recovery grace

Cause: a watch was given up after 2.7 s and repeated up to 0.75 s later, 3.45 s in all, while the platform excuses a VM for 3 s after its connections went silent. The figures were constants, whatever grace a deployment states. Same class as the pool's fault: a dead connection is known by its timeout only, and the timeouts were not added up against the time by which a change must be in force. Change: hold and timeout of a watch come from the grace in the node file (half of it, and a quarter more, at most 700 ms, for a slow store: 1.5 and 2.2 s here, 2.0 and 2.7 s as before where it is 4 s); the first lost answer is retried at once, all later failures after the pause as before. Some 30 % more watches where the grace is 3 s.

--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -105,6 +105,7 @@
     }
     metrics_page_.Listen(node_.peer_address, ReadMetricsPort(settings_));
     store_.emplace(io_, node_.store_address);
+    store_->SetWatchTimes(platform::MakeWatchTimes(node_.recovery_grace));
     operator_watch_.emplace(io_, &clock_, &*store_,
                             [this](const coordinator::OperatorState& state) {
                               coordinator::OnOperatorState(
@@ -347,6 +348,7 @@
       ReloadNodeSettings(*node, EntryLog(), &node_);
       board_.domain = node_.domain;
       store_->SetAddress(node_.store_address);
+      store_->SetWatchTimes(platform::MakeWatchTimes(node->recovery_grace));
     } else {
       EntryLog().Warn(
           "Cannot load the node file; kept the previous node settings.",
@@ -389,9 +391,8 @@
                   static_cast<double>(board_.operator_state.revision));
     registry_.Set("config_version", {},
                   static_cast<double>(board_.operator_state.version));
-    registry_.Set(
-        "operator_answer_age_ms", {},
-        static_cast<double>(core::Millis(operator_watch_->answer_age())));
+    registry_.Set("operator_answer_age_ms", {},
+                  static_cast<double>(operator_watch_->answer_age().count()));
     SetCounterTotal(&registry_, "operator_reads_failed_total", {},
                     operator_watch_->failed_reads());
   }
--- a/daemons/operator_watch.cc
+++ b/daemons/operator_watch.cc
@@ -106,7 +106,7 @@
                      {"revision", rows_.state.revision},
                      {"answer_age", answer_age()}});
   }
-  timer_.expires_after(RandomStoreRetryDelay());
+  timer_.expires_after(DrawReadRetryDelay(error, failures_in_a_row_));
   timer_.async_wait([this](const boost::system::error_code& failure) {
     if (failure) return;
     if (watched_revision_.has_value()) {
--- a/daemons/operator_watch.h
+++ b/daemons/operator_watch.h
@@ -3,6 +3,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -28,7 +30,10 @@
 
   /// Time since the store last answered a read; since the start of the watch if
   /// it never has.
-  core::Duration answer_age() const { return clock_->Now() - answered_at_; }
+  std::chrono::milliseconds answer_age() const {
+    return std::chrono::floor<std::chrono::milliseconds>(clock_->Now() -
+                                                         answered_at_);
+  }
   /// Reads that have failed, in total.
   std::uint64_t failed_reads() const { return failed_reads_; }
 
--- a/daemons/store_retry_delay.cc
+++ b/daemons/store_retry_delay.cc
@@ -16,4 +16,12 @@
   return std::chrono::milliseconds(delay_ms(generator));
 }
 
+core::Duration DrawReadRetryDelay(platform::StoreError error,
+                                  std::uint64_t failures) {
+  if (error == platform::StoreError::kUnclear && failures == 1) {
+    return core::Duration(0);
+  }
+  return RandomStoreRetryDelay();
+}
+
 }  // namespace tarragon::daemons
--- a/daemons/tests/operator_watch_test.cc
+++ b/daemons/tests/operator_watch_test.cc
@@ -10,6 +10,7 @@
 #include "fake_store.h"
 #include "membership.h"
 #include "platform_daemon_settings.h"
+#include "relay.h"
 
 namespace tarragon::daemons {
 namespace {
@@ -25,6 +26,7 @@
   CPPUNIT_TEST(ReportsChangedRows);
   CPPUNIT_TEST(ReadsInFullWhenHistoryIsMissing);
   CPPUNIT_TEST(ResumesWatchAfterOutage);
+  CPPUNIT_TEST(ReadsAgainAfterOneTimeoutWhenAllConnectionsGoSilent);
   CPPUNIT_TEST(KeepsDomainsOutWhileReadingSeveralPages);
   CPPUNIT_TEST(ReadsInFullAgainAfterFailedPage);
   CPPUNIT_TEST(FindsOtherMembers);
@@ -96,6 +98,27 @@
     RunUntil([this]() { return state_.version == 6; });
   }
 
+  void ReadsAgainAfterOneTimeoutWhenAllConnectionsGoSilent() {
+    const std::string address = store_->address();
+    soak::Relay relay(*io_, boost::asio::ip::tcp::endpoint(
+                                boost::asio::ip::make_address("127.0.0.1"),
+                                static_cast<std::uint16_t>(std::stoi(
+                                    address.substr(address.find(':') + 1)))));
+    client_ = std::make_unique<platform::StoreClient>(
+        *io_, core::Address(relay.address()));
+    // A second connection, which is idle later.
+    bool is_read = false;
+    client_->ReadFrom("op", "",
+                      [&is_read](const std::optional<platform::StorePage>&,
+                                 platform::StoreError) { is_read = true; });
+    StartWatch();
+    RunUntil([&is_read]() { return is_read; });
+    relay.Silence();
+    store_->Put("op", "config", Config(7));
+    RunUntil([this]() { return state_.version == 7; });
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, watch_->failed_reads());
+  }
+
   std::set<std::string> FindMembers(MemberKind kind, const char* self) {
     std::set<std::string> found;
     Membership member(*io_, client_.get(), kind, core::Address(self),
--- a/tests/soak/relay.cc
+++ b/tests/soak/relay.cc
@@ -37,6 +37,10 @@
                           });
   }
 
+  void Silence() {
+    mode_ = std::make_shared<RelayMode>(RelayMode::kDropBothWays);
+  }
+
   void Reset() {
     ErrorCode ignored;
     client_.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -129,4 +133,11 @@
   connections_.clear();
 }
 
+void Relay::Silence() {
+  for (const std::weak_ptr<Connection>& each : connections_) {
+    if (const std::shared_ptr<Connection> connection = each.lock())
+      connection->Silence();
+  }
+}
+
 }  // namespace tarragon::soak
--- a/tests/soak/relay.h
+++ b/tests/soak/relay.h
@@ -41,6 +41,9 @@
   void SetMode(RelayMode mode) { *mode_ = mode; }
   /// Resets all connections.
   void Reset();
+  /// Drops what the present connections carry from now on, without closing
+  /// them. New connections work.
+  void Silence();
 
  private:
   class Connection;
