Daemons: pause between full reads of a store that is behind its own history

Change: the first read follows at once; while watches keep finding their history gone, later ones pause as after a failed call. The line names the revisions. Test: OperatorWatchTest::PausesBetweenReadsOfAStaleStore failed before (expected 1, actual 5874). An older copy never replaced a newer one, before or now (RevisionNeverDecreases, OperatorStateTest).

--- a/daemons/operator_watch.cc
+++ b/daemons/operator_watch.cc
@@ -62,6 +62,7 @@
                        platform::StoreError error) {
                   if (!page.has_value()) return HandleStoreError(error);
                   RecordStoreAnswer(*page);
+                  histories_gone_ = 0;
                   if (page->revision > *watched_revision_)
                     watched_revision_ = page->revision;
                   if (!page->rows.empty()) {
@@ -96,8 +97,13 @@
   if (error == platform::StoreError::kHistoryGone) {
     WatchLog().Info(
         "The store no longer has the history; reading the operators' table in "
-        "full.");
-    return ReadAllRows("");
+        "full.",
+        {{"after", watched_revision_.value_or(0)},
+         {"revision", rows_.state.revision}});
+    watched_revision_.reset();
+    // A store whose reads are behind its history would be read without end.
+    if (++histories_gone_ == 1) return ReadAllRows("");
+    return RetryAfter(RandomStoreRetryDelay());
   }
   ++failed_reads_;
   if (++failures_in_a_row_ == 1) {
@@ -106,7 +112,11 @@
                      {"revision", rows_.state.revision},
                      {"answer_age", answer_age()}});
   }
-  timer_.expires_after(DrawReadRetryDelay(error, failures_in_a_row_));
+  RetryAfter(DrawReadRetryDelay(error, failures_in_a_row_));
+}
+
+void OperatorWatch::RetryAfter(core::Duration delay) {
+  timer_.expires_after(delay);
   timer_.async_wait([this](const boost::system::error_code& failure) {
     if (failure) return;
     if (watched_revision_.has_value()) {
--- a/daemons/operator_watch.h
+++ b/daemons/operator_watch.h
@@ -43,6 +43,7 @@
   void ApplyPage(const platform::StorePage& page);
   void RecordStoreAnswer(const platform::StorePage& page);
   void HandleStoreError(platform::StoreError error);
+  void RetryAfter(core::Duration delay);
 
   const core::Clock* clock_;
   platform::StoreClient* store_;
@@ -58,6 +59,8 @@
   std::uint64_t failed_reads_ = 0;
   /// Reads that have failed since the store last answered.
   std::uint64_t failures_in_a_row_ = 0;
+  /// Watches that found their history gone since one was last answered.
+  std::uint64_t histories_gone_ = 0;
 };
 
 }  // namespace tarragon::daemons
--- a/daemons/tests/operator_watch_test.cc
+++ b/daemons/tests/operator_watch_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(ReportsChangedRows);
   CPPUNIT_TEST(ReadsInFullWhenHistoryIsMissing);
   CPPUNIT_TEST(ResumesWatchAfterOutage);
+  CPPUNIT_TEST(PausesBetweenReadsOfAStaleStore);
   CPPUNIT_TEST(ReadsAgainAfterOneTimeoutWhenAllConnectionsGoSilent);
   CPPUNIT_TEST(KeepsDomainsOutWhileReadingSeveralPages);
   CPPUNIT_TEST(ReadsInFullAgainAfterFailedPage);
@@ -98,6 +99,23 @@
     RunUntil([this]() { return state_.version == 6; });
   }
 
+  void PausesBetweenReadsOfAStaleStore() {
+    StartWatch();
+    const int reads_before = store_->reads();
+    store_->SetStale(true);
+    store_->Put("op", "config", Config(8));
+    store_->DiscardHistory();
+    boost::asio::steady_timer end(*io_, std::chrono::milliseconds(200));
+    bool ended = false;
+    end.async_wait(
+        [&ended](const boost::system::error_code&) { ended = true; });
+    RunUntil([&ended]() { return ended; });
+    // The pause is longer than the time that the store was stale.
+    CPPUNIT_ASSERT_EQUAL(1, store_->reads() - reads_before);
+    store_->SetStale(false);
+    RunUntil([this]() { return state_.version == 8; });
+  }
+
   void ReadsAgainAfterOneTimeoutWhenAllConnectionsGoSilent() {
     const std::string address = store_->address();
     soak::Relay relay(*io_, boost::asio::ip::tcp::endpoint(
--- a/tests/soak/fake_store.cc
+++ b/tests/soak/fake_store.cc
@@ -68,6 +68,14 @@
   changes_.push_back({++revision_, table, key});
 }
 
+void FakeStore::SetStale(bool stale) {
+  stale_pages_.clear();
+  if (!stale) return;
+  for (const auto& [table, rows] : tables_) {
+    stale_pages_[table] = SerializeRows(table, 0, "", kMaxPageRows);
+  }
+}
+
 std::size_t FakeStore::CountRows(const std::string& table) const {
   const auto found = tables_.find(table);
   return found == tables_.end() ? 0 : found->second.size();
@@ -158,6 +166,11 @@
   ++reads_;
   const std::string limit = QueryParameter(request, "limit");
   http::Response response;
+  const auto stale = stale_pages_.find(QueryParameter(request, "table"));
+  if (stale != stale_pages_.end()) {
+    response.body = stale->second;
+    return answer(response);
+  }
   response.body = SerializeRows(
       QueryParameter(request, "table"), 0, QueryParameter(request, "from"),
       limit.empty() ? kMaxPageRows
--- a/tests/soak/fake_store.h
+++ b/tests/soak/fake_store.h
@@ -31,6 +31,8 @@
   void SetDelay(std::chrono::milliseconds delay) { delay_ = delay; }
   /// While true, executes requests but sends no answer.
   void SetDroppingAnswers(bool dropping) { dropping_answers_ = dropping; }
+  /// While true, reads of tables answer from a snapshot of when it was set.
+  void SetStale(bool stale);
   std::size_t CountRows(const std::string& table) const;
   /// Rows that the programs have written.
   int writes() const { return writes_; }
@@ -77,6 +79,8 @@
   std::uint64_t discarded_until_revision_ = 0;
   bool refusing_ = false;
   bool dropping_answers_ = false;
+  /// The answers to reads of tables while the store is stale, by table.
+  std::map<std::string, std::string> stale_pages_;
   std::vector<http::Responder> unanswered_;
   std::chrono::milliseconds delay_{0};
   int writes_ = 0;
