Soak: silence the connections of some processes from time to time

Why the soak missed the incident: a relay's modes hold for new connections too, so there was no run in which open ones are dead and new ones work. Every 1.5 to 4 s a third of the relays before the store and before peers now drops what its present connections carry.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -44,6 +44,7 @@
   SoakRun(std::uint64_t seed, const Options& options)
       : options_(options),
         random_(seed),
+        silence_random_(seed),
         store_(io_),
         client_(io_, http::ClientLimits{}),
         run_folder_(std::filesystem::temp_directory_path() /
@@ -66,6 +67,8 @@
   void SetUp();
   void WriteConfiguration();
   void ScheduleFaults();
+  /// Silences the connections of some processes from time to time.
+  void ScheduleSilence();
   void InjectFault();
   void InjectStoreFault(milliseconds duration);
   void ClearStoreFaults();
@@ -79,6 +82,8 @@
 
   Options options_;
   std::mt19937_64 random_;
+  /// Of its own, so that a seed draws the same other faults as before.
+  std::mt19937_64 silence_random_;
   boost::asio::io_context io_;
   InvariantChecker invariants_;
   FakeStore store_;
@@ -228,6 +233,17 @@
   RunAfter(milliseconds(DrawInt(50, 900)), [this]() { ScheduleFaults(); });
 }
 
+void SoakRun::ScheduleSilence() {
+  if (!injecting_faults_) return;
+  for (const auto* group : {&store_relays_, &peer_relays_}) {
+    for (const std::unique_ptr<Relay>& relay : *group) {
+      if (silence_random_() % 3 == 0) relay->Silence();
+    }
+  }
+  RunAfter(milliseconds(1500 + silence_random_() % 2500),
+           [this]() { ScheduleSilence(); });
+}
+
 void SoakRun::InjectFault() {
   Process* process = processes_[random_() % processes_.size()].get();
   FakeTarget* target = targets_[random_() % targets_.size()].get();
@@ -393,6 +409,7 @@
   SetUp();
   RunAfter(milliseconds(300), [this]() { SubmitNext(); });
   RunAfter(milliseconds(1500), [this]() { ScheduleFaults(); });
+  RunAfter(milliseconds(2500), [this]() { ScheduleSilence(); });
   RunAfter(std::chrono::seconds(options_.seconds), [this]() { EndFaults(); });
   PollProcesses();
   io_.run();
