Coordinator, Platform, Http: tell the crash of a target from its silence

Change: a refused connection to a target that is not draining, or its new incarnation, is the evidence of a crash; an answered poll revokes it. Silence is none. The end of a run says it in the logs and to its entry; The target crashed. and target_crashes_total at the gate. When a run counts as ended stays as it was: a refused connection proves no end. No decision changes.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -306,6 +306,7 @@
                  {{"end", Name(ended.end)},
                   {"reason", Name(ended.reason)},
                   {"ordered", FormatMillis(now - placed.ordered_at)},
+                  {"target_crashed", ended.target_crashed ? "true" : "false"},
                   {"gate", core::ToString(gate->node)}});
     }
     return ApplyTaskEnd(board, now, job, &task, ended);
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -63,6 +63,8 @@
     ended.run_time = now - run.started_at;
     RecordRunSample(board, now, ref, run, end);
   }
+  ended.target_crashed =
+      run.target_crashed && (end == RunEnd::kLapsed || end == RunEnd::kStopped);
   board->ended_runs[ref] = {ended, now};
   ++board->counts.ends[end];
   if (end == RunEnd::kRefused) ++board->counts.refusals[reason];
@@ -70,6 +72,7 @@
              {{"end", Name(end)},
               {"reason", Name(reason)},
               {"run_time", std::to_string(core::Millis(ended.run_time)) + "ms"},
+              {"target_crashed", ended.target_crashed ? "true" : "false"},
               {"entry", core::ToString(run.home)}});
   if (!run.home.address.value().empty()) {
     board->actions.push_back(SendTo<RunEnded>{run.home, ended});
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -50,12 +50,37 @@
   }
 }
 
+/// Notes that the target has crashed under its runs. A target that drains may
+/// end at any time.
+void RecordCrash(GateBoard* board, const char* evidence) {
+  Target& target = *board->target;
+  if (target.crashed || target.announcement.draining) return;
+  target.crashed = true;
+  ++board->counts.target_crashes;
+  for (auto& [ref, run] : board->runs) run.target_crashed = true;
+  AddLogLine(
+      board, "The target crashed.", target.announcement.target.value(),
+      {{"evidence", evidence}, {"runs", std::to_string(board->runs.size())}});
+}
+
+/// The target was alive after all.
+void RevokeCrash(GateBoard* board) {
+  if (!board->target->crashed) return;
+  board->target->crashed = false;
+  for (auto& [ref, run] : board->runs) run.target_crashed = false;
+  AddLogLine(board, "The target had not crashed.",
+             board->target->announcement.target.value(),
+             {{"runs", std::to_string(board->runs.size())}});
+}
+
 /// Begins another incarnation of the target. Its runs are kept until the first
 /// poll, because an order that was sent shortly before may have reached the new
 /// incarnation.
 void BeginIncarnation(GateBoard* board, core::Time now, TargetIncarnation born,
                       TargetClock clock) {
   Target& target = *board->target;
+  if (!board->runs.empty()) RecordCrash(board, "new_incarnation");
+  target.crashed = false;
   target.announcement.born = born;
   target.runs_known = false;
   target.last_end = 0;
@@ -120,7 +145,11 @@
       board->runs[each.run] = run;
       AddLogLine(board, "Found a run that this gate did not order.",
                  ToString(each.run), {});
-    } else if (found->second.phase == RunPhase::kStarting) {
+      continue;
+    }
+    // An order that was sent shortly before has reached a new incarnation.
+    found->second.target_crashed = false;
+    if (found->second.phase == RunPhase::kStarting) {
       found->second.phase = RunPhase::kRunning;
       found->second.started_at = now;
     }
@@ -264,6 +293,7 @@
                 {"born", std::to_string(announcement.born.value())}});
   } else if (board->target->announcement.target != announcement.target) {
     // Orders name their target, so none can have started a run at another one.
+    if (!board->runs.empty()) RecordCrash(board, "another_target");
     EndAllRuns(board, now, RunEnd::kLapsed);
     BeginIncarnation(board, now, announcement.born, announcement.clock);
     AddLogLine(board, "Another target announced itself.",
@@ -350,7 +380,7 @@
 }
 
 void OnPollAnswer(GateBoard* board, core::Time now, std::uint64_t number,
-                  const std::optional<PollReply>& poll) {
+                  const std::optional<PollReply>& poll, PollFailure failure) {
   const auto open = board->polls.find(number);
   if (!board->target.has_value() || open == board->polls.end()) return;
   const OpenPoll asked = open->second;
@@ -365,6 +395,7 @@
       AddLogLine(board, "A poll of the target was not answered.",
                  target.announcement.target.value(), {});
     }
+    if (failure == PollFailure::kRefused) RecordCrash(board, "refused");
     return FinishEvent(board, now);
   }
   const bool is_new_life = poll->born != target.announcement.born;
@@ -374,6 +405,8 @@
     AddLogLine(board, "A poll found a new incarnation of the target.",
                target.announcement.target.value(),
                {{"born", std::to_string(poll->born.value())}});
+  } else {
+    RevokeCrash(board);
   }
   RecordTargetAnswer(board, now);
   if (poll->clock > target.clock) {
--- a/coordinator/include/tarragon/coordinator/gate.h
+++ b/coordinator/include/tarragon/coordinator/gate.h
@@ -83,10 +83,19 @@
                    OrderAnswer answer, std::optional<TargetClock> clock);
 void OnStopAnswer(GateBoard* board, core::Time now, const RunRef& run,
                   OrderAnswer answer);
+/// Why a poll has no reply.
+enum class PollFailure : std::uint8_t {
+  /// No usable answer: the target may be dead, slow or out of reach.
+  kNoAnswer,
+  /// The connection was refused: the target's process is gone.
+  kRefused,
+};
+
 /// `number` is that of the OrderPoll; `poll` is empty if there was no usable
-/// answer.
+/// answer, and `failure` says why.
 void OnPollAnswer(GateBoard* board, core::Time now, std::uint64_t number,
-                  const std::optional<PollReply>& poll);
+                  const std::optional<PollReply>& poll,
+                  PollFailure failure = PollFailure::kNoAnswer);
 
 void OnTick(GateBoard* board, core::Time now);
 
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -69,6 +69,8 @@
   core::Duration expected_run_time{0};
   /// The target refuses the start after this time on its clock.
   TargetClock start_deadline;
+  /// The target has crashed under it.
+  bool target_crashed = false;
   /// The run is to be stopped.
   bool stop_requested = false;
   bool stop_pending = false;
@@ -89,6 +91,8 @@
   /// When the first of the current series of failed polls was sent; empty while
   /// the target answers.
   std::optional<core::Time> silent_since;
+  /// Its process is gone, although it was not draining.
+  bool crashed = false;
   /// Its runs are known: this incarnation has answered a poll.
   bool runs_known = false;
   /// When its runs became known.
@@ -227,6 +231,7 @@
   std::map<RefusalReason, std::uint64_t> refusals;
   std::map<RunEnd, std::uint64_t> ends;
   std::uint64_t lost_polls = 0;
+  std::uint64_t target_crashes = 0;
   std::uint64_t timed_out_entries = 0;
   /// Offers of room to entries, and offers that expired without an answer.
   std::uint64_t offers = 0;
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -148,6 +148,8 @@
   RefusalReason reason = RefusalReason::kNone;
   /// From the target's answer to the start until the end was seen.
   core::Duration run_time{0};
+  /// The target has crashed under the run, which may be the cause.
+  bool target_crashed = false;
 
   bool operator==(const RunEnded&) const = default;
 };
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -224,8 +224,10 @@
     target_client_.PollRuns(
         order, board_.policy.hold_margin,
         [this, number = order.number](
-            const std::optional<coordinator::PollReply>& poll) {
-          coordinator::OnPollAnswer(&board_, clock_.Now(), number, poll);
+            const std::optional<coordinator::PollReply>& poll,
+            coordinator::PollFailure failure) {
+          coordinator::OnPollAnswer(&board_, clock_.Now(), number, poll,
+                                    failure);
           ExecuteActions();
         });
   }
@@ -290,6 +292,8 @@
     SetCounterTotal(&registry_, "unclear_starts_total", {},
                     counts.unclear_starts);
     SetCounterTotal(&registry_, "lost_polls_total", {}, counts.lost_polls);
+    SetCounterTotal(&registry_, "target_crashes_total", {},
+                    counts.target_crashes);
     SetCounterTotal(&registry_, "entries_silenced_total", {},
                     counts.timed_out_entries);
     SetCounterTotal(&registry_, "offers_total", {}, counts.offers);
--- a/http/connection.cc
+++ b/http/connection.cc
@@ -53,13 +53,14 @@
 
 void Connection::OnConnected(ErrorCode error) {
   if (error) {
-    return Fail(HttpErrorKind::kNotSent, "Connect: " + error.message() + ".");
+    return Fail(HttpErrorKind::kNotSent, "Connect: " + error.message() + ".",
+                error == asio::error::connection_refused);
   }
   // The system may connect a socket to itself when nobody listens on a port
   // that it also hands out to clients.
   ErrorCode ignored;
   if (socket_.local_endpoint(ignored) == endpoint_) {
-    return Fail(HttpErrorKind::kNotSent, "Connect: nobody listens.");
+    return Fail(HttpErrorKind::kNotSent, "Connect: nobody listens.", true);
   }
   socket_.set_option(Tcp::no_delay(true), ignored);
   Transmit();
@@ -188,10 +189,11 @@
   return unsent ? HttpErrorKind::kNotSent : HttpErrorKind::kNoAnswer;
 }
 
-void Connection::Fail(HttpErrorKind kind, const std::string& text) {
+void Connection::Fail(HttpErrorKind kind, const std::string& text,
+                      bool refused) {
   const Exchange ended = TakeExchange();
   Close();
-  ended.done(std::nullopt, HttpError{kind, text});
+  ended.done(std::nullopt, HttpError{kind, text, refused});
 }
 
 void Connection::Cancel() {
--- a/http/connection.h
+++ b/http/connection.h
@@ -59,7 +59,7 @@
   void OnAnswer();
   void GoIdle();
   void OnExpired();
-  void Fail(HttpErrorKind kind, const std::string& text);
+  void Fail(HttpErrorKind kind, const std::string& text, bool refused = false);
   HttpErrorKind FailureKind() const;
   Exchange TakeExchange();
 
--- a/http/include/tarragon/http/message.h
+++ b/http/include/tarragon/http/message.h
@@ -60,6 +60,8 @@
   HttpErrorKind kind = HttpErrorKind::kNone;
   /// One sentence for people.
   std::string text;
+  /// Nobody listens at the address.
+  bool refused = false;
 };
 
 }  // namespace tarragon::http
--- a/http/tests/client_failure_test.cc
+++ b/http/tests/client_failure_test.cc
@@ -62,7 +62,9 @@
 
   void RefusedConnectIsNotSent() {
     MakeClient(Patient());
-    ExpectFailure(Send(UnusedAddress(io_), Get("/")), HttpErrorKind::kNotSent);
+    const auto result = Send(UnusedAddress(io_), Get("/"));
+    ExpectFailure(result, HttpErrorKind::kNotSent);
+    CPPUNIT_ASSERT(result->error.refused);
   }
 
   void SlowConnectIsNotSent() {
@@ -70,7 +72,9 @@
     limits.connect_timeout = kShort;
     MakeClient(limits);
     const FullListener full(io_);
-    ExpectFailure(Send(full.address(), Get("/")), HttpErrorKind::kNotSent);
+    const auto result = Send(full.address(), Get("/"));
+    ExpectFailure(result, HttpErrorKind::kNotSent);
+    CPPUNIT_ASSERT(!result->error.refused);
   }
 
   void TimeoutWhileConnectingIsNotSent() {
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -311,12 +311,13 @@
 }
 
 void ToProto(const coordinator::RunEnded& message, Envelope* out) {
-  const auto& [run, end, why, run_time] = message;
+  const auto& [run, end, why, run_time, target_crashed] = message;
   RunEnded* ended = out->mutable_run_ended();
   ToProto(run, ended->mutable_run());
   ended->set_end(static_cast<std::uint32_t>(end));
   ended->set_reason(static_cast<std::uint32_t>(why));
   ended->set_run_time_us(ToMicros(run_time));
+  ended->set_target_crashed(target_crashed);
 }
 
 bool FromProto(RunEnded* in, coordinator::RunEnded* out, WireError* reason) {
@@ -327,6 +328,7 @@
   }
   out->end = static_cast<coordinator::RunEnd>(in->end());
   out->reason = static_cast<coordinator::RefusalReason>(in->reason());
+  out->target_crashed = in->target_crashed();
   return ReadRun(in->has_run(), in->mutable_run(), &out->run, reason) &&
          FromMicros(in->run_time_us(), &out->run_time, reason);
 }
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -258,7 +258,7 @@
       coordinator::AskRun{SampleRun(), true, {1600, 64, 1}},
       coordinator::RunEnded{SampleRun(), coordinator::RunEnd::kRefused,
                             coordinator::RefusalReason::kNoRoom,
-                            microseconds(61000)},
+                            microseconds(61000), true},
       coordinator::TargetHint{SampleTargetReport()},
       coordinator::RoomWanted{
           {1600, 64, 1}, true, std::chrono::milliseconds(-25)},
