Coordinator: fail a job after two targets have crashed under one of its tasks

Cause: a run that ends with its target is started again without a count. Class: a retry without a budget, where the retried work is what breaks the target. Change: an entry counts the crashes under each task. After two the job is failed, which its client is told at once. All tasks of a crashed target count one, so a task that was there by chance could be failed with its neighbour: a task with a crash is a suspect, a target runs one suspect at a time, and sound tasks prefer targets without one. Lost runs without a crash are restarted as before. Left: the count ends with its entry; a client whose entry is lost brings the task to another one, which starts it twice more.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -199,6 +199,12 @@
       break;
     case RunEnd::kStopped:
     case RunEnd::kLapsed:
+      if (ended.target_crashed &&
+          ++task->crashes >= board->policy.max_crashes) {
+        EndJob(board, now, job, JobState::kFailed,
+               "targets crashed under a task");
+        return;
+      }
       task->avoid_gate = true;
       break;
     case RunEnd::kRefused:
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -34,6 +34,12 @@
   return at != board.runs.end() && at->first.task == task;
 }
 
+/// True if a run here belongs to a task under which a target has crashed.
+bool HasSuspect(const GateBoard& board) {
+  return std::any_of(board.runs.begin(), board.runs.end(),
+                     [](const auto& run) { return run.second.suspect; });
+}
+
 RefusalReason CheckStart(const GateBoard& board, core::Time now,
                          const StartRun& start) {
   if (now > start.start_by) return RefusalReason::kStale;
@@ -54,6 +60,7 @@
       std::find(announcement.labels.begin(), announcement.labels.end(),
                 start.required) != announcement.labels.end();
   if (!labelled) return RefusalReason::kWrongTarget;
+  if (start.suspect && HasSuspect(board)) return RefusalReason::kOtherSuspect;
   if (!Fits(start.room, ComputeFreeRoom(board))) return RefusalReason::kNoRoom;
   return RefusalReason::kNone;
 }
@@ -72,6 +79,7 @@
   Target& target = *board->target;
   GateRun run;
   run.room = start.room;
+  run.suspect = start.suspect;
   run.home = home;
   run.ordered_at = now;
   run.expected_run_time = start.expected_run;
@@ -177,6 +185,7 @@
     if (board->target.has_value()) {
       report.runs_known = board->target->runs_known;
       report.entries = static_cast<std::uint32_t>(board->homes.size());
+      report.has_suspect = HasSuspect(*board);
       report.free =
           ComputeFreeRoom(*board) - SumRoomOfferedToOthers(*board, home.node);
       report.offered = home.offer_due;
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -69,6 +69,8 @@
   core::Duration expected_run_time{0};
   /// The target refuses the start after this time on its clock.
   TargetClock start_deadline;
+  /// A target has crashed under an earlier run of the task.
+  bool suspect = false;
   /// The target has crashed under it.
   bool target_crashed = false;
   /// The run is to be stopped.
--- a/coordinator/include/tarragon/coordinator/job.h
+++ b/coordinator/include/tarragon/coordinator/job.h
@@ -91,9 +91,12 @@
   /// The target has already seen a run of this task with the same or a higher
   /// number.
   kOldRun,
+  /// A target has crashed under the task before, and the target has another
+  /// such run.
+  kOtherSuspect,
 };
 inline constexpr std::uint32_t kLastRefusalReason =
-    static_cast<std::uint32_t>(RefusalReason::kOldRun);
+    static_cast<std::uint32_t>(RefusalReason::kOtherSuspect);
 
 /// The reason's name in logs and counters.
 const char* Name(RefusalReason reason);
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -97,6 +97,8 @@
   /// Number of the last run; zero for none.
   std::uint32_t last_run = 0;
   std::uint32_t failures = 0;
+  /// Targets that have crashed under its runs.
+  std::uint32_t crashes = 0;
   /// The gate to which the last start was sent.
   core::Address gate;
   /// The last run failed or was lost, so another gate is preferred.
@@ -172,6 +174,8 @@
   /// The gate may not know of the run, because the connection was lost or the
   /// gate was restarted.
   bool unconfirmed = false;
+  /// A target has crashed under an earlier run of the task.
+  bool suspect = false;
 };
 
 /// The last request for room that was sent to a gate.
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -81,6 +81,8 @@
   /// room, until it answers with StartRun or RoomWanted, for a few milliseconds
   /// at most.
   bool offered = false;
+  /// The target has a run under whose task another target has crashed.
+  bool has_suspect = false;
 
   bool operator==(const TargetReport&) const = default;
 };
@@ -124,6 +126,8 @@
   /// The drained domains by which the entry decided.
   std::uint64_t operator_revision = 0;
   std::uint64_t domains_digest = 0;
+  /// A target has crashed under an earlier run of the task.
+  bool suspect = false;
 
   bool operator==(const StartRun&) const = default;
 };
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -126,6 +126,9 @@
   /// mean.
   double stall_factor = 4.0;
   core::Duration stall_floor{std::chrono::milliseconds(100)};
+  /// A job fails once so many targets have crashed under one of its tasks. The
+  /// first crash may be chance or the fault of another task there.
+  std::uint32_t max_crashes = 2;
   /// How long an entry avoids a gate that refused a start for a reason other
   /// than lack of room.
   core::Duration refusal_pause{std::chrono::milliseconds(40)};
--- a/coordinator/names.cc
+++ b/coordinator/names.cc
@@ -45,6 +45,8 @@
       return "target_refused";
     case RefusalReason::kOldRun:
       return "old_run";
+    case RefusalReason::kOtherSuspect:
+      return "other_suspect";
   }
   return "invalid";
 }
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -19,6 +19,8 @@
 /// Randomness keeps entries that see the same free room from choosing the same
 /// target.
 constexpr double kRandomWeight = 0.15;
+/// A suspect run takes the others at its target along if it crashes the target.
+constexpr double kSuspectWeight = 0.3;
 constexpr double kPermille = 1000;
 
 double NextRandomFraction(JobBoard* board) {
@@ -88,6 +90,13 @@
   return count;
 }
 
+/// True if a run there belongs to a task under which a target has crashed.
+bool HasSuspect(const GateLink& gate) {
+  return gate.report->has_suspect ||
+         std::any_of(gate.runs.begin(), gate.runs.end(),
+                     [](const auto& run) { return run.second.suspect; });
+}
+
 }  // namespace
 
 std::uint64_t NextRandom(JobBoard* board) { return NextRandom(&board->random); }
@@ -151,6 +160,9 @@
         CountRunsOfStep(gate, task.ref) >= step.max_per_target) {
       continue;
     }
+    // With one suspect at a target, a crash tells which task is the cause.
+    const bool has_suspect = HasSuspect(gate);
+    if (has_suspect && task.crashes > 0) continue;
     const bool trial = gate.health.suspect;
     if (trial && (now - gate.health.last_trial_at <
                       board->policy.trial_interval * report.entries ||
@@ -166,6 +178,7 @@
     if (report.domain == board->domain) score += kSameDomainWeight;
     if (task.avoid_gate && gate.node.address == task.gate) score -= 1;
     if (trial) score -= 0.5;
+    if (has_suspect) score -= kSuspectWeight;
     score += kRandomWeight * NextRandomFraction(board);
     if (best != nullptr && score <= best_score) continue;
     best = &candidate;
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -70,12 +70,14 @@
   start.expected_run = EstimateRunTime(*board, *job, *task);
   start.operator_revision = board->operator_state.revision;
   start.domains_digest = board->domains_digest;
+  start.suspect = task->crashes > 0;
   ++job->ordered_runs;
   ++board->counts.starts;
   if (gate->health.suspect) gate->health.last_trial_at = now;
   gate->uncounted_starts.push_back({start.sequence, step.room, now});
   gate->runs[start.run] = {
-      step.room, now, EstimateRunTime(*board, *job, *task), now, false, false};
+      step.room, now,          EstimateRunTime(*board, *job, *task), now, false,
+      false,     start.suspect};
   AddLogLine(board, "Placed a task.", ToString(start.run),
              {{"target", gate->report->target.value()},
               {"waited", FormatMillis(now - job->arrived_at)},
--- a/coordinator/tests/gate_crash_test.cc
+++ b/coordinator/tests/gate_crash_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(SilentTargetHasNotCrashed);
   CPPUNIT_TEST(DrainingTargetHasNotCrashed);
   CPPUNIT_TEST(AnsweringTargetHasNotCrashed);
+  CPPUNIT_TEST(StartsOneSuspectAtATime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -79,6 +80,34 @@
     FailPollsUntilLeaseExpires(PollFailure::kNoAnswer);
     AssertCrash(MakeRun(0), false);
   }
+
+  void StartSuspect(const RunRef& run) {
+    StartRun start;
+    start.run = run;
+    start.sequence = ++sequence_;
+    start.service = core::ServiceId("carve");
+    start.room = {1600, 10, 0};
+    start.start_by = now_ + milliseconds(400);
+    start.suspect = true;
+    OnMessage(&board_, now_, kEntry, start);
+  }
+
+  void StartsOneSuspectAtATime() {
+    StartSuspect(MakeRun(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeActions<OrderStart>().size());
+    for (const auto& sent : TakeActions<SendTo<TargetReport>>()) {
+      CPPUNIT_ASSERT(sent.message.has_suspect);
+    }
+    StartSuspect(MakeRun(1));
+    AssertRefused(MakeRun(1), RefusalReason::kOtherSuspect);
+    StartAndAccept(MakeRun(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeActions<OrderStart>().size());
+    OnStartAnswer(&board_, now_, MakeRun(0), OrderAnswer::kAccepted,
+                  std::nullopt);
+    AnswerPoll({MakeRun(2)}, {{1, MakeRun(0), RunEnd::kDone}});
+    StartSuspect(MakeRun(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeActions<OrderStart>().size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GateCrashTest);
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -79,7 +79,7 @@
   const auto& [clock, starts_seen, usable, runs_known, target, born, sequence,
                address, draining, service, domain, labels, capacity, free,
                entries, slowness_permille, failed_permille, operator_revision,
-               domains_digest, config_version, offered] = message;
+               domains_digest, config_version, offered, has_suspect] = message;
   report->set_clock_us(ClockMicros(clock));
   report->set_starts_seen(starts_seen);
   report->set_usable(usable);
@@ -103,6 +103,7 @@
   report->set_domains_digest(domains_digest);
   report->set_config_version(config_version);
   report->set_offered(offered);
+  report->set_has_suspect(has_suspect);
 }
 
 void OmitTarget(TargetReport* report) {
@@ -143,6 +144,7 @@
   out->domains_digest = in->domains_digest();
   out->config_version = in->config_version();
   out->offered = in->offered();
+  out->has_suspect = in->has_suspect();
   return ReadClock(in->clock_us(), &out->clock, reason);
 }
 
@@ -267,7 +269,8 @@
 
 void ToProto(const coordinator::StartRun& message, Envelope* out) {
   const auto& [run, sequence, service, room, payload, required, start_by,
-               expected_run, operator_revision, domains_digest] = message;
+               expected_run, operator_revision, domains_digest, suspect] =
+      message;
   StartRun* start = out->mutable_start_run();
   ToProto(run, start->mutable_run());
   start->set_sequence(sequence);
@@ -279,6 +282,7 @@
   start->set_expected_run_us(ToMicros(expected_run));
   start->set_operator_revision(operator_revision);
   start->set_domains_digest(domains_digest);
+  start->set_suspect(suspect);
 }
 
 bool FromProto(StartRun* in, coordinator::StartRun* out, WireError* reason) {
@@ -292,6 +296,7 @@
   out->required = TakeId<coordinator::Label>(in->mutable_required());
   out->operator_revision = in->operator_revision();
   out->domains_digest = in->domains_digest();
+  out->suspect = in->suspect();
   return ReadClock(in->start_by_us(), &out->start_by, reason) &&
          FromMicros(in->expected_run_us(), &out->expected_run, reason);
 }
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -189,6 +189,7 @@
   report.domains_digest = 0x8000000000000007ULL;
   report.config_version = 12;
   report.offered = true;
+  report.has_suspect = true;
   return report;
 }
 
@@ -254,7 +255,9 @@
                             coordinator::Label("r1"),
                             core::Time{microseconds(30)},
                             microseconds(36),
-                            31},
+                            31,
+                            37,
+                            true},
       coordinator::AskRun{SampleRun(), true, {1600, 64, 1}},
       coordinator::RunEnded{SampleRun(), coordinator::RunEnd::kRefused,
                             coordinator::RefusalReason::kNoRoom,
