Coordinator: keep a target's capacity for the gate's next process

Class: a copy that is not renewed with what it copies; the same had been mended for draining, field by field. Change: the copy is stored again when the capacity changes, and a hint with a higher sequence number overrides the capacity as it does draining. Tests: GateRestartTest::FillsNoTargetBeyondCapacityThatHadShrunk and HintOfShrunkCapacityOverridesOlderStoredTarget failed before (a third and a second start were not refused); OlderHintOfCapacityChangesNothing.

--- a/coordinator/gate_stored_target.cc
+++ b/coordinator/gate_stored_target.cc
@@ -24,11 +24,13 @@
 
 void StoreTargetIfChanged(GateBoard* board, const Announcement& announcement) {
   Target& target = *board->target;
-  const bool is_kept = target.stored_report.has_value() &&
-                       target.stored_report->target == announcement.target &&
-                       target.stored_report->born == announcement.born &&
-                       target.stored_report->address == announcement.address &&
-                       target.stored_report->draining == announcement.draining;
+  const bool is_kept =
+      target.stored_report.has_value() &&
+      target.stored_report->target == announcement.target &&
+      target.stored_report->born == announcement.born &&
+      target.stored_report->address == announcement.address &&
+      target.stored_report->capacity == announcement.capacity &&
+      target.stored_report->draining == announcement.draining;
   if (is_kept) return;
   target.stored_report = MakeReport(announcement);
   board->actions.push_back(StoreTarget{*target.stored_report});
@@ -36,19 +38,29 @@
 
 namespace {
 
-/// Applies that the target was draining when an earlier gate process last heard
-/// it. The copies of that process's knowledge differ in age and arrive in any
-/// order.
-void ApplyEarlierDraining(GateBoard* board, const TargetReport& last) {
+/// Applies what an earlier gate process last heard of the target's draining and
+/// capacity. The copies of that process's knowledge differ in age and arrive in
+/// any order.
+void ApplyEarlierReport(GateBoard* board, const TargetReport& last) {
   Announcement& known = board->target->announcement;
-  const bool applies = last.draining && !known.draining &&
-                       last.target == known.target && last.born == known.born &&
-                       last.sequence >= known.sequence;
-  if (!applies) return;
-  known.draining = true;
-  AddLogLine(board, "The target was draining before the gate was restarted.",
+  if (last.target != known.target || last.born != known.born) return;
+  if (last.draining && !known.draining && last.sequence >= known.sequence) {
+    known.draining = true;
+    AddLogLine(board, "The target was draining before the gate was restarted.",
+               last.target.value(),
+               {{"sequence", std::to_string(last.sequence)}});
+    MarkAllReportsDue(board);
+  }
+  if (last.sequence <= known.sequence) return;
+  known.sequence = last.sequence;
+  if (last.capacity == known.capacity) return;
+  AddLogLine(board,
+             "The target had another capacity before the gate was restarted.",
              last.target.value(),
-             {{"sequence", std::to_string(last.sequence)}});
+             {{"millicores", std::to_string(last.capacity.millicores)},
+              {"stored_millicores", std::to_string(known.capacity.millicores)},
+              {"sequence", std::to_string(last.sequence)}});
+  known.capacity = last.capacity;
   MarkAllReportsDue(board);
 }
 
@@ -58,7 +70,7 @@
                            const std::string& source) {
   if (last.target.value().empty()) return FinishEvent(board, now);
   if (board->target.has_value()) {
-    ApplyEarlierDraining(board, last);
+    ApplyEarlierReport(board, last);
     return FinishEvent(board, now);
   }
   AddLogLine(board, "Restored the target of an earlier gate process.",
--- a/coordinator/tests/gate_restart_test.cc
+++ b/coordinator/tests/gate_restart_test.cc
@@ -12,6 +12,9 @@
   CPPUNIT_TEST(RefusesStartAtTargetThatWasDraining);
   CPPUNIT_TEST(DrainingHintOverridesOlderStoredTarget);
   CPPUNIT_TEST(HintOfEarlierIncarnationChangesNothing);
+  CPPUNIT_TEST(FillsNoTargetBeyondCapacityThatHadShrunk);
+  CPPUNIT_TEST(HintOfShrunkCapacityOverridesOlderStoredTarget);
+  CPPUNIT_TEST(OlderHintOfCapacityChangesNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -62,6 +65,46 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeActions<OrderStart>().size());
   }
 
+  void AnnounceCapacity(std::int64_t sequence, std::int64_t millicores) {
+    Announcement announcement = board_.target->announcement;
+    announcement.sequence = sequence;
+    announcement.capacity.millicores = millicores;
+    OnAnnouncement(&board_, now_, announcement);
+  }
+
+  void FillsNoTargetBeyondCapacityThatHadShrunk() {
+    StoreTarget last = {MakeStoredReport(1, 1, false)};
+    AnnounceCapacity(2, 3200);
+    for (const StoreTarget& stored : TakeActions<StoreTarget>()) last = stored;
+    Restart(last.target);
+    Start(MakeRun(0));
+    Start(MakeRun(1));
+    TakeActions<OrderStart>();
+    Start(MakeRun(2));
+    AssertRefused(MakeRun(2), RefusalReason::kNoRoom);
+  }
+
+  void HintOfShrunkCapacityOverridesOlderStoredTarget() {
+    Restart(MakeStoredReport(1, 1, false));
+    TargetReport hint = MakeStoredReport(1, 7, false);
+    hint.capacity.millicores = 1600;
+    OnMessage(&board_, now_, kEntry, TargetHint{hint});
+    Start(MakeRun(0));
+    TakeActions<OrderStart>();
+    Start(MakeRun(1));
+    AssertRefused(MakeRun(1), RefusalReason::kNoRoom);
+  }
+
+  void OlderHintOfCapacityChangesNothing() {
+    Restart(MakeStoredReport(1, 8, false));
+    TargetReport hint = MakeStoredReport(1, 7, false);
+    hint.capacity.millicores = 1600;
+    OnMessage(&board_, now_, kEntry, TargetHint{hint});
+    Start(MakeRun(0));
+    Start(MakeRun(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, TakeActions<OrderStart>().size());
+  }
+
  private:
   static TargetReport MakeStoredReport(std::int64_t born, std::int64_t sequence,
                                        bool draining) {
