--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -75,9 +75,11 @@
   ++board->counts.starts;
   if (gate->health.suspect) gate->health.last_trial_at = now;
   gate->uncounted_starts.push_back({start.sequence, step.room, now});
-  gate->runs[start.run] = {
-      step.room, now,          EstimateRunTime(*board, *job, *task), now, false,
-      false,     start.suspect};
+  gate->runs[start.run] = {.room = step.room,
+                           .ordered_at = now,
+                           .expected_run_time = start.expected_run,
+                           .asked_at = now,
+                           .suspect = start.suspect};
   AddLogLine(board, "Placed a task.", ToString(start.run),
              {{"target", gate->report->target.value()},
               {"waited", FormatMillis(now - job->arrived_at)},
