--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -34,12 +34,6 @@
   return at != board.runs.end() && at->first.task == task;
 }
 
-/// True if a run here belongs to a task under which a target has crashed.
-bool HasSuspect(const GateBoard& board) {
-  return std::any_of(board.runs.begin(), board.runs.end(),
-                     [](const auto& run) { return run.second.suspect; });
-}
-
 RefusalReason CheckStart(const GateBoard& board, core::Time now,
                          const StartRun& start) {
   if (now > start.start_by) return RefusalReason::kStale;
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -48,11 +48,22 @@
 /// Records that the target has answered an order or a poll.
 void RecordTargetAnswer(GateBoard* board, core::Time now);
 
+/// Records that the target has crashed under its runs. A target that drains may
+/// end at any time. `evidence` is logged.
+void RecordCrash(GateBoard* board, const char* evidence);
+
+/// Records that the target answers, so it had not crashed.
+void RevokeCrash(GateBoard* board);
+
+/// True if a run at the target belongs to a task under which a target has
+/// crashed.
+bool HasSuspect(const GateBoard& board);
+
 /// Makes a report of the announced target; its free room is left zero.
 TargetReport MakeReport(const Announcement& announcement);
 
-/// Requests that the target is stored if its id, incarnation, address or
-/// draining has changed.
+/// Requests that the target is stored if its id, incarnation, address, capacity
+/// or draining has changed.
 void StoreTargetIfChanged(GateBoard* board, const Announcement& announcement);
 
 /// Applies an announcement that the target made to this process or to an
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -50,29 +50,6 @@
   }
 }
 
-/// Notes that the target has crashed under its runs. A target that drains may
-/// end at any time.
-void RecordCrash(GateBoard* board, const char* evidence) {
-  Target& target = *board->target;
-  if (target.crashed || target.announcement.draining) return;
-  target.crashed = true;
-  ++board->counts.target_crashes;
-  for (auto& [ref, run] : board->runs) run.target_crashed = true;
-  AddLogLine(
-      board, "The target crashed.", target.announcement.target.value(),
-      {{"evidence", evidence}, {"runs", std::to_string(board->runs.size())}});
-}
-
-/// The target was alive after all.
-void RevokeCrash(GateBoard* board) {
-  if (!board->target->crashed) return;
-  board->target->crashed = false;
-  for (auto& [ref, run] : board->runs) run.target_crashed = false;
-  AddLogLine(board, "The target had not crashed.",
-             board->target->announcement.target.value(),
-             {{"runs", std::to_string(board->runs.size())}});
-}
-
 /// Begins another incarnation of the target. Its runs are kept until the first
 /// poll, because an order that was sent shortly before may have reached the new
 /// incarnation.
