Wire, Coordinator, Platform: fields for demand, progress, speed and departure

The parts for hard load (docs/design/HARD-LOAD.md) exchange more between entry and gate than free room. A missing field reads as zero, as messages of an older build have it.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -384,6 +384,12 @@
   FinishGateEvent(board, now, &gate);
 }
 
+void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
+               const RunProgress& /*progress*/) {
+  GateLink& gate = RecordGateContact(board, now, from);
+  FinishGateEvent(board, now, &gate);
+}
+
 void OnGateDisconnected(JobBoard* board, core::Time now,
                         const core::NodeId& node) {
   const auto found = board->gates.find(node.address);
--- a/coordinator/include/tarragon/coordinator/entry.h
+++ b/coordinator/include/tarragon/coordinator/entry.h
@@ -42,6 +42,8 @@
                OperatorUpdate update);
 void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
                const RunEnded& ended);
+void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
+               const RunProgress& progress);
 /// The connection to a gate was lost.
 void OnGateDisconnected(JobBoard* board, core::Time now,
                         const core::NodeId& gate);
--- a/coordinator/include/tarragon/coordinator/gate.h
+++ b/coordinator/include/tarragon/coordinator/gate.h
@@ -28,6 +28,9 @@
 /// A run that the target lists as running.
 struct ListedRun {
   RunRef run;
+  /// Share of the work that is done, from 0 to 100; empty if the target has not
+  /// told it.
+  std::optional<std::uint32_t> percent = std::nullopt;
 };
 
 /// A run that the target lists as ended.
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -39,6 +39,8 @@
   /// The target is shutting down and accepts no new runs.
   bool draining = false;
   TargetClock clock;
+  /// Least time until a draining target leaves; empty if it has not told.
+  std::optional<core::Duration> remaining;
 };
 
 /// Phase of a run, as the gate knows it.
@@ -213,7 +215,8 @@
 
 using GateAction =
     std::variant<OrderStart, OrderStop, OrderPoll, SendTo<TargetReport>,
-                 SendTo<RunEnded>, SendTo<OperatorUpdate>, StoreTarget>;
+                 SendTo<RunEnded>, SendTo<RunProgress>, SendTo<OperatorUpdate>,
+                 StoreTarget>;
 
 /// A log line about an event that affects a run or the state of the gate or
 /// entry. `message` is a constant string.
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -15,6 +15,28 @@
 
 namespace tarragon::coordinator {
 
+/// What one or several entries have of the tasks of one priority. Zero is the
+/// highest priority.
+struct PriorityDemand {
+  std::uint32_t priority = 0;
+  /// Work of the waiting tasks, in millicore-milliseconds.
+  std::uint64_t waiting_work = 0;
+  /// Mean work that arrives, in millicore-milliseconds per millisecond.
+  std::uint64_t arriving_millicores = 0;
+
+  bool operator==(const PriorityDemand&) const = default;
+};
+
+/// Room that the runs at a target will have released after some time.
+struct RoomRelease {
+  /// From the time of the report.
+  core::Duration after{0};
+  /// In sum until then, without the room that is free already.
+  std::int64_t millicores = 0;
+
+  bool operator==(const RoomRelease&) const = default;
+};
+
 /// Entry to gate, every few hundred milliseconds: a heartbeat. A gate stops the
 /// runs of an entry from which it receives none.
 struct EntryNotice {
@@ -26,6 +48,8 @@
   std::uint64_t operator_revision = 0;
   std::uint64_t domains_digest = 0;
   std::uint64_t config_version = 0;
+  /// Demand of this entry, by priority.
+  std::vector<PriorityDemand> demand = {};
 
   bool operator==(const EntryNotice&) const = default;
 };
@@ -83,6 +107,16 @@
   bool offered = false;
   /// The target has a run under whose task another target has crashed.
   bool has_suspect = false;
+  /// Demand of all entries but the receiving one, by priority.
+  std::vector<PriorityDemand> others_demand;
+  /// Time until the draining target leaves at the earliest; zero if it does not
+  /// leave or has not told.
+  core::Duration leaves_in{0};
+  /// Learned speed in thousandths: 1000 is usual, at 2000 runs take half the
+  /// time; zero if unknown.
+  std::uint32_t speed_permille = 0;
+  /// When runs will release room, by time.
+  std::vector<RoomRelease> releases;
 
   bool operator==(const TargetReport&) const = default;
 };
@@ -97,6 +131,10 @@
   bool late = false;
   /// Time until the latest start with which the job is in time.
   core::Duration slack{0};
+  /// Priority of the task's queue; zero is the highest.
+  std::uint32_t priority = 0;
+  /// Expected run time of the task; zero if unknown.
+  core::Duration expected_run{0};
 
   bool operator==(const RoomWanted&) const = default;
 };
@@ -128,6 +166,10 @@
   std::uint64_t domains_digest = 0;
   /// A target has crashed under an earlier run of the task.
   bool suspect = false;
+  /// Priority of the task's queue; zero is the highest.
+  std::uint32_t priority = 0;
+  /// Upper bound of the run time at this target; zero for none.
+  core::Duration longest_run{0};
 
   bool operator==(const StartRun&) const = default;
 };
@@ -145,6 +187,19 @@
   bool operator==(const AskRun&) const = default;
 };
 
+/// Gate to entry: the progress of a run that takes longer than expected.
+struct RunProgress {
+  RunRef run;
+  /// Share of the work that is done, from 0 to 100.
+  std::uint32_t percent = 0;
+  /// Estimated time until the end; zero if unknown.
+  core::Duration remaining{0};
+  /// The run makes no progress.
+  bool standing = false;
+
+  bool operator==(const RunProgress&) const = default;
+};
+
 /// Gate to entry: a run has ended, or will never start.
 struct RunEnded {
   RunRef run;
--- a/coordinator/tests/gate_fixture.h
+++ b/coordinator/tests/gate_fixture.h
@@ -70,7 +70,7 @@
 
   /// The notice of an entry that knows of no drained domain.
   static EntryNotice MakeNotice(core::Time echo) {
-    return {echo, 0, DomainsDigest({}), 0};
+    return {echo, 0, DomainsDigest({}), 0, {}};
   }
 
   static RunRef MakeRun(std::uint32_t index, std::uint32_t number = 1) {
@@ -106,7 +106,7 @@
     PollReply poll;
     poll.born = TargetIncarnation(born);
     poll.clock = CurrentTargetClock();
-    for (const RunRef& run : running) poll.running.push_back({run});
+    for (const RunRef& run : running) poll.running.push_back({run, {}});
     poll.ended = ended;
     OnPollAnswer(&board_, now_, board_.last_poll, poll);
   }
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -159,6 +159,9 @@
       coordinator::OnMessage(&board_, now, from, std::move(*report));
     } else if (auto* ended = std::get_if<coordinator::RunEnded>(&message)) {
       coordinator::OnMessage(&board_, now, from, *ended);
+    } else if (auto* progress =
+                   std::get_if<coordinator::RunProgress>(&message)) {
+      coordinator::OnMessage(&board_, now, from, *progress);
     } else if (auto* update =
                    std::get_if<coordinator::OperatorUpdate>(&message)) {
       coordinator::OnMessage(&board_, now, from, std::move(*update));
--- a/dispatch/include/tarragon/dispatch/message.h
+++ b/dispatch/include/tarragon/dispatch/message.h
@@ -380,15 +380,14 @@
 };
 
 /// Every message that one process sends to another.
-using Message =
-    std::variant<Heartbeat, Permit, Submit, Query, Cancel, Answer, Explain,
-                 Explanation, Assign, Refused, Started, Finished, FinishedAck,
-                 Seal, Want, Pull, PullEmpty, PullTask, LoadHint, EntryPing,
-                 EntryPong, Leaving, Handover, HandoverAck, Inherited,
-                 coordinator::EntryNotice, coordinator::OperatorUpdate,
-                 coordinator::TargetReport, coordinator::StartRun,
-                 coordinator::AskRun, coordinator::RunEnded,
-                 coordinator::TargetHint, coordinator::RoomWanted>;
+using Message = std::variant<
+    Heartbeat, Permit, Submit, Query, Cancel, Answer, Explain, Explanation,
+    Assign, Refused, Started, Finished, FinishedAck, Seal, Want, Pull,
+    PullEmpty, PullTask, LoadHint, EntryPing, EntryPong, Leaving, Handover,
+    HandoverAck, Inherited, coordinator::EntryNotice,
+    coordinator::OperatorUpdate, coordinator::TargetReport,
+    coordinator::StartRun, coordinator::AskRun, coordinator::RunEnded,
+    coordinator::TargetHint, coordinator::RoomWanted, coordinator::RunProgress>;
 
 /// The message's name in logs and counters, such as "assign".
 const char* Name(const Message& message);
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -263,6 +263,10 @@
                    std::get_if<coordinator::SendTo<coordinator::RunEnded>>(
                        &action)) {
       SendToEntry(gate, ended->message, ended->to.address);
+    } else if (auto* progress =
+                   std::get_if<coordinator::SendTo<coordinator::RunProgress>>(
+                       &action)) {
+      SendToEntry(gate, progress->message, progress->to.address);
     }
   }
 }
--- a/wire/codec.cc
+++ b/wire/codec.cc
@@ -109,6 +109,8 @@
       return Read<coordinator::RunEnded>(in->mutable_run_ended(), reason);
     case Envelope::kRoomWanted:
       return Read<coordinator::RoomWanted>(in->mutable_room_wanted(), reason);
+    case Envelope::kRunProgress:
+      return Read<coordinator::RunProgress>(in->mutable_run_progress(), reason);
     case Envelope::kTargetHint:
       return Read<coordinator::TargetHint>(in->mutable_target_hint(), reason);
     case Envelope::MESSAGE_NOT_SET:
--- a/wire/hello.cc
+++ b/wire/hello.cc
@@ -63,6 +63,7 @@
   Channel operator()(const coordinator::AskRun&) { return Channel::kWork; }
   Channel operator()(const coordinator::TargetHint&) { return Channel::kWork; }
   Channel operator()(const coordinator::RoomWanted&) { return Channel::kWork; }
+  Channel operator()(const coordinator::RunProgress&) { return Channel::kWork; }
   Channel operator()(const coordinator::RunEnded&) { return Channel::kWork; }
 };
 
--- a/wire/proto_messages.h
+++ b/wire/proto_messages.h
@@ -86,6 +86,7 @@
 void ToProto(const coordinator::RunEnded& message, Envelope* out);
 void ToProto(const coordinator::TargetHint& message, Envelope* out);
 void ToProto(const coordinator::RoomWanted& message, Envelope* out);
+void ToProto(const coordinator::RunProgress& message, Envelope* out);
 /// Writes a report without the fields that describe its target.
 void WriteRepeatedTarget(const coordinator::TargetReport& message,
                          Envelope* out);
@@ -104,6 +105,8 @@
 bool FromProto(RunEnded* in, coordinator::RunEnded* out, WireError* reason);
 bool FromProto(TargetHint* in, coordinator::TargetHint* out, WireError* reason);
 bool FromProto(RoomWanted* in, coordinator::RoomWanted* out, WireError* reason);
+bool FromProto(RunProgress* in, coordinator::RunProgress* out,
+               WireError* reason);
 
 }  // namespace tarragon::wire
 
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -74,12 +74,24 @@
   return FromMicros(micros, &out->since_start, reason);
 }
 
+void ToProto(const coordinator::PriorityDemand& demand, PriorityDemand* out) {
+  const auto& [priority, waiting_work, arriving_millicores] = demand;
+  out->set_priority(priority);
+  out->set_waiting_work(waiting_work);
+  out->set_arriving_millicores(arriving_millicores);
+}
+
+coordinator::PriorityDemand ReadDemand(const PriorityDemand& in) {
+  return {in.priority(), in.waiting_work(), in.arriving_millicores()};
+}
+
 void WriteReport(const coordinator::TargetReport& message,
                  TargetReport* report) {
   const auto& [clock, starts_seen, usable, runs_known, target, born, sequence,
                address, draining, service, domain, labels, capacity, free,
                entries, slowness_permille, failed_permille, operator_revision,
-               domains_digest, config_version, offered, has_suspect] = message;
+               domains_digest, config_version, offered, has_suspect,
+               others_demand, leaves_in, speed_permille, releases] = message;
   report->set_clock_us(ClockMicros(clock));
   report->set_starts_seen(starts_seen);
   report->set_usable(usable);
@@ -104,6 +116,16 @@
   report->set_config_version(config_version);
   report->set_offered(offered);
   report->set_has_suspect(has_suspect);
+  for (const coordinator::PriorityDemand& each : others_demand) {
+    ToProto(each, report->add_others_demand());
+  }
+  report->set_leaves_in_us(ToMicros(leaves_in));
+  report->set_speed_permille(speed_permille);
+  for (const auto& [after, millicores] : releases) {
+    RoomRelease* release = report->add_releases();
+    release->set_after_us(ToMicros(after));
+    release->set_millicores(millicores);
+  }
 }
 
 void OmitTarget(TargetReport* report) {
@@ -145,19 +167,32 @@
   out->config_version = in->config_version();
   out->offered = in->offered();
   out->has_suspect = in->has_suspect();
-  return ReadClock(in->clock_us(), &out->clock, reason);
+  for (const PriorityDemand& each : in->others_demand()) {
+    out->others_demand.push_back(ReadDemand(each));
+  }
+  out->speed_permille = in->speed_permille();
+  for (const RoomRelease& each : in->releases()) {
+    coordinator::RoomRelease& release = out->releases.emplace_back();
+    release.millicores = each.millicores();
+    if (!FromMicros(each.after_us(), &release.after, reason)) return false;
+  }
+  return FromMicros(in->leaves_in_us(), &out->leaves_in, reason) &&
+         ReadClock(in->clock_us(), &out->clock, reason);
 }
 
 }  // namespace
 
 void ToProto(const coordinator::EntryNotice& message, Envelope* out) {
-  const auto& [echo, operator_revision, domains_digest, config_version] =
-      message;
+  const auto& [echo, operator_revision, domains_digest, config_version,
+               demand] = message;
   EntryNotice* notice = out->mutable_entry_notice();
   notice->set_echo_us(ClockMicros(echo));
   notice->set_operator_revision(operator_revision);
   notice->set_domains_digest(domains_digest);
   notice->set_config_version(config_version);
+  for (const coordinator::PriorityDemand& each : demand) {
+    ToProto(each, notice->add_demand());
+  }
 }
 
 bool FromProto(EntryNotice* in, coordinator::EntryNotice* out,
@@ -165,6 +200,9 @@
   out->operator_revision = in->operator_revision();
   out->domains_digest = in->domains_digest();
   out->config_version = in->config_version();
+  for (const PriorityDemand& each : in->demand()) {
+    out->demand.push_back(ReadDemand(each));
+  }
   return ReadClock(in->echo_us(), &out->echo, reason);
 }
 
@@ -243,18 +281,22 @@
 }
 
 void ToProto(const coordinator::RoomWanted& message, Envelope* out) {
-  const auto& [room, late, slack] = message;
+  const auto& [room, late, slack, priority, expected_run] = message;
   RoomWanted* wanted = out->mutable_room_wanted();
   ToProto(room, wanted->mutable_room());
   wanted->set_late(late);
   wanted->set_slack_us(ToMicros(slack));
+  wanted->set_priority(priority);
+  wanted->set_expected_run_us(ToMicros(expected_run));
 }
 
 bool FromProto(RoomWanted* in, coordinator::RoomWanted* out,
                WireError* reason) {
   out->room = ReadRoom(in->room());
   out->late = in->late();
-  return FromMicros(in->slack_us(), &out->slack, reason);
+  out->priority = in->priority();
+  return FromMicros(in->slack_us(), &out->slack, reason) &&
+         FromMicros(in->expected_run_us(), &out->expected_run, reason);
 }
 
 void ToProto(const coordinator::TargetHint& message, Envelope* out) {
@@ -269,8 +311,8 @@
 
 void ToProto(const coordinator::StartRun& message, Envelope* out) {
   const auto& [run, sequence, service, room, payload, required, start_by,
-               expected_run, operator_revision, domains_digest, suspect] =
-      message;
+               expected_run, operator_revision, domains_digest, suspect,
+               priority, longest_run] = message;
   StartRun* start = out->mutable_start_run();
   ToProto(run, start->mutable_run());
   start->set_sequence(sequence);
@@ -283,6 +325,8 @@
   start->set_operator_revision(operator_revision);
   start->set_domains_digest(domains_digest);
   start->set_suspect(suspect);
+  start->set_priority(priority);
+  start->set_longest_run_us(ToMicros(longest_run));
 }
 
 bool FromProto(StartRun* in, coordinator::StartRun* out, WireError* reason) {
@@ -297,8 +341,10 @@
   out->operator_revision = in->operator_revision();
   out->domains_digest = in->domains_digest();
   out->suspect = in->suspect();
+  out->priority = in->priority();
   return ReadClock(in->start_by_us(), &out->start_by, reason) &&
-         FromMicros(in->expected_run_us(), &out->expected_run, reason);
+         FromMicros(in->expected_run_us(), &out->expected_run, reason) &&
+         FromMicros(in->longest_run_us(), &out->longest_run, reason);
 }
 
 void ToProto(const coordinator::AskRun& message, Envelope* out) {
@@ -315,6 +361,27 @@
   return ReadRun(in->has_run(), in->mutable_run(), &out->run, reason);
 }
 
+void ToProto(const coordinator::RunProgress& message, Envelope* out) {
+  const auto& [run, percent, remaining, standing] = message;
+  RunProgress* progress = out->mutable_run_progress();
+  ToProto(run, progress->mutable_run());
+  progress->set_percent(percent);
+  progress->set_remaining_us(ToMicros(remaining));
+  progress->set_standing(standing);
+}
+
+bool FromProto(RunProgress* in, coordinator::RunProgress* out,
+               WireError* reason) {
+  if (in->percent() > 100) {
+    return Fail(WireErrorCode::kMalformed, "The progress exceeds 100 percent.",
+                reason);
+  }
+  out->percent = in->percent();
+  out->standing = in->standing();
+  return ReadRun(in->has_run(), in->mutable_run(), &out->run, reason) &&
+         FromMicros(in->remaining_us(), &out->remaining, reason);
+}
+
 void ToProto(const coordinator::RunEnded& message, Envelope* out) {
   const auto& [run, end, why, run_time, target_crashed] = message;
   RunEnded* ended = out->mutable_run_ended();
--- a/wire/tests/samples.cc
+++ b/wire/tests/samples.cc
@@ -190,6 +190,10 @@
   report.config_version = 12;
   report.offered = true;
   report.has_suspect = true;
+  report.others_demand = {{0, 864000, 178000}, {2, 6480, 243}};
+  report.leaves_in = microseconds(1800000);
+  report.speed_permille = 1600;
+  report.releases = {{microseconds(20000), 1600}, {microseconds(90000), 4800}};
   return report;
 }
 
@@ -244,7 +248,8 @@
       SampleHandover(),
       dispatch::HandoverAck{SampleNode(22), 23, true},
       dispatch::Inherited{SampleNode(24), {SampleNode(25), SampleNode(26)}},
-      coordinator::EntryNotice{core::Time{microseconds(27)}, 28},
+      coordinator::EntryNotice{
+          core::Time{microseconds(27)}, 28, 29, 30, {{0, 864000, 178000}}},
       SampleOperatorUpdate(),
       SampleTargetReport(),
       coordinator::StartRun{SampleRun(),
@@ -257,14 +262,21 @@
                             microseconds(36),
                             31,
                             37,
-                            true},
+                            true,
+                            2,
+                            microseconds(90000)},
       coordinator::AskRun{SampleRun(), true, {1600, 64, 1}},
       coordinator::RunEnded{SampleRun(), coordinator::RunEnd::kRefused,
                             coordinator::RefusalReason::kNoRoom,
                             microseconds(61000), true},
       coordinator::TargetHint{SampleTargetReport()},
-      coordinator::RoomWanted{
-          {1600, 64, 1}, true, std::chrono::milliseconds(-25)},
+      coordinator::RoomWanted{{1600, 64, 1},
+                              true,
+                              std::chrono::milliseconds(-25),
+                              2,
+                              std::chrono::milliseconds(61)},
+      coordinator::RunProgress{SampleRun(), 64, std::chrono::milliseconds(90),
+                               true},
   };
 }
 
