Coordinator: let runs that make progress end

The gate reads the listed percent, tells the entry the progress of runs over their expected time, and tells when a run stands. The entry stops a run that makes progress only if it would certainly end sooner elsewhere, keeps a job while one of its runs makes progress and its client waits, and extends the objective of a job to the run time that progress shows. Without percent everything stays as it was.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -10,17 +10,12 @@
 namespace tarragon::coordinator {
 namespace {
 
-constexpr double kPermille = 1000;
-
-core::Duration Scale(core::Duration duration, double factor) {
-  return std::chrono::duration_cast<core::Duration>(duration * factor);
-}
-
 /// Records that a message has come from a gate, and resets what depended on an
 /// earlier incarnation at its address.
 GateLink& RecordGateContact(JobBoard* board, core::Time now,
                             const core::NodeId& from) {
   GateLink& gate = board->gates[from.address];
+  AwaitProgressAfterSilence(*board, now, from, &gate);
   if (gate.node.incarnation != from.incarnation) {
     for (auto& [ref, placed] : gate.runs) placed.unconfirmed = true;
     gate.uncounted_starts.clear();
@@ -64,40 +59,6 @@
   }
 }
 
-/// True if the run would probably end sooner if it were restarted at another
-/// target.
-bool IsStalled(const JobBoard& board, core::Time now, const GateLink& gate,
-               const PlacedRun& placed) {
-  const Policy& policy = board.policy;
-  const core::Duration ran = now - placed.ordered_at;
-  if (ran > Scale(placed.expected_run_time, policy.stall_factor) +
-                policy.stall_floor) {
-    return true;
-  }
-  if (!gate.health.suspect || !gate.report.has_value()) return false;
-  const core::Duration here = Scale(placed.expected_run_time,
-                                    gate.report->slowness_permille / kPermille);
-  return here - ran > placed.expected_run_time + policy.stall_floor &&
-         ran > placed.expected_run_time;
-}
-
-/// Stops stalled runs, so that their tasks are placed elsewhere, unless their
-/// job would then end too late to be useful.
-void StopStalledRuns(JobBoard* board, core::Time now, GateLink* gate) {
-  for (auto& [ref, placed] : gate->runs) {
-    if (placed.stop_requested) continue;
-    const auto job = board->jobs.find(ref.task.job);
-    if (job == board->jobs.end()) continue;
-    if (!IsStalled(*board, now, *gate, placed)) continue;
-    if (now + placed.expected_run_time > job->second->useful_until) continue;
-    placed.stop_requested = true;
-    AddLogLine(board, "Stopping a stalled run.", ToString(ref),
-               {{"ran", FormatMillis(now - placed.ordered_at)},
-                {"expected", FormatMillis(placed.expected_run_time)}});
-    QueryRun(board, now, *gate, ref, &placed);
-  }
-}
-
 /// Ends the runs at a gate that has been silent for so long that their lease
 /// has certainly expired.
 void EndLostRuns(JobBoard* board, core::Time now, GateLink* gate) {
@@ -385,8 +346,9 @@
 }
 
 void OnMessage(JobBoard* board, core::Time now, const core::NodeId& from,
-               const RunProgress& /*progress*/) {
+               const RunProgress& progress) {
   GateLink& gate = RecordGateContact(board, now, from);
+  ApplyProgress(board, now, &gate, progress);
   FinishGateEvent(board, now, &gate);
 }
 
--- a/coordinator/entry_internal.h
+++ b/coordinator/entry_internal.h
@@ -71,6 +71,30 @@
 /// Returns a pseudo-random number, which breaks ties between choices.
 std::uint64_t NextRandom(JobBoard* board);
 
+/// Records that the progress of the gate's runs may be unknown for a while, if
+/// the message from `from` ends a silence or is the first of an incarnation.
+void AwaitProgressAfterSilence(const JobBoard& board, core::Time now,
+                               const core::NodeId& from, GateLink* gate);
+
+/// Records the progress of a run. Stops the run if it stands; extends the
+/// objective of its job if it takes longer than expected.
+void ApplyProgress(JobBoard* board, core::Time now, GateLink* gate,
+                   const RunProgress& progress);
+
+/// Stops stalled runs, so that their tasks are placed elsewhere, unless their
+/// job would then end too late to be useful.
+void StopStalledRuns(JobBoard* board, core::Time now, GateLink* gate);
+
+/// True if the job may still end while its client waits: its useful time is not
+/// over, or one of its runs makes progress.
+bool IsWorthwhile(const JobBoard& board, core::Time now, const Job& job);
+
+/// Computes the objective and the useful time of the job from its run times.
+void SetObjective(const JobBoard& board, Job* job);
+
+/// Sorts the job's waiting tasks anew after a change of its objective.
+void RequeueTasks(JobBoard* board, core::Time now, Job* job);
+
 /// Refuses or gives up jobs that can no longer end in time.
 void GiveUpExpiredJobs(JobBoard* board, core::Time now);
 
--- a/coordinator/entry_jobs.cc
+++ b/coordinator/entry_jobs.cc
@@ -8,8 +8,6 @@
 namespace tarragon::coordinator {
 namespace {
 
-constexpr std::int64_t kPermille = 1000;
-
 bool HasValidSteps(const JobRequest& request) {
   if (request.steps.empty()) return false;
   for (std::size_t i = 0; i < request.steps.size(); ++i) {
@@ -22,36 +20,13 @@
   return true;
 }
 
-/// Estimates the time of the longest chain of steps that depend on each other.
-core::Duration EstimateLongestChain(const JobBoard& board, const Queue& queue,
-                                    const JobRequest& request) {
-  std::vector<core::Duration> ends;
-  core::Duration longest{0};
-  for (const StepSpec& step : request.steps) {
-    core::Duration begin{0};
-    for (const std::uint32_t earlier : step.after) {
-      begin = std::max(begin, ends[earlier]);
-    }
-    ends.push_back(begin + EstimateRunTime(board.run_times, queue.name,
-                                           step.declared_run_time));
-    longest = std::max(longest, ends.back());
-  }
-  return longest;
-}
-
 Job MakeJob(JobBoard* board, core::Time now, const Queue& queue,
             JobRequest request, std::optional<core::Time> deadline) {
   Job job;
-  const core::Duration chain = EstimateLongestChain(*board, queue, request);
-  const core::Duration allowed =
-      chain * queue.stretch_permille / kPermille + queue.latency_target;
   job.queue = queue;
   job.arrived_at = now;
-  job.objective = now + allowed;
-  job.useful_until = now + allowed * board->policy.useful_factor;
   if (deadline.has_value()) {
-    job.useful_until =
-        std::min(job.useful_until, *deadline - board->policy.answer_margin);
+    job.answer_by = *deadline - board->policy.answer_margin;
   }
   job.serial = ++board->last_job_serial;
   for (std::uint32_t step = 0; step < request.steps.size(); ++step) {
@@ -64,6 +39,11 @@
   }
   job.tasks_left = static_cast<std::uint32_t>(job.tasks.size());
   job.request = std::move(request);
+  for (const StepSpec& step : job.request.steps) {
+    job.step_run_times.push_back(
+        EstimateRunTime(board->run_times, queue.name, step.declared_run_time));
+  }
+  SetObjective(*board, &job);
   return job;
 }
 
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -71,6 +71,14 @@
 bool ApplyAnnouncement(GateBoard* board, core::Time now,
                        const Announcement& announcement);
 
+/// Records the listed progress of a run, and tells its entry if the run is over
+/// its expected time. `clock` is the target's.
+void UpdateProgress(GateBoard* board, core::Time now, TargetClock clock,
+                    const ListedRun& listed, GateRun* run);
+
+/// True if a run with known progress is over its expected time.
+bool AwaitsProgress(const GateBoard& board, core::Time now);
+
 /// Sends a poll to the target if one is due.
 void PollIfDue(GateBoard* board, core::Time now);
 
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -119,6 +119,8 @@
       run.phase = RunPhase::kUnclaimed;
       run.ordered_at = now;
       run.started_at = now;
+      run.found = true;
+      UpdateProgress(board, now, poll.clock, each, &run);
       board->runs[each.run] = run;
       AddLogLine(board, "Found a run that this gate did not order.",
                  ToString(each.run), {});
@@ -130,6 +132,7 @@
       found->second.phase = RunPhase::kRunning;
       found->second.started_at = now;
     }
+    UpdateProgress(board, now, poll.clock, each, &found->second);
   }
   if (poll.ended.size() >= kMaxListedEnds) return;
   std::vector<RunRef> ended;
@@ -349,7 +352,8 @@
     target.lease_until = std::max(target.lease_until, *poll.lease_until);
   }
   if (target.runs_known && !HasUnprovedRuns(*board) && !board->runs.empty()) {
-    poll.wait = board->policy.hold_wait;
+    poll.wait = AwaitsProgress(*board, now) ? board->policy.progress_hold_wait
+                                            : board->policy.hold_wait;
   }
   poll.number = ++board->last_poll;
   board->polls[poll.number] = {now, poll.last_end};
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -11,6 +11,7 @@
 #include "tarragon/coordinator/message.h"
 #include "tarragon/coordinator/operator_sync_state.h"
 #include "tarragon/coordinator/policy.h"
+#include "tarragon/coordinator/run_progress.h"
 #include "tarragon/coordinator/target_history.h"
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
@@ -82,6 +83,9 @@
   core::Time stop_sent_at;
   /// When a stop was answered: the run ends soon, or will never start.
   std::optional<core::Time> stop_answered_at;
+  /// The gate did not start the run, so `started_at` is when it was found.
+  bool found = false;
+  ProgressTrack progress;
 };
 
 /// The target and the state of its current incarnation.
@@ -241,6 +245,10 @@
   /// Offers of room to entries, and offers that expired without an answer.
   std::uint64_t offers = 0;
   std::uint64_t lapsed_offers = 0;
+  /// Messages about the progress of runs, and those of them that reported a
+  /// standing run.
+  std::uint64_t progress_messages = 0;
+  std::uint64_t standing_runs = 0;
 };
 
 /// All state of a gate.
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -115,8 +115,15 @@
   core::Time arrived_at;
   /// The job should end by this time.
   core::Time objective;
-  /// The answer is of no use to the client after this time.
+  /// The answer is of no use to the client after this time, unless a run of the
+  /// job still makes progress.
   core::Time useful_until;
+  /// An answer by this time reaches the client while it waits; empty if it did
+  /// not name a deadline.
+  std::optional<core::Time> answer_by;
+  /// Run time of the tasks of each step, as expected or, if a run shows more,
+  /// as projected from its progress.
+  std::vector<core::Duration> step_run_times;
   std::vector<CallId> calls;
   std::vector<Task> tasks;
   /// Number of tasks that are not done, by step.
@@ -160,6 +167,15 @@
   core::Time ordered_at;
 };
 
+/// Progress of a run as its gate has told it.
+struct PlacedProgress {
+  std::uint32_t percent = 0;
+  /// Estimated time from `at` to the end.
+  core::Duration remaining{0};
+  bool standing = false;
+  core::Time at;
+};
+
 /// A run that this entry has ordered at a gate and whose end was not reported
 /// yet.
 struct PlacedRun {
@@ -176,6 +192,9 @@
   bool unconfirmed = false;
   /// A target has crashed under an earlier run of the task.
   bool suspect = false;
+  /// What the gate last told of its progress; empty if it told nothing or has
+  /// withdrawn it.
+  std::optional<PlacedProgress> progress = std::nullopt;
 };
 
 /// The last request for room that was sent to a gate.
@@ -209,6 +228,9 @@
   /// The request for room that is pending at the gate; empty once the gate has
   /// offered room.
   std::optional<SentWant> sent_want;
+  /// The gate was silent or has been restarted, so until then it may not have
+  /// told the progress of its runs.
+  core::Time progress_due_at;
 };
 
 /// Close the connections to a silent gate, so that the next message opens a new
@@ -242,6 +264,11 @@
   std::uint64_t returned_offers = 0;
   std::map<Refusal, std::uint64_t> refused;
   std::map<JobState, std::uint64_t> ended;
+  /// Runs stopped as stalled, those of them that were reported as standing, and
+  /// objectives extended as a run was found to take longer.
+  std::uint64_t stalled_runs = 0;
+  std::uint64_t standing_runs = 0;
+  std::uint64_t extended_objectives = 0;
 };
 
 /// An ended job, for the metrics.
@@ -285,6 +312,8 @@
   std::vector<LogLine> log_lines;
   std::vector<EndedJob> ended_jobs;
   JobCounts counts;
+  /// A gate has told the progress of a run, so targets list it here.
+  bool progress_known = false;
 };
 
 }  // namespace tarragon::coordinator
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -168,6 +168,18 @@
   std::size_t place_lookahead = 12;
   /// Number of ended jobs whose state is kept for later queries.
   std::size_t max_ended_states = 512;
+  /// Least time without a rise of the listed percent after which a run stands.
+  /// Two polls that find no rise fit into it, and it ends before a run of the
+  /// shortest tasks, 51 ms, is stalled by `stall_factor`.
+  core::Duration standing_time{std::chrono::milliseconds(90)};
+  /// Least interval between two messages about the progress of one run.
+  core::Duration progress_interval{std::chrono::milliseconds(200)};
+  /// A target is asked again after this time, instead of `hold_wait`, while one
+  /// of its runs with known progress is over its expected time.
+  core::Duration progress_hold_wait{std::chrono::milliseconds(50)};
+  /// What an entry knows of the progress of a run is too old after this time
+  /// in which it has heard the gate: three messages may be lost.
+  core::Duration progress_age{std::chrono::milliseconds(600)};
 };
 
 }  // namespace tarragon::coordinator
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -117,6 +117,14 @@
   board->waiting_tasks.erase(MakeWaitingTask(job, task));
 }
 
+void RequeueTasks(JobBoard* board, core::Time now, Job* job) {
+  for (Task& task : job->tasks) {
+    if (task.phase != TaskPhase::kQueued) continue;
+    DequeueTask(board, *job, task);
+    EnqueueTask(board, now, job, &task);
+  }
+}
+
 void QueueUnblockedTasks(JobBoard* board, core::Time now, Job* job) {
   for (Task& task : job->tasks) {
     if (task.phase != TaskPhase::kBlocked) continue;
@@ -146,7 +154,7 @@
     const WaitingTask next = *at;
     Job* job = board->jobs.at(next.job).get();
     Task* task = &job->tasks[next.task_index];
-    if (now > job->useful_until) {
+    if (!IsWorthwhile(*board, now, *job)) {
       // The next tick ends the job. Its client may have resubmitted it.
       ++at;
       continue;
@@ -168,7 +176,7 @@
   for (const auto& [id, job] : board->jobs) {
     const bool hopeless = job->ordered_runs == 0
                               ? IsTooLateToStart(*board, now, *job)
-                              : now > job->useful_until;
+                              : !IsWorthwhile(*board, now, *job);
     if (hopeless) expired.push_back(id);
   }
   for (const JobId& id : expired) {
