--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -134,7 +134,7 @@
 
 /// Applies the end of a task's last run to its job.
 void ApplyTaskEnd(JobBoard* board, core::Time now, Job* job, Task* task,
-                  const RunEnded& ended) {
+                  const RunEnded& ended, bool suspect_target) {
   switch (ended.end) {
     case RunEnd::kDone:
       task->phase = TaskPhase::kDone;
@@ -142,7 +142,7 @@
       if (ended.run_time.count() > 0) {
         RecordRunTime(&board->run_times, job->queue.name,
                       job->request.steps[task->ref.step].declared_run_time,
-                      ended.run_time);
+                      ended.run_time, suspect_target);
       }
       if (--job->step_tasks_left[task->ref.step] == 0 && job->tasks_left > 0) {
         QueueUnblockedTasks(board, now, job);
@@ -276,7 +276,7 @@
                   {"target_crashed", ended.target_crashed ? "true" : "false"},
                   {"gate", core::ToString(gate->node)}});
     }
-    return ApplyTaskEnd(board, now, job, &task, ended);
+    return ApplyTaskEnd(board, now, job, &task, ended, gate->health.suspect);
   }
 }
 
--- a/coordinator/entry_progress.cc
+++ b/coordinator/entry_progress.cc
@@ -11,10 +11,6 @@
 namespace {
 
 constexpr std::int64_t kPermille = 1000;
-/// A restart elsewhere certainly ends earlier if the rest takes longer than
-/// this multiple of the whole run at the usual speed: the rating of a slow
-/// target is the median of a few jobs.
-constexpr double kRestartMargin = 1.5;
 /// A task takes this multiple of its time away from its preferred label.
 constexpr double kOtherRackFactor = 1.5;
 /// An objective is extended if the run time grows by more than one part in this
@@ -41,29 +37,32 @@
   return board.progress_known && now < gate.progress_due_at;
 }
 
-/// True if a run that makes progress would certainly end sooner elsewhere.
+/// True if a run that makes progress would certainly end sooner elsewhere: its
+/// rest takes longer there than any whole run does at a usual target. A target
+/// also looks slow if several of its tasks are long by chance.
 bool IsSoonerElsewhere(const JobBoard& board, core::Time now,
-                       const GateLink& gate, const PlacedRun& placed) {
-  if (!gate.health.suspect || !gate.report.has_value()) return false;
+                       const GateLink& gate, const RunRef& ref,
+                       const PlacedRun& placed) {
+  if (!gate.health.suspect) return false;
+  const auto found = board.jobs.find(ref.task.job);
+  if (found == board.jobs.end()) return false;
+  const Job& job = *found->second;
+  const core::Duration longest = EstimateLongestRunTime(
+      board.run_times, job.queue.name,
+      job.request.steps[ref.task.step].declared_run_time);
   const core::Duration remaining =
       placed.progress->remaining - (now - placed.progress->at);
-  const core::Duration total = now - placed.ordered_at + remaining;
-  const double slowness =
-      static_cast<double>(gate.report->slowness_permille) /
-      std::max<double>(ComputeUsualSlowness(board), kPermille);
-  if (slowness <= 1) return false;
-  return remaining >
-         Scale(total, kRestartMargin / slowness) + board.policy.stall_floor;
+  return remaining > longest + board.policy.stall_floor;
 }
 
 /// True if the run would probably end sooner if it were restarted at another
 /// target.
 bool IsStalled(const JobBoard& board, core::Time now, const GateLink& gate,
-               const PlacedRun& placed) {
+               const RunRef& ref, const PlacedRun& placed) {
   if (placed.progress.has_value() && placed.progress->standing) return true;
   if (IsProgressDue(board, now, gate)) return false;
   if (HasFreshProgress(board, gate, placed)) {
-    return IsSoonerElsewhere(board, now, gate, placed);
+    return IsSoonerElsewhere(board, now, gate, ref, placed);
   }
   const Policy& policy = board.policy;
   const core::Duration ran = now - placed.ordered_at;
@@ -106,7 +105,8 @@
 
 void StopIfStalled(JobBoard* board, core::Time now, GateLink* gate,
                    const RunRef& ref, PlacedRun* placed) {
-  if (placed->stop_requested || !IsStalled(*board, now, *gate, *placed)) return;
+  if (placed->stop_requested || !IsStalled(*board, now, *gate, ref, *placed))
+    return;
   const auto found = board->jobs.find(ref.task.job);
   if (found == board->jobs.end()) return;
   const Job& job = *found->second;
@@ -199,6 +199,7 @@
 
 void AwaitProgressAfterSilence(const JobBoard& board, core::Time now,
                                const core::NodeId& from, GateLink* gate) {
+  if (gate->runs.empty()) return;
   const bool silent = now - gate->last_heard_at >
                       board.policy.notice_interval * kSilentIntervals;
   if (gate->connected && !silent && gate->node == from) return;
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -10,9 +11,6 @@
 
 constexpr double kPermille = 1000;
 constexpr std::int64_t kPermilleOfWhole = 1000;
-/// A run is overdue after this multiple of its expected time; most runs of a
-/// healthy target end earlier.
-constexpr double kOverdueFactor = 1.5;
 /// Upper limit of the reported slowness.
 constexpr double kMaxSlowness = 100;
 
@@ -21,8 +19,12 @@
   std::vector<JobSample> overdue;
   for (const auto& [ref, run] : board->runs) {
     if (run.phase != RunPhase::kRunning) continue;
-    const double slowness = ComputeSlowness(run, now);
+    const std::optional<double> projected = ProjectSlowness(*board, run, now);
+    const double slowness = projected.value_or(ComputeSlowness(run, now));
     if (slowness <= kOverdueFactor) continue;
+    if (projected.has_value() && !DoOthersAgree(*board, now, ref.task.job)) {
+      continue;
+    }
     overdue.push_back({ref.task.job, now, slowness, false});
   }
   return UpdateGrade(&board->target->history, now,
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_COORDINATOR_GATE_INTERNAL_H_
 #define TARRAGON_COORDINATOR_GATE_INTERNAL_H_
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +23,10 @@
 /// that clock by no more than the drift between the clocks.
 TargetClock EstimateTargetClock(const Target& target, core::Time now);
 
+/// A run is overdue after this multiple of its expected time; most runs of a
+/// healthy target end earlier.
+inline constexpr double kOverdueFactor = 1.5;
+
 /// Computes the ratio of the run's time so far to its expected time.
 double ComputeSlowness(const GateRun& run, core::Time now);
 
@@ -76,6 +81,15 @@
 void UpdateProgress(GateBoard* board, core::Time now, TargetClock clock,
                     const ListedRun& listed, GateRun* run);
 
+/// Ratio of the run's whole time, as its progress shows, to its expected time;
+/// empty if the progress does not show it yet.
+std::optional<double> ProjectSlowness(const GateBoard& board,
+                                      const GateRun& run, core::Time now);
+
+/// True if most of the target's other jobs are slow too, so a run that will
+/// take long shows a slow target rather than a long task.
+bool DoOthersAgree(const GateBoard& board, core::Time now, const JobId& job);
+
 /// True if a run with known progress is over its expected time.
 bool AwaitsProgress(const GateBoard& board, core::Time now);
 
--- a/coordinator/gate_progress.cc
+++ b/coordinator/gate_progress.cc
@@ -8,6 +8,11 @@
 namespace tarragon::coordinator {
 namespace {
 
+/// Whole percent give a run time to within a fifth from here on.
+constexpr std::uint32_t kMinProjectedPercent = 5;
+/// One other slow run may be a long task as well.
+constexpr std::size_t kMinAgreeing = 2;
+
 /// True if the run takes longer than expected, or nothing is known of that.
 bool IsOverExpectedTime(const GateRun& run, core::Time now) {
   return run.phase == RunPhase::kRunning &&
@@ -63,6 +68,38 @@
   SendProgress(board, now, listed.run, run, estimate);
 }
 
+std::optional<double> ProjectSlowness(const GateBoard& board,
+                                      const GateRun& run, core::Time now) {
+  if (run.found || run.expected_run_time.count() <= 0) return std::nullopt;
+  if (run.progress.percent < kMinProjectedPercent) return std::nullopt;
+  const ProgressEstimate estimate =
+      EstimateProgress(run.progress, now, run.expected_run_time, board.policy);
+  if (estimate.state != ProgressState::kRising) return std::nullopt;
+  return static_cast<double>(
+             (now - run.started_at + estimate.remaining).count()) /
+         static_cast<double>(run.expected_run_time.count());
+}
+
+bool DoOthersAgree(const GateBoard& board, core::Time now, const JobId& job) {
+  std::size_t others = 0;
+  std::size_t slow = 0;
+  const auto count = [&others, &slow](double slowness) {
+    ++others;
+    if (slowness > kOverdueFactor) ++slow;
+  };
+  for (const JobSample& each : board.target->history.samples) {
+    if (each.job == job || !each.slowness.has_value()) continue;
+    if (now - each.ended_at > board.policy.target_history_age) continue;
+    count(*each.slowness);
+  }
+  for (const auto& [ref, run] : board.runs) {
+    if (ref.task.job == job) continue;
+    const std::optional<double> slowness = ProjectSlowness(board, run, now);
+    if (slowness.has_value()) count(*slowness);
+  }
+  return slow >= kMinAgreeing && slow * 2 > others;
+}
+
 bool AwaitsProgress(const GateBoard& board, core::Time now) {
   for (const auto& [ref, run] : board.runs) {
     if (run.progress.first_at.has_value() && !run.progress.implausible &&
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -99,10 +99,6 @@
 
 }  // namespace
 
-std::uint32_t ComputeUsualSlowness(const JobBoard& board) {
-  return ComputeReportedMedian(board, &TargetReport::slowness_permille);
-}
-
 std::uint64_t NextRandom(JobBoard* board) { return NextRandom(&board->random); }
 
 bool IsUsable(const JobBoard& board, core::Time now, const GateLink& gate) {
--- a/coordinator/placing.h
+++ b/coordinator/placing.h
@@ -47,10 +47,6 @@
 Candidate* ChooseGate(JobBoard* board, core::Time now, const Job& job,
                       const Task& task, std::vector<Candidate>* candidates);
 
-/// Computes the median of the reported slowness over usable targets, in
-/// thousandths.
-std::uint32_t ComputeUsualSlowness(const JobBoard& board);
-
 /// Updates whether the gate's target is suspect, by its last report and those
 /// of the other gates.
 void UpdateSuspicion(JobBoard* board, core::Time now, GateLink* gate);
