--- a/simulate/include/tarragon/simulate/room_world.h
+++ b/simulate/include/tarragon/simulate/room_world.h
@@ -72,6 +72,12 @@
   double stretch = 1.6;
   core::Duration latency_target{std::chrono::milliseconds(60)};
   coordinator::Policy policy;
+  /// Share of the tasks that run `tail_factor` times as long as the others.
+  double tail_share = 0;
+  double tail_factor = 1;
+  /// Targets list the percent of their runs. A run that hangs stops at a random
+  /// percent.
+  bool lists_percent = false;
 };
 
 /// Outcomes of the jobs of one kind.
@@ -100,6 +106,10 @@
   std::uint64_t target_crashes = 0;
   /// Most crashes that one job has caused.
   std::uint32_t max_crashes_of_job = 0;
+  /// Jobs with no hanging run that got no result after some of their tasks had
+  /// run, and stops of runs that did not hang, of jobs that went on.
+  std::uint64_t sound_jobs_given_up = 0;
+  std::uint64_t sound_runs_stopped = 0;
 };
 
 /// Returns the job kinds of two users, with a mean target load of 0.62.
--- a/simulate/room_jobs.cc
+++ b/simulate/room_jobs.cc
@@ -31,8 +31,12 @@
   core::Duration longest{0};
   double work = 0;
   for (long i = 0; i < width; ++i) {
-    const double run = std::clamp(base * std::max(within_job(*random), 0.5),
-                                  kMinRunSeconds, ToSeconds(kind->max_run));
+    double run = std::clamp(base * std::max(within_job(*random), 0.5),
+                            kMinRunSeconds, ToSeconds(kind->max_run));
+    if (plan.tail_share > 0 &&
+        std::bernoulli_distribution(plan.tail_share)(*random)) {
+      run *= plan.tail_factor;
+    }
     job.task_run_times.push_back(FromSeconds(run));
     longest = std::max(longest, job.task_run_times.back());
     work += run;
--- a/simulate/room_jobs.h
+++ b/simulate/room_jobs.h
@@ -25,6 +25,8 @@
   /// Its first task crashes each target that starts it.
   bool deadly = false;
   std::uint32_t crashes = 0;
+  /// One of its runs never ends by itself.
+  bool hangs = false;
 };
 
 /// Draws a random job of `kind`. The task count and run times vary around their
--- a/simulate/room_state.h
+++ b/simulate/room_state.h
@@ -34,6 +34,9 @@
     core::Time started;
     /// Tells this run from a later one under the same reference.
     std::uint64_t sequence = 0;
+    core::Duration takes{0};
+    /// Share of the work at which it hangs; one if it does not.
+    double hangs_at = 1;
   };
   std::map<RunRef, Run> running;
   /// Stopped runs, which may not start any more.
--- a/simulate/room_targets.cc
+++ b/simulate/room_targets.cc
@@ -22,8 +22,10 @@
   core::Duration work{std::chrono::milliseconds(1)};
   std::int64_t millicores = 0;
   std::uint64_t deadly_job = 0;
+  std::uint64_t id_number = 0;
   if (id != job_numbers_.end() && jobs_.contains(id->second)) {
     ClientJob& job = jobs_.at(id->second);
+    id_number = id->second;
     work = job.task_run_times.at(order.run.task.index);
     millicores = job.kind->millicores;
     if (job.deadly && order.run.task.index == 0) deadly_job = id->second;
@@ -31,7 +33,7 @@
         static_cast<double>(millicores) * ToSeconds(work);
   }
   ScheduleAfter(plan_.order_delay, [this, gate, run = order.run, work,
-                                    millicores, deadly_job]() {
+                                    millicores, deadly_job, id_number]() {
     FakeTarget& target = targets_[gate];
     if (target.down) {
       coordinator::OnStartAnswer(gates_[gate].get(), now_, run,
@@ -57,6 +59,11 @@
           takes = std::chrono::milliseconds(2);
         }
       }
+      target.running[run].takes = takes;
+      if (hangs) {
+        target.running[run].hangs_at = draw / disturbance->hang_share;
+        if (jobs_.contains(id_number)) jobs_.at(id_number).hangs = true;
+      }
       if (deadly_job != 0) {
         ScheduleAfter(kCrashAfter, [this, gate, run, deadly_job]() {
           CrashTarget(gate, run, deadly_job);
@@ -91,6 +98,11 @@
       result_.wasted_millicore_seconds +=
           static_cast<double>(ended.millicores) *
           ToSeconds(now_ - ended.started);
+      const auto id = job_numbers_.find(run.task.job.value());
+      if (ended.hangs_at >= 1 && id != job_numbers_.end() &&
+          jobs_.contains(id->second)) {
+        ++result_.sound_runs_stopped;
+      }
       EndRun(gate, run, RunEnd::kStopped);
     }
     coordinator::OnStopAnswer(gates_[gate].get(), now_, run,
@@ -160,7 +172,12 @@
   poll.born = coordinator::TargetIncarnation(targets_[gate].born);
   poll.clock = coordinator::TargetClock(core::Millis(now_.since_start));
   for (const auto& [run, state] : targets_[gate].running) {
-    poll.running.push_back({run});
+    poll.running.push_back({run, {}});
+    if (!plan_.lists_percent) continue;
+    const double done = ToSeconds(now_ - state.started) /
+                        std::max(ToSeconds(state.takes), 1e-6);
+    poll.running.back().percent =
+        static_cast<std::uint32_t>(100 * std::min(done, state.hangs_at));
   }
   poll.ended = targets_[gate].unacknowledged_ends;
   ScheduleAfter(
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -186,6 +186,9 @@
     ++got.refused;
     got.refused_wait_sum += took;
   } else {
+    // A client that no longer waits gets no answer.
+    const bool waits = took < plan_.client_timeout - plan_.policy.answer_margin;
+    if (!done && !job.hangs && waits) ++result_.sound_jobs_given_up;
     ++got.failed;
     result_.wasted_millicore_seconds += job.used_millicore_seconds;
   }
