Coordinator: let priority order tasks and admission while room is short

A burst of low-priority jobs made jobs of the highest priority late, because the latest start alone ordered tasks and admission knew only its own queue. Entries now tell their demand by priority to the gates, which pass on the sum over the others. While the waiting work of all entries exceeds 40 ms of the usable targets, the priority comes before the latest start, in placement and in requests for room. Admission compares the work of the same or a higher priority with the capacity of all usable targets. A priority that is served too little is raised.

--- a/coordinator/admission.cc
+++ b/coordinator/admission.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "placing.h"
+#include "precedence.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -18,6 +19,7 @@
 /// Gates without a report are ignored if they are fewer than one in this many,
 /// because they hardly change the total room.
 constexpr std::size_t kDiscoveryDivisor = 4;
+constexpr double kPermille = 1000;
 
 double ToSeconds(core::Duration duration) {
   return static_cast<double>(duration.count()) / 1e6;
@@ -77,6 +79,33 @@
   return false;
 }
 
+/// True if a usable target has free room for the job's largest task.
+bool HasFreeRoom(const JobBoard& board, core::Time now, const Job& job) {
+  const StepSpec& largest =
+      *std::max_element(job.request.steps.begin(), job.request.steps.end(),
+                        [](const StepSpec& a, const StepSpec& b) {
+                          return a.room.millicores < b.room.millicores;
+                        });
+  return std::any_of(board.gates.begin(), board.gates.end(),
+                     [&](const auto& entry) {
+                       const GateLink& gate = entry.second;
+                       return IsUsable(board, now, gate) &&
+                              gate.report->service == job.queue.service &&
+                              HasLabel(*gate.report, largest.required) &&
+                              Fits(largest.room, EstimateFreeRoom(gate));
+                     });
+}
+
+/// Factor of a wait that was predicted with the demand of all entries.
+double ComputeKnownDemandMargin(const Policy& policy) {
+  return 1 + (policy.wait_margin - 1) * policy.known_demand_margin_permille /
+                 kPermille;
+}
+
+core::Duration ScaleWait(core::Duration wait, double factor) {
+  return std::chrono::duration_cast<core::Duration>(wait * factor);
+}
+
 /// Computes the work, in millicore-seconds, of the waiting tasks that come
 /// before `latest_start`.
 double ComputeWorkAhead(const JobBoard& board, core::Time latest_start) {
@@ -125,6 +154,25 @@
   const core::Duration chain = (job.objective - now) - job.queue.latency_target;
   const core::Duration slack =
       job.objective - now - chain * 1000 / job.queue.stretch_permille;
+  if (HasPrecedence(board.precedence, job.queue) &&
+      IsOthersDemandKnown(board, now)) {
+    const PriorityLoad load =
+        ComputePriorityLoad(board, now, job.queue.priority);
+    verdict.work_here = static_cast<std::int64_t>(load.waiting_here);
+    verdict.work_elsewhere = static_cast<std::int64_t>(load.waiting_elsewhere);
+    verdict.capacity = static_cast<std::int64_t>(seen.capacity);
+    verdict.wait = PredictWait(load, seen.capacity);
+    if (ScaleWait(verdict.wait, ComputeKnownDemandMargin(board.policy)) <=
+        slack) {
+      return verdict;
+    }
+    verdict.for_free_room =
+        load.waiting_here <= 0 && HasFreeRoom(board, now, job);
+    if (verdict.for_free_room) return verdict;
+    verdict.refusal = Refusal::kOverload;
+    verdict.retry_after = ComputeRetryAfter(board, verdict.wait);
+    return verdict;
+  }
   const double rate = std::max(seen.own, seen.capacity * kMinRoomShare);
   const double seconds =
       ComputeWorkAhead(board, now + slack) / rate * board.policy.wait_margin;
--- a/coordinator/admission.h
+++ b/coordinator/admission.h
@@ -15,6 +15,14 @@
   core::Duration retry_after{0};
   /// Predicted wait of its first task for room.
   core::Duration wait{0};
+  /// What `wait` was predicted from, if the demand of the other entries is
+  /// known: waiting work of the same or a higher priority in
+  /// millicore-milliseconds, and millicores of the usable targets.
+  std::int64_t work_here = 0;
+  std::int64_t work_elsewhere = 0;
+  std::int64_t capacity = 0;
+  /// Accepted because a target has room for it now.
+  bool for_free_room = false;
 };
 
 /// Decides whether a job that has just arrived is accepted.
--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -6,6 +6,7 @@
 #include "entry_internal.h"
 #include "operator_sync.h"
 #include "placing.h"
+#include "precedence.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -123,6 +124,7 @@
   notice.operator_revision = board->operator_state.revision;
   notice.domains_digest = board->domains_digest;
   notice.config_version = board->operator_state.version;
+  notice.demand = MakeDemand(*board, now);
   core::NodeId to = gate->node;
   // Addresses any incarnation, as the gate may have been restarted.
   if (!gate->connected) to.incarnation = core::Incarnation(0);
@@ -258,6 +260,7 @@
   const OperatorChange change = MergeOperatorState(
       std::move(state), domains_only, &board->operator_state);
   if (!change.configuration && !change.domains) return;
+  if (change.configuration) ConfigurePrecedence(board);
   const OperatorState& applied = board->operator_state;
   AddLogLine(board, "Applied a newer operator state.", source,
              {{"revision", std::to_string(applied.revision)},
@@ -347,6 +350,7 @@
   const bool offered = report.offered;
   if (offered) gate.sent_want.reset();
   gate.report = std::move(report);
+  RecordOthersDemand(board, now, *gate.report);
   SendTargetHint(board, from, &gate);
   UpdateSuspicion(board, now, &gate);
   const bool knows_newer = SyncOperatorState(board, now, &gate);
@@ -418,6 +422,7 @@
     return now - entry.second.last_heard_at > board->policy.forget_peer_after;
   });
   GiveUpExpiredJobs(board, now);
+  if (UpdatePrecedence(board, now)) RerankWaitingTasks(board);
   FinishEvent(board, now);
 }
 
--- a/coordinator/entry_internal.h
+++ b/coordinator/entry_internal.h
@@ -43,6 +43,9 @@
 /// Removes a task from the waiting tasks.
 void DequeueTask(JobBoard* board, const Job& job, const Task& task);
 
+/// Sorts the waiting tasks again after the rank of some has changed.
+void RerankWaitingTasks(JobBoard* board);
+
 /// Queues the tasks of all steps whose earlier steps are done.
 void QueueUnblockedTasks(JobBoard* board, core::Time now, Job* job);
 
--- a/coordinator/entry_jobs.cc
+++ b/coordinator/entry_jobs.cc
@@ -4,6 +4,7 @@
 
 #include "admission.h"
 #include "entry_internal.h"
+#include "precedence.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -74,7 +75,10 @@
              {{"reason", Name(verdict.refusal)},
               {"predicted_wait", FormatMillis(verdict.wait)},
               {"retry_after", FormatMillis(verdict.retry_after)},
-              {"waiting", std::to_string(board->waiting_tasks.size())}});
+              {"waiting", std::to_string(board->waiting_tasks.size())},
+              {"work_here", std::to_string(verdict.work_here)},
+              {"work_elsewhere", std::to_string(verdict.work_elsewhere)},
+              {"capacity", std::to_string(verdict.capacity)}});
   ClientAnswer answer;
   answer.refusal = verdict.refusal;
   answer.retry_after = verdict.retry_after;
@@ -122,10 +126,12 @@
     return AnswerClient(board, call, {Refusal::kNone, kept->second, {}, {}});
   }
   if (!HasValidSteps(request)) {
-    return RefuseCall(board, call, id, {Refusal::kBadJob, {}, {}});
+    return RefuseCall(board, call, id, {.refusal = Refusal::kBadJob});
   }
   Job new_job = MakeJob(board, now, queue, std::move(request), deadline);
   const AdmissionDecision verdict = DecideAdmission(*board, now, new_job);
+  RecordOfferedJob(board, now, new_job);
+  if (verdict.for_free_room) ++board->counts.accepted_for_free_room;
   if (verdict.refusal != Refusal::kNone) {
     return RefuseCall(board, call, id, verdict);
   }
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -4,6 +4,7 @@
 
 #include "gate_internal.h"
 #include "operator_sync.h"
+#include "precedence.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -160,6 +161,17 @@
   }
 }
 
+/// Adds the demand of the other entries to one report per notice interval.
+void AddOthersDemand(const GateBoard& board, core::Time now, HomeLink* home,
+                     TargetReport* report) {
+  if (home->demand.empty() ||
+      now - home->demand_sent_at < board.policy.notice_interval) {
+    return;
+  }
+  home->demand_sent_at = now;
+  report->others_demand = SumDemandOfOthers(board, now, *home);
+}
+
 void SendReports(GateBoard* board, core::Time now) {
   for (auto& [address, home] : board->homes) {
     if (!IsReportDue(*board, now, home)) continue;
@@ -189,6 +201,7 @@
       report.failed_permille =
           static_cast<std::uint32_t>(grade.failed_share * kPermille);
     }
+    AddOthersDemand(*board, now, &home, &report);
     home.offer_due = false;
     board->actions.push_back(
         SendTo<TargetReport>{home.node, std::move(report)});
@@ -200,6 +213,8 @@
   HomeLink& home = RecordEntryContact(board, now, from);
   home.operator_copy = OperatorCopy{
       notice.operator_revision, notice.domains_digest, notice.config_version};
+  home.demand = notice.demand;
+  home.demand_at = now;
   // An echo from the future belongs to another VM that had this address.
   if (notice.echo.since_start.count() > 0 && notice.echo <= now) {
     home.echoed_report_at =
--- a/coordinator/gate_offers.cc
+++ b/coordinator/gate_offers.cc
@@ -21,9 +21,10 @@
   for (auto& [address, home] : board->homes) {
     if (!home.connected || home.timed_out || home.offer.has_value()) continue;
     if (!home.want.has_value() || !Fits(home.want->room, free)) continue;
-    if (best == nullptr ||
-        std::tie(home.want->late, home.want->latest_start) <
-            std::tie(best->want->late, best->want->latest_start)) {
+    if (best == nullptr || std::tie(home.want->late, home.want->priority,
+                                    home.want->latest_start) <
+                               std::tie(best->want->late, best->want->priority,
+                                        best->want->latest_start)) {
       best = &home;
     }
   }
@@ -75,7 +76,8 @@
   }
   home.want.reset();
   if (wanted.room.millicores > 0) {
-    home.want = RoomWant{wanted.room, wanted.late, now + wanted.slack};
+    home.want =
+        RoomWant{wanted.room, wanted.late, wanted.priority, now + wanted.slack};
   }
   FinishEvent(board, now);
 }
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -120,6 +120,8 @@
 struct RoomWant {
   Room room;
   bool late = false;
+  /// The lower one comes first. Zero while the entry sees no shortage.
+  std::uint32_t priority = 0;
   /// Latest start with which the job is in time, on this gate's clock.
   core::Time latest_start;
 };
@@ -157,6 +159,11 @@
   std::optional<RoomOffer> offer;
   /// The offer has not been reported to the entry yet.
   bool offer_due = false;
+  /// Demand of the entry, from its last notice.
+  std::vector<PriorityDemand> demand;
+  core::Time demand_at;
+  /// When a report last had the demand of the other entries.
+  core::Time demand_sent_at;
 };
 
 /// A poll that is not answered yet.
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -16,6 +16,7 @@
 #include "tarragon/coordinator/message.h"
 #include "tarragon/coordinator/operator_sync_state.h"
 #include "tarragon/coordinator/policy.h"
+#include "tarragon/coordinator/precedence_state.h"
 #include "tarragon/coordinator/run_times.h"
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
@@ -106,6 +107,9 @@
   /// While queued: its position in JobBoard::waiting_tasks.
   core::Time latest_start;
   bool late = false;
+  std::uint32_t rank = 0;
+  /// What it adds to PriorityRecord::waiting_work while queued.
+  std::int64_t waiting_work = 0;
 };
 
 /// A job that this entry coordinates.
@@ -133,6 +137,8 @@
 struct WaitingTask {
   /// Tasks of jobs that can still be in time come before those of late jobs.
   bool late = false;
+  /// Priority while room is short; zero otherwise.
+  std::uint32_t rank = 0;
   /// Latest start with which the job is in time.
   core::Time latest_start;
   std::uint64_t serial = 0;
@@ -181,6 +187,7 @@
 /// The last request for room that was sent to a gate.
 struct SentWant {
   bool late = false;
+  std::uint32_t rank = 0;
   core::Time latest_start;
 };
 
@@ -242,6 +249,12 @@
   std::uint64_t returned_offers = 0;
   std::map<Refusal, std::uint64_t> refused;
   std::map<JobState, std::uint64_t> ended;
+  /// Times at which room became short, and at which a priority was raised.
+  std::uint64_t shortages = 0;
+  std::uint64_t raised_priorities = 0;
+  /// Jobs that were accepted in spite of their predicted wait, because a target
+  /// had room for them.
+  std::uint64_t accepted_for_free_room = 0;
 };
 
 /// An ended job, for the metrics.
@@ -285,6 +298,7 @@
   std::vector<LogLine> log_lines;
   std::vector<EndedJob> ended_jobs;
   JobCounts counts;
+  Precedence precedence;
 };
 
 }  // namespace tarragon::coordinator
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -131,7 +131,8 @@
   bool late = false;
   /// Time until the latest start with which the job is in time.
   core::Duration slack{0};
-  /// Priority of the task's queue; zero is the highest.
+  /// Priority of the task's queue, zero is the highest; zero for every task
+  /// while the entry sees no shortage of room.
   std::uint32_t priority = 0;
   /// Expected run time of the task; zero if unknown.
   core::Duration expected_run{0};
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -168,6 +168,33 @@
   std::size_t place_lookahead = 12;
   /// Number of ended jobs whose state is kept for later queries.
   std::size_t max_ended_states = 512;
+  /// Demand of another entry that is older than this does not count: the entry
+  /// may be gone. Covers four notices.
+  core::Duration demand_lifetime{std::chrono::seconds(1)};
+  /// Room is short once the usable targets would take this time for all waiting
+  /// work. Below that, jobs of the shortest tasks, with some 100 ms of slack,
+  /// start in time in the order of their latest starts.
+  core::Duration shortage_begins{std::chrono::milliseconds(40)};
+  /// Room is no longer short once the same time has been below this for
+  /// `shortage_hold`. The distance to `shortage_begins` and the hold cover the
+  /// variation of arrivals and the age of the other entries' demand.
+  core::Duration shortage_ends{std::chrono::milliseconds(10)};
+  core::Duration shortage_hold{std::chrono::milliseconds(500)};
+  /// Time over which arriving work and shares of tasks started in time are
+  /// measured.
+  core::Duration floor_window{std::chrono::seconds(2)};
+  /// While room is short, a priority is raised to the highest if its share of
+  /// tasks started in time is below this part of the share of all tasks, in
+  /// thousandths. Above the half that is to be kept, because the share is known
+  /// only some 500 ms after the tasks arrived.
+  std::uint32_t floor_permille = 600;
+  /// So many tasks started in time are added to the share of each priority. An
+  /// entry gets few jobs of some queues, and a single refused one tells little.
+  std::uint64_t floor_prior_tasks = 4;
+  /// Share of `wait_margin - 1` that remains when the demand of all entries is
+  /// known, in thousandths. Half of it is for tasks of other entries, the rest
+  /// for run times that are longer than expected.
+  std::uint32_t known_demand_margin_permille = 500;
 };
 
 }  // namespace tarragon::coordinator
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -1,12 +1,15 @@
 #include <algorithm>
 #include <limits>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "admission.h"
 #include "entry_internal.h"
 #include "placing.h"
+#include "precedence.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -16,7 +19,11 @@
 }
 
 WaitingTask MakeWaitingTask(const Job& job, const Task& task) {
-  return {task.late, task.latest_start, job.serial, FindTaskIndex(job, task),
+  return {task.late,
+          task.rank,
+          task.latest_start,
+          job.serial,
+          FindTaskIndex(job, task),
           job.request.id};
 }
 
@@ -34,18 +41,42 @@
          now;
 }
 
+/// Work of late tasks does not count: it comes after all other work.
+void CountWaitingWork(JobBoard* board, const Job& job, Task* task) {
+  task->waiting_work = 0;
+  if (task->late || !HasPrecedence(board->precedence, job.queue)) return;
+  task->waiting_work = ComputeTaskWork(job.request.steps[task->ref.step].room,
+                                       job.objective - task->latest_start);
+  AddWaitingWork(board, job.queue.priority, task->waiting_work);
+}
+
+void UncountWaitingWork(JobBoard* board, const Job& job, Task* task) {
+  AddWaitingWork(board, job.queue.priority, -task->waiting_work);
+  task->waiting_work = 0;
+}
+
 /// Moves the tasks of jobs that have become late behind the others.
 void MarkLateTasks(JobBoard* board, core::Time now) {
   std::vector<WaitingTask> passed;
-  for (const WaitingTask& each : board->waiting_tasks) {
-    if (each.late || each.latest_start >= now) break;
-    const Job& job = *board->jobs.at(each.job);
-    if (IsLate(job, job.tasks[each.task_index], now)) passed.push_back(each);
+  auto at = board->waiting_tasks.begin();
+  while (at != board->waiting_tasks.end() && !at->late) {
+    if (at->latest_start >= now) {
+      // Within a rank the others have more time. Goes on with the next rank.
+      WaitingTask next;
+      next.rank = at->rank + 1;
+      next.latest_start = core::Time{core::Duration::min()};
+      at = board->waiting_tasks.lower_bound(next);
+      continue;
+    }
+    const Job& job = *board->jobs.at(at->job);
+    if (IsLate(job, job.tasks[at->task_index], now)) passed.push_back(*at);
+    ++at;
   }
   for (const WaitingTask& each : passed) {
     Job& job = *board->jobs.at(each.job);
     Task& task = job.tasks[each.task_index];
     board->waiting_tasks.erase(each);
+    UncountWaitingWork(board, job, &task);
     task.late = true;
     board->waiting_tasks.insert(MakeWaitingTask(job, task));
   }
@@ -53,6 +84,9 @@
 
 void PlaceTask(JobBoard* board, core::Time now, Job* job, Task* task,
                GateLink* gate) {
+  if (task->last_run == 0 && now <= task->latest_start) {
+    RecordTimelyStart(board, now, *job);
+  }
   DequeueTask(board, *job, *task);
   const StepSpec& step = job->request.steps[task->ref.step];
   task->phase = TaskPhase::kPlaced;
@@ -71,6 +105,7 @@
   start.operator_revision = board->operator_state.revision;
   start.domains_digest = board->domains_digest;
   start.suspect = task->crashes > 0;
+  start.priority = job->queue.priority;
   ++job->ordered_runs;
   ++board->counts.starts;
   if (gate->health.suspect) gate->health.last_trial_at = now;
@@ -109,12 +144,26 @@
   task->phase = TaskPhase::kQueued;
   task->latest_start = job->objective - EstimateRunTime(*board, *job, *task);
   task->late = IsLate(*job, *task, now);
+  task->rank = RankOfQueue(board->precedence, job->queue);
+  CountWaitingWork(board, *job, task);
   board->waiting_tasks.insert(MakeWaitingTask(*job, *task));
   board->queue_grew = true;
 }
 
 void DequeueTask(JobBoard* board, const Job& job, const Task& task) {
-  board->waiting_tasks.erase(MakeWaitingTask(job, task));
+  if (board->waiting_tasks.erase(MakeWaitingTask(job, task)) == 0) return;
+  AddWaitingWork(board, job.queue.priority, -task.waiting_work);
+}
+
+void RerankWaitingTasks(JobBoard* board) {
+  std::set<WaitingTask> ranked;
+  for (const WaitingTask& each : board->waiting_tasks) {
+    Job& job = *board->jobs.at(each.job);
+    Task& task = job.tasks[each.task_index];
+    task.rank = RankOfQueue(board->precedence, job.queue);
+    ranked.insert(MakeWaitingTask(job, task));
+  }
+  board->waiting_tasks = std::move(ranked);
 }
 
 void QueueUnblockedTasks(JobBoard* board, core::Time now, Job* job) {
--- a/coordinator/room_requests.cc
+++ b/coordinator/room_requests.cc
@@ -13,6 +13,9 @@
                  const WaitingTask& next) {
   if (!gate.sent_want.has_value()) return false;
   if (gate.sent_want->late != next.late) return !gate.sent_want->late;
+  if (gate.sent_want->rank != next.rank) {
+    return gate.sent_want->rank < next.rank;
+  }
   return gate.sent_want->latest_start <=
          next.latest_start + board.policy.want_urgency_step;
 }
@@ -29,10 +32,10 @@
 
 void SendWant(JobBoard* board, core::Time now, GateLink* gate,
               const WaitingTask& next, const Room& room) {
-  gate->sent_want = SentWant{next.late, next.latest_start};
+  gate->sent_want = SentWant{next.late, next.rank, next.latest_start};
   ++board->counts.wants;
   board->actions.push_back(SendTo<RoomWanted>{
-      gate->node, {room, next.late, next.latest_start - now}});
+      gate->node, {room, next.late, next.latest_start - now, next.rank}});
 }
 
 }  // namespace
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -378,6 +378,12 @@
     SetCounterTotal(&registry_, "wants_total", {}, counts.wants);
     SetCounterTotal(&registry_, "offers_returned_total", {},
                     counts.returned_offers);
+    SetCounterTotal(&registry_, "room_shortages_total", {}, counts.shortages);
+    SetCounterTotal(&registry_, "priorities_raised_total", {},
+                    counts.raised_priorities);
+    SetCounterTotal(&registry_, "jobs_accepted_for_free_room_total", {},
+                    counts.accepted_for_free_room);
+    registry_.Set("room_short", {}, board_.precedence.room_short ? 1.0 : 0.0);
     for (const auto& [refusal, count] : counts.refused) {
       SetCounterTotal(&registry_, "jobs_refused_total",
                       {{"reason", coordinator::Name(refusal)}}, count);
--- a/daemons/platform_daemon_settings.cc
+++ b/daemons/platform_daemon_settings.cc
@@ -52,6 +52,17 @@
      "How long new jobs are accepted after a stop signal."},
     {"retry_floor", &Policy::retry_floor, "100ms", "1min",
      "Shortest time after which a refused client is asked to retry."},
+    {"demand_lifetime", &Policy::demand_lifetime, "100ms", "10s",
+     "Age at which the demand that another entry has told no longer counts."},
+    {"shortage_begins", &Policy::shortage_begins, "1ms", "10s",
+     "Waiting work, as time of all usable targets, from which priorities order "
+     "the tasks."},
+    {"shortage_ends", &Policy::shortage_ends, "0s", "10s",
+     "Waiting work below which priorities no longer order the tasks."},
+    {"shortage_hold", &Policy::shortage_hold, "0s", "1min",
+     "How long the waiting work must be below shortage_ends."},
+    {"floor_window", &Policy::floor_window, "100ms", "1min",
+     "Time over which the share of tasks started in time is measured."},
 };
 
 core::SettingSpec MakeLogLevelSpec() {
