Coordinator: use leaving targets until they leave, forecast room

A draining target took no starts at all, although it announces when it leaves. The gate now accepts runs that certainly end before the target leaves and before the drain bound; it decides by the first notice that this process has received. Retry-After uses the announced departures and returns. Jobs whose client's remaining time cannot suffice are refused at once. The simulation plays notices and a loss of all power.

--- a/coordinator/admission.cc
+++ b/coordinator/admission.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "placing.h"
+#include "room_forecast.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -93,6 +94,15 @@
   return work;
 }
 
+core::Duration EstimateLongestRun(const JobBoard& board, const Job& job) {
+  core::Duration longest{0};
+  for (const StepSpec& step : job.request.steps) {
+    longest = std::max(longest, EstimateRunTime(board.run_times, job.queue.name,
+                                                step.declared_run_time));
+  }
+  return longest;
+}
+
 }  // namespace
 
 core::Duration ComputeRetryAfter(const JobBoard& board, core::Duration wait) {
@@ -110,11 +120,19 @@
     verdict.retry_after = board.policy.retry_floor;
     return verdict;
   }
+  // A client that returns after a loss of power may have little time left.
+  if (now + EstimateLongestRun(board, job) > job.useful_until) {
+    verdict.refusal = Refusal::kExpired;
+    verdict.retry_after = ComputeRetryAfter(board, core::Duration(0));
+    return verdict;
+  }
   if (IsDiscoveringGates(board, now)) return verdict;
   const RoomSummary seen = SummarizeRoom(board, now, job.queue.service);
   if (!seen.any_usable) {
     verdict.refusal = Refusal::kNoTarget;
-    verdict.retry_after = ComputeRetryAfter(board, core::Duration(0));
+    verdict.retry_after = ComputeRetryAfter(
+        board, ForecastWait(board, now, job.queue.service, core::Duration(0), 0,
+                            1));
     return verdict;
   }
   for (const StepSpec& step : job.request.steps) {
@@ -126,22 +144,20 @@
   const core::Duration slack =
       job.objective - now - chain * 1000 / job.queue.stretch_permille;
   const double rate = std::max(seen.own, seen.capacity * kMinRoomShare);
-  const double seconds =
-      ComputeWorkAhead(board, now + slack) / rate * board.policy.wait_margin;
+  const double work =
+      ComputeWorkAhead(board, now + slack) * board.policy.wait_margin;
+  const double seconds = work / rate;
   verdict.wait = core::Duration(static_cast<std::int64_t>(seconds * 1e6));
   if (verdict.wait <= slack) return verdict;
   verdict.refusal = Refusal::kOverload;
-  verdict.retry_after = ComputeRetryAfter(board, verdict.wait);
+  verdict.retry_after = ComputeRetryAfter(
+      board, ForecastWait(board, now, job.queue.service, verdict.wait, work,
+                          rate / seen.capacity));
   return verdict;
 }
 
 bool IsTooLateToStart(const JobBoard& board, core::Time now, const Job& job) {
-  core::Duration longest{0};
-  for (const StepSpec& step : job.request.steps) {
-    longest = std::max(longest, EstimateRunTime(board.run_times, job.queue.name,
-                                                step.declared_run_time));
-  }
-  return now + longest > std::min(job.objective, job.useful_until);
+  return now + EstimateLongestRun(board, job) > std::min(job.objective, job.useful_until);
 }
 
 }  // namespace tarragon::coordinator
--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -6,6 +6,7 @@
 #include "entry_internal.h"
 #include "operator_sync.h"
 #include "placing.h"
+#include "room_forecast.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -347,6 +348,7 @@
   const bool offered = report.offered;
   if (offered) gate.sent_want.reset();
   gate.report = std::move(report);
+  UpdateLeaveTime(now, &gate);
   SendTargetHint(board, from, &gate);
   UpdateSuspicion(board, now, &gate);
   const bool knows_newer = SyncOperatorState(board, now, &gate);
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "gate_internal.h"
+#include "leaving_target.h"
 #include "operator_sync.h"
 
 namespace tarragon::coordinator {
@@ -46,7 +47,9 @@
   if (IsDrained(board.operator_state, board.domain)) {
     return RefusalReason::kDomainOut;
   }
-  if (!IsUsable(board, now)) return RefusalReason::kNoTarget;
+  if (!IsUsable(board, now) && !CanStartBeforeDeparture(board, now, start)) {
+    return RefusalReason::kNoTarget;
+  }
   const Announcement& announcement = board.target->announcement;
   if (announcement.service != start.service) return RefusalReason::kWrongTarget;
   const bool labelled =
@@ -77,11 +80,14 @@
   run.home = home;
   run.ordered_at = now;
   run.expected_run_time = start.expected_run;
-  run.start_deadline = TargetClock(EstimateTargetClock(target, now).value() +
-                                   core::Millis(board->policy.requested_lease));
+  run.start_deadline = LimitStartDeadline(
+      *board, now, start,
+      TargetClock(EstimateTargetClock(target, now).value() +
+                  core::Millis(board->policy.requested_lease)));
   target.lease_until = std::max(target.lease_until, run.start_deadline);
   board->runs[start.run] = run;
   ++board->counts.starts;
+  if (target.announcement.draining) ++board->counts.starts_before_departure;
   MarkRoomChanged(board, home);
   board->actions.push_back(
       OrderStart{target.announcement.address, target.announcement.target,
@@ -180,6 +186,7 @@
       report.runs_known = board->target->runs_known;
       report.entries = static_cast<std::uint32_t>(board->homes.size());
       report.has_suspect = HasSuspect(*board);
+      report.leaves_in = ComputeLeavesIn(*board, now);
       report.free =
           ComputeFreeRoom(*board) - SumRoomOfferedToOthers(*board, home.node);
       report.offered = home.offer_due;
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -94,6 +94,10 @@
 /// Sends the reports that are due.
 void SendReports(GateBoard* board, core::Time now);
 
+/// True if the target is there and nothing but its draining keeps it from
+/// being usable.
+bool IsInService(const GateBoard& board, core::Time now);
+
 /// True if the gate accepts starts for the target now.
 bool IsUsable(const GateBoard& board, core::Time now);
 
--- a/coordinator/gate_stored_target.cc
+++ b/coordinator/gate_stored_target.cc
@@ -88,6 +88,7 @@
   announcement.draining = last.draining;
   // The target's clock stays unknown until the first poll is answered.
   ApplyAnnouncement(board, now, announcement);
+  FinishEvent(board, now);
 }
 
 }  // namespace tarragon::coordinator
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "gate_internal.h"
+#include "leaving_target.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -67,6 +68,7 @@
   target.lease_until =
       TargetClock(clock.value() + core::Millis(board->policy.max_lease));
   target.history = TargetHistory{};
+  target.departure = Departure{};
   target.silent_since.reset();
   board->polls.clear();
 }
@@ -228,12 +230,35 @@
   target.runs_known = false;
 }
 
+void RecordDeparture(GateBoard* board, core::Time now,
+                     const Departure& departure) {
+  const bool is_new = departure.noticed_at.has_value() &&
+                      departure.noticed_at !=
+                          board->target->departure.noticed_at;
+  board->target->departure = departure;
+  if (!is_new) return;
+  ++board->counts.departures;
+  AddLogLine(
+      board, "The target leaves; it accepts runs that end before.",
+      board->target->announcement.target.value(),
+      {{"leaves_in",
+        std::to_string(core::Millis(departure.leaves_at - now)) + "ms"},
+       {"drain_bound",
+        std::to_string(core::Millis(board->policy.drain_bound)) + "ms"},
+       {"sequence", std::to_string(board->target->announcement.sequence)},
+       {"runs", std::to_string(board->runs.size())}});
+}
+
 }  // namespace
 
 bool IsUsable(const GateBoard& board, core::Time now) {
+  return IsInService(board, now) && !board.target->announcement.draining;
+}
+
+bool IsInService(const GateBoard& board, core::Time now) {
   if (!board.target.has_value() || board.stopping) return false;
   const Target& target = *board.target;
-  if (target.announcement.draining || !target.runs_known) return false;
+  if (!target.runs_known) return false;
   if (now - target.announced_at > board.policy.announcement_timeout)
     return false;
   if (target.silent_since.has_value() &&
@@ -246,8 +271,12 @@
 
 void OnAnnouncement(GateBoard* board, core::Time now,
                     const Announcement& announcement) {
-  if (ApplyAnnouncement(board, now, announcement))
-    StoreTargetIfChanged(board, announcement);
+  const Departure departure =
+      UpdateDeparture(board->target, now, announcement);
+  if (!ApplyAnnouncement(board, now, announcement)) return;
+  RecordDeparture(board, now, departure);
+  StoreTargetIfChanged(board, announcement);
+  FinishEvent(board, now);
 }
 
 bool ApplyAnnouncement(GateBoard* board, core::Time now,
@@ -296,7 +325,6 @@
     target.clock_read_at = now;
   }
   MarkAllReportsDue(board);
-  FinishEvent(board, now);
   return true;
 }
 
@@ -308,6 +336,7 @@
   AddLogLine(board, "The target reported that it is shutting down.",
              target.value(), {});
   board->target->announcement.draining = true;
+  board->target->departure = Departure{};
   StoreTargetIfChanged(board, board->target->announcement);
   MarkAllReportsDue(board);
   FinishEvent(board, now);
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -84,6 +84,18 @@
   std::optional<core::Time> stop_answered_at;
 };
 
+/// What a gate knows of the departure of its target's current incarnation.
+struct Departure {
+  /// This process of the gate has received an announcement of the incarnation
+  /// that was not draining.
+  bool heard_ready = false;
+  /// When the first `draining` was received; empty if the target is not leaving
+  /// or if an earlier process may have received it.
+  std::optional<core::Time> noticed_at = std::nullopt;
+  /// When the target leaves at the earliest.
+  core::Time leaves_at = {};
+};
+
 /// The target and the state of its current incarnation.
 struct Target {
   Announcement announcement;
@@ -114,6 +126,7 @@
   TargetHistory history;
   /// The copy that was stored for a later process at this address.
   std::optional<TargetReport> stored_report;
+  Departure departure;
 };
 
 /// An entry's request for room.
@@ -241,6 +254,10 @@
   /// Offers of room to entries, and offers that expired without an answer.
   std::uint64_t offers = 0;
   std::uint64_t lapsed_offers = 0;
+  /// Announced departures, and starts accepted between the announcement and the
+  /// departure.
+  std::uint64_t departures = 0;
+  std::uint64_t starts_before_departure = 0;
 };
 
 /// All state of a gate.
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -209,6 +209,9 @@
   /// The request for room that is pending at the gate; empty once the gate has
   /// offered room.
   std::optional<SentWant> sent_want;
+  /// When the target leaves, as announced; kept until a target there is usable
+  /// again.
+  std::optional<core::Time> leaves_at;
 };
 
 /// Close the connections to a silent gate, so that the next message opens a new
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -110,7 +110,9 @@
   /// Demand of all entries but the receiving one, by priority.
   std::vector<PriorityDemand> others_demand;
   /// Time until the draining target leaves at the earliest; zero if it does not
-  /// leave or has not told.
+  /// leave or has not told, or if its gate accepts no starts any more. Until
+  /// then the gate accepts runs that certainly end before, although `usable` is
+  /// false.
   core::Duration leaves_in{0};
   /// Learned speed in thousandths: 1000 is usual, at 2000 runs take half the
   /// time; zero if unknown.
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -168,6 +168,12 @@
   std::size_t place_lookahead = 12;
   /// Number of ended jobs whose state is kept for later queries.
   std::size_t max_ended_states = 512;
+  /// No run starts at a target later than this after its gate has first
+  /// acknowledged that it is draining; `drain_ms` of the node file.
+  core::Duration drain_bound{std::chrono::milliseconds(2000)};
+  /// Time from the announced departure of a target until another one has joined
+  /// in its place. Used only to predict room.
+  core::Duration rejoin_time{std::chrono::seconds(4)};
 };
 
 }  // namespace tarragon::coordinator
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "entry_internal.h"
+#include "leaving_target.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -21,6 +22,8 @@
 constexpr double kRandomWeight = 0.15;
 /// A suspect run takes the others at its target along if it crashes the target.
 constexpr double kSuspectWeight = 0.3;
+/// A leaving target is chosen only if no other has room.
+constexpr double kLeavingWeight = 4;
 constexpr double kPermille = 1000;
 
 double NextRandomFraction(JobBoard* board) {
@@ -129,7 +132,10 @@
 
 void AddCandidate(const JobBoard& board, core::Time now, GateLink* gate,
                   std::int64_t millicores, std::vector<Candidate>* candidates) {
-  if (!IsUsable(board, now, *gate) || now < gate->health.avoid_until) return;
+  if (now < gate->health.avoid_until) return;
+  if (!IsUsable(board, now, *gate) && !AcceptsShortRuns(board, now, *gate)) {
+    return;
+  }
   if (!IsCountingStarts(board, now, *gate)) return;
   const Room free = EstimateFreeRoom(*gate);
   if (free.millicores >= millicores) candidates->push_back({gate, free});
@@ -156,6 +162,7 @@
     if (!Fits(step.room, free)) continue;
     if (report.service != job.queue.service) continue;
     if (!HasLabel(report, step.required)) continue;
+    if (!EndsBeforeDeparture(*board, now, gate, job, task)) continue;
     if (step.max_per_target > 0 &&
         CountRunsOfStep(gate, task.ref) >= step.max_per_target) {
       continue;
@@ -179,6 +186,7 @@
     if (task.avoid_gate && gate.node.address == task.gate) score -= 1;
     if (trial) score -= 0.5;
     if (has_suspect) score -= kSuspectWeight;
+    if (report.draining) score -= kLeavingWeight;
     score += kRandomWeight * NextRandomFraction(board);
     if (best != nullptr && score <= best_score) continue;
     best = &candidate;
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -6,6 +6,7 @@
 
 #include "admission.h"
 #include "entry_internal.h"
+#include "leaving_target.h"
 #include "placing.h"
 
 namespace tarragon::coordinator {
@@ -68,6 +69,7 @@
   const core::Time gate_now = gate->report->clock + (now - gate->last_heard_at);
   start.start_by = gate_now + board->policy.start_window;
   start.expected_run = EstimateRunTime(*board, *job, *task);
+  start.longest_run = ComputeLongestRun(*board, *job, *task, *gate->report);
   start.operator_revision = board->operator_state.revision;
   start.domains_digest = board->domains_digest;
   start.suspect = task->crashes > 0;
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -67,6 +67,7 @@
     if (!node.has_value()) return false;
     node_ = *node;
     board_.domain = node_.domain;
+    board_.policy.drain_bound = node_.drain_bound;
     board_.random ^= core::RandomIncarnation().value();
     wire::WireError wire_error;
     if (!transport_.Listen(ReadPeerListenAddress(settings_, node_.peer_address),
@@ -282,6 +283,7 @@
     }
     settings_ = *next;
     board_.policy = ReadCoordinationPolicy(settings_);
+    board_.policy.drain_bound = node_.drain_bound;
     ApplyLogSettings(settings_);
     GateLog().Info("Reloaded the settings.");
   }
@@ -299,6 +301,9 @@
     SetCounterTotal(&registry_, "offers_total", {}, counts.offers);
     SetCounterTotal(&registry_, "offers_lapsed_total", {},
                     counts.lapsed_offers);
+    SetCounterTotal(&registry_, "departures_total", {}, counts.departures);
+    SetCounterTotal(&registry_, "starts_before_departure_total", {},
+                    counts.starts_before_departure);
     for (const auto& [reason, count] : counts.refusals) {
       SetCounterTotal(&registry_, "starts_refused_total",
                       {{"reason", coordinator::Name(reason)}}, count);
--- a/daemons/node_settings_reload.cc
+++ b/daemons/node_settings_reload.cc
@@ -40,6 +40,7 @@
               {"new", next.store_address.value()}});
   }
   current->vm_name = next.vm_name;
+  current->drain_bound = next.drain_bound;
   current->domain = next.domain;
   current->store_address = next.store_address;
 }
--- a/simulate/include/tarragon/simulate/room_world.h
+++ b/simulate/include/tarragon/simulate/room_world.h
@@ -47,6 +47,14 @@
   double failure_share = 0;
   /// Share of the runs on the affected targets that never end by themselves.
   double hang_share = 0;
+  /// Not zero: the affected targets announce at `from` that they leave after
+  /// this time; others join in their place at `until`.
+  core::Duration notice{0};
+  /// The affected targets announce at `until` that they stay after all.
+  bool is_false_notice = false;
+  /// The power of all processes and targets is lost from `from` until `until`.
+  /// Then clients that still wait submit their jobs again at once.
+  bool power_loss = false;
 };
 
 /// Input of one simulation of coordinating entries.
@@ -72,6 +80,9 @@
   double stretch = 1.6;
   core::Duration latency_target{std::chrono::milliseconds(60)};
   coordinator::Policy policy;
+  /// Plans of one seed get the same jobs at the same times, whatever becomes of
+  /// the jobs.
+  bool same_jobs = false;
 };
 
 /// Outcomes of the jobs of one kind.
@@ -100,6 +111,16 @@
   std::uint64_t target_crashes = 0;
   /// Most crashes that one job has caused.
   std::uint32_t max_crashes_of_job = 0;
+  /// Runs that ended because their target left, and their work.
+  std::uint64_t lost_runs = 0;
+  double lost_millicore_seconds = 0;
+  /// Starts that targets have carried out after their notice.
+  std::uint64_t starts_after_notice = 0;
+  core::Duration last_start_after_notice{0};
+  /// Jobs submitted within 2 s after a power loss, and those of them that ended
+  /// in time.
+  std::uint64_t submitted_after_loss = 0;
+  std::uint64_t in_time_after_loss = 0;
 };
 
 /// Returns the job kinds of two users, with a mean target load of 0.62.
--- a/simulate/room_state.h
+++ b/simulate/room_state.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -26,6 +27,10 @@
 using coordinator::RunEnd;
 using coordinator::RunRef;
 
+/// Time before the first job, in which entries, gates and targets discover each
+/// other.
+constexpr core::Duration kWarmUp = std::chrono::milliseconds(500);
+
 /// A simulated target: its runs and the ends that its gate has not
 /// acknowledged.
 struct FakeTarget {
@@ -45,13 +50,16 @@
   std::int64_t born = 1;
   /// It has crashed and is not back yet.
   bool down = false;
+  std::int64_t sequence = 0;
+  /// When it has announced its departure; empty if it stays.
+  std::optional<core::Time> noticed_at;
 };
 
 /// Runs a plan by executing events in the order of their virtual time.
 class CoordinatorSimulation {
  public:
   explicit CoordinatorSimulation(const CoordinatorPlan& plan)
-      : plan_(plan), random_(plan.seed), now_{std::chrono::seconds(1)} {}
+      : plan_(plan), random_(plan.seed), other_random_(plan.seed), now_{std::chrono::seconds(1)} {}
 
   CoordinatorResult Run();
 
@@ -89,9 +97,21 @@
   core::Duration NetworkDelay(std::size_t entry, std::size_t gate) const;
   std::size_t PickEntry();
   void StartProcesses();
-  void AnnounceTarget(std::size_t gate);
+  void AnnounceTarget(std::size_t gate,
+                      core::Duration remaining = core::Duration(0));
+  void ScheduleDisturbances();
+  void NoticeDeparture(std::size_t gate, const Disturbance& disturbance);
+  void LeaveTarget(std::size_t gate);
+  void LosePower();
+  void RestorePower();
+  void SubmitJob(std::uint64_t number);
+  void FindGates();
   void ScheduleNextArrival(const JobKind* kind);
   void Submit(const JobKind* kind);
+  bool IsAfterPowerLoss(const ClientJob& job) const {
+    return power_back_at_.has_value() && job.submitted_at >= *power_back_at_ &&
+           job.submitted_at < *power_back_at_ + std::chrono::seconds(2);
+  }
   double LoadFactor(const JobKind& kind) const;
   const Disturbance* FindDisturbance(std::size_t target) const;
   void Tick();
@@ -114,6 +134,8 @@
 
   const CoordinatorPlan& plan_;
   std::mt19937_64 random_;
+  /// For all draws but those of jobs, if `CoordinatorPlan::same_jobs`.
+  std::mt19937_64 other_random_;
   core::Time now_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::uint64_t last_event_ = 0;
@@ -123,6 +145,8 @@
   std::map<std::uint64_t, ClientJob> jobs_;
   std::map<std::string, std::uint64_t> job_numbers_;
   std::uint64_t last_job_ = 0;
+  bool dark_ = false;
+  std::optional<core::Time> power_back_at_;
   core::Time begin_;
   core::Time end_;
   CoordinatorResult result_;
--- a/simulate/room_targets.cc
+++ b/simulate/room_targets.cc
@@ -13,6 +13,11 @@
 /// A deadly task crashes its target this long after its start.
 constexpr core::Duration kCrashAfter = std::chrono::milliseconds(20);
 constexpr core::Duration kDownTime = std::chrono::seconds(3);
+/// After a power loss entries find the gates after this time, targets announce
+/// themselves and clients return within these times.
+constexpr core::Duration kDiscoveryTime = std::chrono::milliseconds(300);
+constexpr core::Duration kBootTime = std::chrono::milliseconds(1500);
+constexpr core::Duration kReturnTime = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -41,11 +46,17 @@
     }
     const bool sealed = target.sealed.contains(run);
     if (!sealed) {
+      if (target.noticed_at.has_value()) {
+        ++result_.starts_after_notice;
+        result_.last_start_after_notice = std::max(
+            result_.last_start_after_notice, now_ - *target.noticed_at);
+      }
       target.running[run] = {millicores, now_, ++last_event_};
       const std::uint64_t life = target.running[run].sequence;
       const Disturbance* disturbance = FindDisturbance(gate);
       std::uniform_real_distribution<double> share(0, 1);
-      const double draw = share(random_);
+      const double draw =
+          share(plan_.same_jobs ? other_random_ : random_);
       core::Duration takes = work;
       RunEnd end = RunEnd::kDone;
       bool hangs = false;
@@ -148,6 +159,85 @@
   });
 }
 
+void CoordinatorSimulation::NoticeDeparture(std::size_t gate,
+                                            const Disturbance& disturbance) {
+  targets_[gate].noticed_at = now_;
+  AnnounceTarget(gate, disturbance.notice);
+  const core::Duration length = disturbance.until - disturbance.from;
+  if (disturbance.is_false_notice) {
+    ScheduleAfter(length, [this, gate]() {
+      targets_[gate].noticed_at.reset();
+      AnnounceTarget(gate);
+    });
+    return;
+  }
+  ScheduleAfter(disturbance.notice, [this, gate]() { LeaveTarget(gate); });
+  ScheduleAfter(length, [this, gate]() {
+    targets_[gate].down = false;
+    AnnounceTarget(gate);
+  });
+}
+
+void CoordinatorSimulation::LeaveTarget(std::size_t gate) {
+  FakeTarget& target = targets_[gate];
+  for (const auto& [run, state] : target.running) {
+    ++result_.lost_runs;
+    result_.lost_millicore_seconds += static_cast<double>(state.millicores) *
+                                      ToSeconds(now_ - state.started);
+  }
+  const std::uint64_t waiting_poll = target.waiting_poll;
+  const std::int64_t born = target.born;
+  target = FakeTarget{};
+  target.born = born + 1;
+  target.down = true;
+  if (waiting_poll != 0) FailPoll(gate, waiting_poll);
+}
+
+void CoordinatorSimulation::LosePower() {
+  dark_ = true;
+  for (std::size_t i = 0; i < targets_.size(); ++i) LeaveTarget(i);
+}
+
+void CoordinatorSimulation::RestorePower() {
+  dark_ = false;
+  power_back_at_ = now_;
+  entries_.clear();
+  gates_.clear();
+  StartProcesses();
+  ScheduleAfter(kDiscoveryTime, [this]() { FindGates(); });
+  std::uniform_real_distribution<double> share(0, 1);
+  for (std::size_t i = 0; i < targets_.size(); ++i) {
+    ScheduleAfter(FromSeconds(ToSeconds(kBootTime) * share(other_random_)),
+                  [this, i]() {
+                    targets_[i].down = false;
+                    AnnounceTarget(i);
+                  });
+  }
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [number, job] : jobs_) {
+    if (job.submitted_at + plan_.client_timeout > now_) {
+      waiting.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : waiting) {
+    ScheduleAfter(FromSeconds(ToSeconds(kReturnTime) * share(other_random_)),
+                  [this, number]() { SubmitJob(number); });
+  }
+}
+
+void CoordinatorSimulation::ScheduleDisturbances() {
+  for (const Disturbance& each : plan_.disturbances) {
+    const core::Duration from = kWarmUp + each.from;
+    for (std::size_t i = 0;
+         each.notice.count() > 0 && i < each.affected_targets; ++i) {
+      ScheduleAfter(from, [this, i, &each]() { NoticeDeparture(i, each); });
+    }
+    if (!each.power_loss) continue;
+    ScheduleAfter(from, [this]() { LosePower(); });
+    ScheduleAfter(kWarmUp + each.until, [this]() { RestorePower(); });
+  }
+}
+
 void CoordinatorSimulation::FailPoll(std::size_t gate, std::uint64_t number) {
   coordinator::OnPollAnswer(gates_[gate].get(), now_, number, std::nullopt,
                             coordinator::PollFailure::kRefused);
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -19,9 +19,6 @@
 namespace {
 
 constexpr core::Duration kTick = std::chrono::milliseconds(20);
-/// Time before the first job, in which entries, gates and targets discover each
-/// other.
-constexpr core::Duration kWarmUp = std::chrono::milliseconds(500);
 /// The simulation ends this long after the last arrival, when clients have been
 /// answered.
 constexpr core::Duration kDrain = std::chrono::seconds(6);
@@ -70,25 +67,34 @@
     JobBoard* entry = entries_.back().get();
     entry->policy = plan_.policy;
     entry->domain = core::DomainId("d" + std::to_string(i % 4));
+    entry->started_at = now_;
     entry->random ^= plan_.seed * 7919 + i;
     coordinator::OnOperatorState(entry, now_, state, "plan");
+  }
+}
+
+void CoordinatorSimulation::FindGates() {
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
     for (std::size_t j = 0; j < gates_.size(); ++j) {
-      coordinator::OnGateFound(entry, now_, MakeNodeId("10.0.1.", j).address);
+      coordinator::OnGateFound(entries_[i].get(), now_,
+                               MakeNodeId("10.0.1.", j).address);
     }
     FlushEntry(i);
   }
-  for (std::size_t i = 0; i < gates_.size(); ++i) AnnounceTarget(i);
 }
 
-void CoordinatorSimulation::AnnounceTarget(std::size_t gate) {
+void CoordinatorSimulation::AnnounceTarget(std::size_t gate,
+                                           core::Duration remaining) {
   coordinator::Announcement announcement;
   announcement.target = coordinator::TargetId("t" + std::to_string(gate));
   announcement.born = coordinator::TargetIncarnation(targets_[gate].born);
-  announcement.sequence = 1;
+  announcement.sequence = ++targets_[gate].sequence;
   announcement.service = core::ServiceId("s");
   announcement.domain = gates_[gate]->domain;
   announcement.capacity = {plan_.target_millicores[gate], 1 << 20, 0};
   announcement.clock = coordinator::TargetClock(core::Millis(now_.since_start));
+  announcement.draining = remaining.count() > 0;
+  if (announcement.draining) announcement.remaining = remaining;
   coordinator::OnAnnouncement(gates_[gate].get(), now_, announcement);
   FlushGate(gate);
 }
@@ -143,24 +149,32 @@
 void CoordinatorSimulation::Submit(const JobKind* kind) {
   ClientJob job = MakeClientJob(plan_, kind, &random_);
   job.submitted_at = now_;
+  ++last_job_;
+  job_numbers_[MakeJobId(last_job_).value()] = last_job_;
+  KindResult& got = result_.kinds[kind->name];
+  ++got.submitted;
+  got.offered_worth += job.worth;
+  if (IsAfterPowerLoss(job)) ++result_.submitted_after_loss;
+  jobs_[last_job_] = std::move(job);
+  if (!dark_) SubmitJob(last_job_);
+}
+
+void CoordinatorSimulation::SubmitJob(std::uint64_t number) {
+  const ClientJob& job = jobs_.at(number);
   coordinator::JobRequest request;
-  request.id = MakeJobId(++last_job_);
+  request.id = MakeJobId(number);
   coordinator::StepSpec step;
   step.count = static_cast<std::uint32_t>(job.task_run_times.size());
-  step.room = {kind->millicores, kMemoryMb, 0};
+  step.room = {job.kind->millicores, kMemoryMb, 0};
   step.declared_run_time = job.declared_run_time;
   request.steps = {step};
-  job_numbers_[request.id.value()] = last_job_;
-  KindResult& got = result_.kinds[kind->name];
-  ++got.submitted;
-  got.offered_worth += job.worth;
-  jobs_[last_job_] = std::move(job);
   const std::size_t entry = PickEntry();
   JobBoard* board = entries_[entry].get();
   for (const coordinator::Queue& queue : board->operator_state.queues) {
-    if (queue.name.value() != kind->name) continue;
-    coordinator::OnSubmit(board, now_, coordinator::CallId(last_job_), queue,
-                          std::move(request), now_ + plan_.client_timeout);
+    if (queue.name.value() != job.kind->name) continue;
+    coordinator::OnSubmit(board, now_, coordinator::CallId(number), queue,
+                          std::move(request),
+                          job.submitted_at + plan_.client_timeout);
     break;
   }
   FlushEntry(entry);
@@ -178,6 +192,7 @@
   if (done && took <= job.objective) {
     ++got.in_time;
     got.earned_worth += job.worth;
+    if (IsAfterPowerLoss(job)) ++result_.in_time_after_loss;
   } else if (done && took <= kLateFactor * job.objective) {
     ++got.late;
     got.earned_worth += job.worth * kLateShare;
@@ -221,6 +236,7 @@
   actions.swap(entries_[entry]->actions);
   entries_[entry]->log_lines.clear();
   entries_[entry]->ended_jobs.clear();
+  if (dark_) return;
   for (coordinator::JobAction& action : actions) {
     if (auto* answer = std::get_if<coordinator::AnswerCall>(&action)) {
       RecordAnswer(entry, *answer);
@@ -248,6 +264,7 @@
   std::vector<coordinator::GateAction> actions;
   actions.swap(gates_[gate]->actions);
   gates_[gate]->log_lines.clear();
+  if (dark_) return;
   for (coordinator::GateAction& action : actions) {
     if (auto* start = std::get_if<coordinator::OrderStart>(&action)) {
       ExecuteStart(gate, *start);
@@ -272,11 +289,11 @@
 }
 
 void CoordinatorSimulation::Tick() {
-  for (std::size_t i = 0; i < entries_.size(); ++i) {
+  for (std::size_t i = 0; !dark_ && i < entries_.size(); ++i) {
     coordinator::OnTick(entries_[i].get(), now_);
     FlushEntry(i);
   }
-  for (std::size_t i = 0; i < gates_.size(); ++i) {
+  for (std::size_t i = 0; !dark_ && i < gates_.size(); ++i) {
     coordinator::OnTick(gates_[i].get(), now_);
     FlushGate(i);
   }
@@ -287,6 +304,9 @@
   begin_ = now_ + kWarmUp;
   end_ = begin_ + plan_.length;
   StartProcesses();
+  FindGates();
+  for (std::size_t i = 0; i < gates_.size(); ++i) AnnounceTarget(i);
+  ScheduleDisturbances();
   ScheduleAfter(core::Duration(0), [this]() { Tick(); });
   ScheduleAfter(kWarmUp, [this]() {
     for (const JobKind& kind : plan_.kinds) ScheduleNextArrival(&kind);
