--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -7,6 +7,7 @@
 #include "operator_sync.h"
 #include "placing.h"
 #include "precedence.h"
+#include "room_forecast.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -312,6 +313,7 @@
   if (offered) gate.sent_want.reset();
   gate.report = std::move(report);
   RecordOthersDemand(board, now, *gate.report);
+  UpdateLeaveTime(now, &gate);
   SendTargetHint(board, from, &gate);
   UpdateSuspicion(board, now, &gate);
   const bool knows_newer = SyncOperatorState(board, now, &gate);
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -88,6 +88,18 @@
   ProgressTrack progress;
 };
 
+/// What a gate knows of the departure of its target's current incarnation.
+struct Departure {
+  /// This process of the gate has received an announcement of the incarnation
+  /// that was not draining.
+  bool heard_ready = false;
+  /// When the first `draining` was received; empty if the target is not leaving
+  /// or if an earlier process may have received it.
+  std::optional<core::Time> noticed_at = std::nullopt;
+  /// When the target leaves at the earliest.
+  core::Time leaves_at = {};
+};
+
 /// The target and the state of its current incarnation.
 struct Target {
   Announcement announcement;
@@ -118,6 +130,7 @@
   TargetHistory history;
   /// The copy that was stored for a later process at this address.
   std::optional<TargetReport> stored_report;
+  Departure departure;
 };
 
 /// An entry's request for room.
@@ -256,6 +269,10 @@
   /// standing run.
   std::uint64_t progress_messages = 0;
   std::uint64_t standing_runs = 0;
+  /// Announced departures, and starts accepted between the announcement and the
+  /// departure.
+  std::uint64_t departures = 0;
+  std::uint64_t starts_before_departure = 0;
 };
 
 /// All state of a gate.
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -238,6 +238,9 @@
   /// The gate was silent or has been restarted, so until then it may not have
   /// told the progress of its runs.
   core::Time progress_due_at;
+  /// When the target leaves, as announced; kept until a target there is usable
+  /// again.
+  std::optional<core::Time> leaves_at;
 };
 
 /// Close the connections to a silent gate, so that the next message opens a new
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -207,6 +207,12 @@
   /// known, in thousandths. Half of it is for tasks of other entries, the rest
   /// for run times that are longer than expected.
   std::uint32_t known_demand_margin_permille = 500;
+  /// No run starts at a target later than this after its gate has first
+  /// acknowledged that it is draining; `drain_ms` of the node file.
+  core::Duration drain_bound{std::chrono::milliseconds(2000)};
+  /// Time from the announced departure of a target until another one has joined
+  /// in its place. Used only to predict room.
+  core::Duration rejoin_time{std::chrono::seconds(4)};
 };
 
 }  // namespace tarragon::coordinator
