Coordinator: reserve room for the most urgent request that does not fit yet

Cause: a gate offers freed room to the most urgent request that fits, so a request for 2.7 cores was passed over by each one for 1.3. Change: gates estimate when runs release room, report it to entries while some request does not fit, and hold room for the most urgent such request if it is ready within its slack and the reach. Smaller runs backfill. Entries withdraw their requests once no task waits, and ask first the gates that will have room. Policy::reserve_room switches it off.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -439,6 +439,7 @@
   board->queue_grew = false;
   PlaceWaitingTasks(board, now, nullptr);
   RequestRoom(board, now);
+  WithdrawRequests(board);
   LogReadiness(board, now);
 }
 
--- a/coordinator/entry_internal.h
+++ b/coordinator/entry_internal.h
@@ -65,6 +65,10 @@
 /// Requests room for the most urgent waiting task at some gates.
 void RequestRoom(JobBoard* board, core::Time now);
 
+/// Withdraws the requests for room once no task waits, so that gates reserve
+/// none.
+void WithdrawRequests(JobBoard* board);
+
 /// Returns room that a gate has offered and that no task has taken.
 void ReturnUnusedOffer(JobBoard* board, GateLink* gate);
 
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -4,6 +4,7 @@
 
 #include "gate_internal.h"
 #include "operator_sync.h"
+#include "room_reservation.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -56,6 +57,7 @@
   if (!labelled) return RefusalReason::kWrongTarget;
   if (start.suspect && HasSuspect(board)) return RefusalReason::kOtherSuspect;
   if (!Fits(start.room, ComputeFreeRoom(board))) return RefusalReason::kNoRoom;
+  if (BreaksReservation(board, now, start)) return RefusalReason::kNoRoom;
   return RefusalReason::kNone;
 }
 
@@ -68,6 +70,23 @@
       home, {run, RunEnd::kRefused, reason, core::Duration{0}}});
 }
 
+/// Fills in the room that is free for the entry, and when it gets more if some
+/// entry waits for room.
+void FillRoom(const GateBoard& board, core::Time now, const HomeLink& home,
+              TargetReport* report) {
+  const Room free =
+      ComputeFreeRoom(board) - SumRoomOfferedToOthers(board, home.node);
+  report->free = ComputeUnreservedRoom(board, now, free, core::Duration{0});
+  // An offer may include reserved room.
+  if (home.offer.has_value() && !Fits(home.offer->room, report->free)) {
+    report->free = home.offer->room;
+  }
+  if (!board.policy.reserve_room || !IsRoomAwaited(board, free)) return;
+  const std::int64_t hidden = free.millicores - report->free.millicores;
+  report->releases = MakeReleaseRows(FindReleases(board, now), now,
+                                     ComputeClaim(board, home, hidden));
+}
+
 void SendStart(GateBoard* board, core::Time now, const core::NodeId& home,
                StartRun start) {
   Target& target = *board->target;
@@ -180,8 +199,7 @@
       report.runs_known = board->target->runs_known;
       report.entries = static_cast<std::uint32_t>(board->homes.size());
       report.has_suspect = HasSuspect(*board);
-      report.free =
-          ComputeFreeRoom(*board) - SumRoomOfferedToOthers(*board, home.node);
+      FillRoom(*board, now, home, &report);
       report.offered = home.offer_due;
       const TargetGrade grade = GradeTarget(board, now);
       report.slowness_permille = static_cast<std::uint32_t>(
@@ -256,6 +274,9 @@
   home.starts_seen = std::max(home.starts_seen, start.sequence);
   home.offer.reset();
   home.report_due = true;
+  if (BreaksReservation(*board, now, start)) {
+    ++board->counts.reserved_refusals;
+  }
   const RefusalReason reason = CheckStart(*board, now, start);
   if (reason == RefusalReason::kNone) {
     SendStart(board, now, from, std::move(start));
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -81,6 +81,10 @@
 /// gets a report at once, the others after a pause.
 void MarkRoomChanged(GateBoard* board, const core::NodeId& home);
 
+/// Computes the pause between two reports of room that other entries have taken
+/// or released.
+core::Duration ComputeRoomReportPause(const GateBoard& board);
+
 /// Offers free room to the entries with the most urgent tasks, and withdraws
 /// unanswered offers that have expired.
 void OfferFreeRoom(GateBoard* board, core::Time now);
--- a/coordinator/gate_offers.cc
+++ b/coordinator/gate_offers.cc
@@ -2,6 +2,7 @@
 #include <tuple>
 
 #include "gate_internal.h"
+#include "room_reservation.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -16,11 +17,16 @@
 }
 
 /// Finds the entry with the most urgent task that fits; null for none.
-HomeLink* FindMostUrgentEntry(GateBoard* board, const Room& free) {
+HomeLink* FindMostUrgentEntry(GateBoard* board, core::Time now,
+                              const Room& free) {
   HomeLink* best = nullptr;
   for (auto& [address, home] : board->homes) {
     if (!home.connected || home.timed_out || home.offer.has_value()) continue;
-    if (!home.want.has_value() || !Fits(home.want->room, free)) continue;
+    if (!home.want.has_value()) continue;
+    if (!Fits(home.want->room,
+              ComputeRoomForRequest(*board, now, home, free))) {
+      continue;
+    }
     if (best == nullptr ||
         std::tie(home.want->late, home.want->latest_start) <
             std::tie(best->want->late, best->want->latest_start)) {
@@ -52,17 +58,23 @@
 
 void OfferFreeRoom(GateBoard* board, core::Time now) {
   ExpireOffers(board, now);
-  if (!IsUsable(*board, now)) return;
+  if (!IsUsable(*board, now)) return EndReservation(board, "not usable");
   Room free = ComputeFreeRoom(*board) - SumOfferedRoom(*board);
-  HomeLink* next = FindMostUrgentEntry(board, free);
+  UpdateReservation(board, now, free);
+  HomeLink* next = FindMostUrgentEntry(board, now, free);
   while (next != nullptr) {
+    CountBackfill(board, now, *next, free);
     next->offer = RoomOffer{next->want->room, now + board->policy.offer_time};
+    if (next->want->expected_run.count() > 0) {
+      next->offer->expected_end = now + next->want->expected_run;
+    }
     next->want.reset();
     ++board->counts.offers;
     next->offer_due = true;
     next->report_due = true;
     free = free - next->offer->room;
-    next = FindMostUrgentEntry(board, free);
+    UpdateReservation(board, now, free);
+    next = FindMostUrgentEntry(board, now, free);
   }
 }
 
@@ -75,7 +87,8 @@
   }
   home.want.reset();
   if (wanted.room.millicores > 0) {
-    home.want = RoomWant{wanted.room, wanted.late, now + wanted.slack};
+    home.want = RoomWant{wanted.room, wanted.late, now + wanted.slack,
+                         wanted.expected_run};
   }
   FinishEvent(board, now);
 }
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -122,12 +122,38 @@
   bool late = false;
   /// Latest start with which the job is in time, on this gate's clock.
   core::Time latest_start;
+  /// Zero if unknown.
+  core::Duration expected_run{0};
+  /// A reservation for it has lapsed, so it gets no other.
+  bool reservation_lapsed = false;
 };
 
 /// A short reservation of free room for an entry.
 struct RoomOffer {
   Room room;
   core::Time expires_at;
+  /// When a run that starts now in the room would end; kNever if unknown.
+  core::Time expected_end = core::kNever;
+};
+
+/// A reservation of room that the target will have soon.
+struct RoomReservation {
+  /// The entry with the request.
+  core::NodeId holder;
+  TargetIncarnation born;
+  Room room;
+  bool late = false;
+  core::Time latest_start;
+  /// When runs are expected to have released the room, as of now.
+  core::Time ready_at;
+  /// When it lapses: some time after the first `ready_at`.
+  core::Time lapses_at;
+  /// Starts that are read later were sent with knowledge of the reservation.
+  core::Time binding_at;
+  /// Reserved room that is free already, and free room that will be left at
+  /// `ready_at` once the request has its room.
+  Room held;
+  Room spare;
 };
 
 /// A connection to an entry, the process that coordinates jobs (the "home" of
@@ -241,6 +267,15 @@
   /// Offers of room to entries, and offers that expired without an answer.
   std::uint64_t offers = 0;
   std::uint64_t lapsed_offers = 0;
+  /// Reservations made, and those whose time has passed by a margin.
+  std::uint64_t reservations = 0;
+  std::uint64_t lapsed_reservations = 0;
+  /// Reservations that ended with an offer to their holder.
+  std::uint64_t kept_reservations = 0;
+  /// Offers of reserved room to runs that end before the reserved time.
+  std::uint64_t backfills = 0;
+  /// Starts that were refused because of a reservation.
+  std::uint64_t reserved_refusals = 0;
 };
 
 /// All state of a gate.
@@ -267,6 +302,7 @@
   std::vector<GateAction> actions;
   std::vector<LogLine> log_lines;
   GateCounts counts;
+  std::optional<RoomReservation> reservation;
 };
 
 }  // namespace tarragon::coordinator
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -168,6 +168,16 @@
   std::size_t place_lookahead = 12;
   /// Number of ended jobs whose state is kept for later queries.
   std::size_t max_ended_states = 512;
+  /// Gates reserve room that runs will release for the most urgent request that
+  /// does not fit now.
+  bool reserve_room = true;
+  /// Room is reserved at most this long before it is expected to be free. With
+  /// a longer reach, gates hold room for requests that other gates serve first.
+  core::Duration reservation_reach{std::chrono::milliseconds(50)};
+  /// A reservation lapses this long after the time at which its room was first
+  /// expected: run times are off by 40 %, and the room that has become free
+  /// meanwhile is not used.
+  core::Duration reservation_margin{std::chrono::milliseconds(50)};
 };
 
 }  // namespace tarragon::coordinator
--- a/coordinator/room_requests.cc
+++ b/coordinator/room_requests.cc
@@ -8,6 +8,9 @@
 namespace tarragon::coordinator {
 namespace {
 
+/// Number of gates of which the one that will have room first is asked.
+constexpr int kDraws = 4;
+
 /// True if the gate was sent a request for a task that is about as urgent.
 bool HasSentWant(const JobBoard& board, const GateLink& gate,
                  const WaitingTask& next) {
@@ -28,11 +31,46 @@
 }
 
 void SendWant(JobBoard* board, core::Time now, GateLink* gate,
-              const WaitingTask& next, const Room& room) {
+              const WaitingTask& next, const Room& room,
+              core::Duration expected_run) {
   gate->sent_want = SentWant{next.late, next.latest_start};
   ++board->counts.wants;
-  board->actions.push_back(SendTo<RoomWanted>{
-      gate->node, {room, next.late, next.latest_start - now}});
+  RoomWanted wanted;
+  wanted.room = room;
+  wanted.late = next.late;
+  wanted.slack = next.latest_start - now;
+  wanted.expected_run = expected_run;
+  board->actions.push_back(SendTo<RoomWanted>{gate->node, wanted});
+}
+
+/// Estimates when the gate will have `room`, by its last report.
+core::Time EstimateTimeOfRoom(const GateLink& gate, core::Time now,
+                              const Room& room) {
+  const std::int64_t free = EstimateFreeRoom(gate).millicores;
+  if (room.millicores <= free) return now;
+  for (const RoomRelease& each : gate.report->releases) {
+    if (room.millicores <= free + each.millicores) {
+      return gate.last_heard_at + each.after;
+    }
+  }
+  return core::kNever;
+}
+
+/// Chooses one of the gates: the one that will have room first among a few
+/// drawn at random, so that entries with the same reports choose different
+/// ones.
+std::size_t DrawGate(JobBoard* board, core::Time now, const Room& room,
+                     const std::vector<GateLink*>& gates) {
+  std::size_t best = NextRandom(board) % gates.size();
+  core::Time best_time = EstimateTimeOfRoom(*gates[best], now, room);
+  for (int i = 1; i < kDraws; ++i) {
+    const std::size_t at = NextRandom(board) % gates.size();
+    const core::Time time = EstimateTimeOfRoom(*gates[at], now, room);
+    if (time >= best_time) continue;
+    best = at;
+    best_time = time;
+  }
+  return best;
 }
 
 }  // namespace
@@ -41,7 +79,8 @@
   if (board->waiting_tasks.empty()) return;
   const WaitingTask& next = *board->waiting_tasks.begin();
   const Job& job = *board->jobs.at(next.job);
-  const StepSpec& step = job.request.steps[job.tasks[next.task_index].ref.step];
+  const Task& task = job.tasks[next.task_index];
+  const StepSpec& step = job.request.steps[task.ref.step];
   const std::size_t wanted =
       std::min(board->policy.max_wants,
                board->policy.wants_per_task * board->waiting_tasks.size());
@@ -56,14 +95,24 @@
     }
   }
   while (requested < wanted && !others.empty()) {
-    const std::size_t at = NextRandom(board) % others.size();
-    SendWant(board, now, others[at], next, step.room);
+    const std::size_t at = DrawGate(board, now, step.room, others);
+    SendWant(board, now, others[at], next, step.room,
+             EstimateRunTime(*board, job, task));
     others[at] = others.back();
     others.pop_back();
     ++requested;
   }
 }
 
+void WithdrawRequests(JobBoard* board) {
+  if (!board->policy.reserve_room || !board->waiting_tasks.empty()) return;
+  for (auto& [address, gate] : board->gates) {
+    if (!gate.connected || !gate.sent_want.has_value()) continue;
+    gate.sent_want.reset();
+    board->actions.push_back(SendTo<RoomWanted>{gate.node, {}});
+  }
+}
+
 void ReturnUnusedOffer(JobBoard* board, GateLink* gate) {
   // A request that was sent after the report has ended the offer already.
   if (gate->sent_want.has_value()) return;
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -299,6 +299,14 @@
     SetCounterTotal(&registry_, "offers_total", {}, counts.offers);
     SetCounterTotal(&registry_, "offers_lapsed_total", {},
                     counts.lapsed_offers);
+    SetCounterTotal(&registry_, "reservations_total", {}, counts.reservations);
+    SetCounterTotal(&registry_, "reservations_kept_total", {},
+                    counts.kept_reservations);
+    SetCounterTotal(&registry_, "reservations_lapsed_total", {},
+                    counts.lapsed_reservations);
+    SetCounterTotal(&registry_, "backfills_total", {}, counts.backfills);
+    SetCounterTotal(&registry_, "reserved_refusals_total", {},
+                    counts.reserved_refusals);
     for (const auto& [reason, count] : counts.refusals) {
       SetCounterTotal(&registry_, "starts_refused_total",
                       {{"reason", coordinator::Name(reason)}}, count);
--- a/simulate/include/tarragon/simulate/room_world.h
+++ b/simulate/include/tarragon/simulate/room_world.h
@@ -30,6 +30,9 @@
   double worth = 1;
   /// Share of the jobs whose first task crashes each target that starts it.
   double deadly_share = 0;
+  /// Tasks of a job need between `millicores` and this; zero if all need
+  /// `millicores`.
+  std::int64_t max_millicores = 0;
 };
 
 /// An interval in which the load or the behaviour of some targets differs.
@@ -88,6 +91,15 @@
   core::Duration refused_wait_sum{0};
 };
 
+/// Outcomes of the tenth of the jobs with the smallest or largest tasks.
+struct SizeResult {
+  std::uint64_t submitted = 0;
+  std::uint64_t in_time = 0;
+  /// From submission to the start of a task, or to the answer if it has not
+  /// started.
+  core::Duration mean_wait{0};
+};
+
 /// Outcomes of all jobs of a simulation.
 struct CoordinatorResult {
   std::map<std::string, KindResult> kinds;
@@ -100,6 +112,18 @@
   std::uint64_t target_crashes = 0;
   /// Most crashes that one job has caused.
   std::uint32_t max_crashes_of_job = 0;
+  SizeResult smallest_tenth;
+  SizeResult largest_tenth;
+  /// Mean share of the capacity that is free while a task waits.
+  double free_share_while_waiting = 0;
+  std::uint64_t messages = 0;
+  std::uint64_t wants = 0;
+  std::uint64_t returned_offers = 0;
+  std::uint64_t no_room_refusals = 0;
+  std::uint64_t reservations = 0;
+  std::uint64_t kept_reservations = 0;
+  std::uint64_t lapsed_reservations = 0;
+  std::uint64_t backfills = 0;
 };
 
 /// Returns the job kinds of two users, with a mean target load of 0.62.
--- a/simulate/room_jobs.cc
+++ b/simulate/room_jobs.cc
@@ -44,6 +44,12 @@
   job.objective =
       FromSeconds(ToSeconds(longest) * plan.stretch) + plan.latency_target;
   job.declared_run_time = FromSeconds(base * declared(*random));
+  job.millicores = kind->millicores;
+  if (kind->max_millicores > kind->millicores) {
+    std::uniform_int_distribution<std::int64_t> size(kind->millicores,
+                                                     kind->max_millicores);
+    job.millicores = size(*random);
+  }
   if (kind->deadly_share > 0) {
     std::bernoulli_distribution deadly(kind->deadly_share);
     job.deadly = deadly(*random);
--- a/simulate/room_jobs.h
+++ b/simulate/room_jobs.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <random>
+#include <set>
 #include <vector>
 
 #include "tarragon/core/clock.h"
@@ -22,6 +23,11 @@
   core::Duration declared_run_time{0};
   /// Summed over the runs started, at their planned run time.
   double used_millicore_seconds = 0;
+  /// Room of each task.
+  std::int64_t millicores = 0;
+  /// Tasks that have started, and their summed wait.
+  std::set<std::uint32_t> started;
+  core::Duration wait_sum{0};
   /// Its first task crashes each target that starts it.
   bool deadly = false;
   std::uint32_t crashes = 0;
--- a/simulate/room_state.h
+++ b/simulate/room_state.h
@@ -51,7 +51,10 @@
 class CoordinatorSimulation {
  public:
   explicit CoordinatorSimulation(const CoordinatorPlan& plan)
-      : plan_(plan), random_(plan.seed), now_{std::chrono::seconds(1)} {}
+      : plan_(plan),
+        random_(plan.seed),
+        target_random_(plan.seed + 1000003),
+        now_{std::chrono::seconds(1)} {}
 
   CoordinatorResult Run();
 
@@ -95,6 +98,9 @@
   double LoadFactor(const JobKind& kind) const;
   const Disturbance* FindDisturbance(std::size_t target) const;
   void Tick();
+  void MeasureFreeRoom();
+  SizeResult SumSizes(std::size_t from, std::size_t until) const;
+  void SumCounts();
 
   void FlushEntry(std::size_t entry);
   void FlushGate(std::size_t gate);
@@ -112,8 +118,18 @@
   void FailPoll(std::size_t gate, std::uint64_t number);
   void AnswerPoll(std::size_t gate, std::uint64_t number);
 
+  /// A job that was answered.
+  struct SizedOutcome {
+    std::int64_t millicores = 0;
+    bool in_time = false;
+    core::Duration wait{0};
+  };
+
   const CoordinatorPlan& plan_;
+  /// Draws the arrivals and jobs, which are the same for equal seeds whatever
+  /// the policy is.
   std::mt19937_64 random_;
+  std::mt19937_64 target_random_;
   core::Time now_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::uint64_t last_event_ = 0;
@@ -126,6 +142,9 @@
   core::Time begin_;
   core::Time end_;
   CoordinatorResult result_;
+  std::vector<SizedOutcome> sizes_;
+  std::uint64_t waiting_samples_ = 0;
+  double free_share_sum_ = 0;
 };
 
 }  // namespace tarragon::simulate
--- a/simulate/room_targets.cc
+++ b/simulate/room_targets.cc
@@ -25,7 +25,10 @@
   if (id != job_numbers_.end() && jobs_.contains(id->second)) {
     ClientJob& job = jobs_.at(id->second);
     work = job.task_run_times.at(order.run.task.index);
-    millicores = job.kind->millicores;
+    millicores = job.millicores;
+    if (job.started.insert(order.run.task.index).second) {
+      job.wait_sum += now_ - job.submitted_at;
+    }
     if (job.deadly && order.run.task.index == 0) deadly_job = id->second;
     job.used_millicore_seconds +=
         static_cast<double>(millicores) * ToSeconds(work);
@@ -45,7 +48,7 @@
       const std::uint64_t life = target.running[run].sequence;
       const Disturbance* disturbance = FindDisturbance(gate);
       std::uniform_real_distribution<double> share(0, 1);
-      const double draw = share(random_);
+      const double draw = share(target_random_);
       core::Duration takes = work;
       RunEnd end = RunEnd::kDone;
       bool hangs = false;
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -147,7 +147,7 @@
   request.id = MakeJobId(++last_job_);
   coordinator::StepSpec step;
   step.count = static_cast<std::uint32_t>(job.task_run_times.size());
-  step.room = {kind->millicores, kMemoryMb, 0};
+  step.room = {job.millicores, kMemoryMb, 0};
   step.declared_run_time = job.declared_run_time;
   request.steps = {step};
   job_numbers_[request.id.value()] = last_job_;
@@ -189,6 +189,11 @@
     ++got.failed;
     result_.wasted_millicore_seconds += job.used_millicore_seconds;
   }
+  const std::size_t unstarted = job.task_run_times.size() - job.started.size();
+  sizes_.push_back(
+      {job.millicores, done && took <= job.objective,
+       (job.wait_sum + took * static_cast<std::int64_t>(unstarted)) /
+           static_cast<std::int64_t>(job.task_run_times.size())});
   jobs_.erase(found);
 }
 
@@ -196,6 +201,7 @@
 void CoordinatorSimulation::SendToGate(std::size_t entry, Message message,
                                        const core::Address& to) {
   const std::size_t gate = FindGate(to);
+  ++result_.messages;
   ScheduleAfter(NetworkDelay(entry, gate),
                 [this, entry, gate, message = std::move(message)]() {
                   coordinator::OnMessage(gates_[gate].get(), now_,
@@ -208,6 +214,7 @@
 void CoordinatorSimulation::SendToEntry(std::size_t gate, Message message,
                                         const core::Address& to) {
   const std::size_t entry = FindEntry(to);
+  ++result_.messages;
   ScheduleAfter(NetworkDelay(entry, gate),
                 [this, entry, gate, message = std::move(message)]() {
                   coordinator::OnMessage(entries_[entry].get(), now_,
@@ -271,6 +278,66 @@
   }
 }
 
+void CoordinatorSimulation::MeasureFreeRoom() {
+  if (std::all_of(entries_.begin(), entries_.end(), [](const auto& entry) {
+        return entry->waiting_tasks.empty();
+      })) {
+    return;
+  }
+  std::int64_t free = 0;
+  std::int64_t capacity = 0;
+  for (std::size_t i = 0; i < gates_.size(); ++i) {
+    free += coordinator::ComputeFreeRoom(*gates_[i]).millicores;
+    capacity += plan_.target_millicores[i];
+  }
+  ++waiting_samples_;
+  free_share_sum_ += static_cast<double>(free) / static_cast<double>(capacity);
+}
+
+SizeResult CoordinatorSimulation::SumSizes(std::size_t from,
+                                           std::size_t until) const {
+  SizeResult sum;
+  for (std::size_t i = from; i < until; ++i) {
+    ++sum.submitted;
+    if (sizes_[i].in_time) ++sum.in_time;
+    sum.mean_wait += sizes_[i].wait;
+  }
+  if (sum.submitted > 0) {
+    sum.mean_wait /= static_cast<std::int64_t>(sum.submitted);
+  }
+  return sum;
+}
+
+void CoordinatorSimulation::SumCounts() {
+  std::stable_sort(sizes_.begin(), sizes_.end(),
+                   [](const SizedOutcome& a, const SizedOutcome& b) {
+                     return a.millicores < b.millicores;
+                   });
+  const std::size_t tenth = sizes_.size() / 10;
+  result_.smallest_tenth = SumSizes(0, tenth);
+  result_.largest_tenth = SumSizes(sizes_.size() - tenth, sizes_.size());
+  if (waiting_samples_ > 0) {
+    result_.free_share_while_waiting =
+        free_share_sum_ / static_cast<double>(waiting_samples_);
+  }
+  for (const auto& entry : entries_) {
+    result_.wants += entry->counts.wants;
+    result_.returned_offers += entry->counts.returned_offers;
+  }
+  for (const auto& gate : gates_) {
+    const coordinator::GateCounts& counts = gate->counts;
+    const auto found =
+        counts.refusals.find(coordinator::RefusalReason::kNoRoom);
+    if (found != counts.refusals.end()) {
+      result_.no_room_refusals += found->second;
+    }
+    result_.reservations += counts.reservations;
+    result_.kept_reservations += counts.kept_reservations;
+    result_.lapsed_reservations += counts.lapsed_reservations;
+    result_.backfills += counts.backfills;
+  }
+}
+
 void CoordinatorSimulation::Tick() {
   for (std::size_t i = 0; i < entries_.size(); ++i) {
     coordinator::OnTick(entries_[i].get(), now_);
@@ -280,6 +347,7 @@
     coordinator::OnTick(gates_[i].get(), now_);
     FlushGate(i);
   }
+  MeasureFreeRoom();
   if (now_ < end_ + kDrain) ScheduleAfter(kTick, [this]() { Tick(); });
 }
 
@@ -297,6 +365,7 @@
     now_ = event.at;
     event.run();
   }
+  SumCounts();
   double offered = 0;
   double earned = 0;
   result_.worst_kind_share = 1;
