--- a/simulate/room_targets.cc
+++ b/simulate/room_targets.cc
@@ -32,7 +32,10 @@
     ClientJob& job = jobs_.at(id->second);
     id_number = id->second;
     work = job.task_run_times.at(order.run.task.index);
-    millicores = job.kind->millicores;
+    millicores = job.millicores;
+    if (job.started.insert(order.run.task.index).second) {
+      job.wait_sum += now_ - job.submitted_at;
+    }
     if (job.deadly && order.run.task.index == 0) deadly_job = id->second;
     job.used_millicore_seconds +=
         static_cast<double>(millicores) * ToSeconds(work);
@@ -57,8 +60,7 @@
       const std::uint64_t life = target.running[run].sequence;
       const Disturbance* disturbance = FindDisturbance(gate);
       std::uniform_real_distribution<double> share(0, 1);
-      const double draw =
-          share(plan_.same_jobs ? other_random_ : random_);
+      const double draw = share(target_random_);
       core::Duration takes = work;
       RunEnd end = RunEnd::kDone;
       bool hangs = false;
@@ -219,7 +221,7 @@
   ScheduleAfter(kDiscoveryTime, [this]() { FindGates(); });
   std::uniform_real_distribution<double> share(0, 1);
   for (std::size_t i = 0; i < targets_.size(); ++i) {
-    ScheduleAfter(FromSeconds(ToSeconds(kBootTime) * share(other_random_)),
+    ScheduleAfter(FromSeconds(ToSeconds(kBootTime) * share(target_random_)),
                   [this, i]() {
                     targets_[i].down = false;
                     AnnounceTarget(i);
@@ -232,7 +234,7 @@
     }
   }
   for (const std::uint64_t number : waiting) {
-    ScheduleAfter(FromSeconds(ToSeconds(kReturnTime) * share(other_random_)),
+    ScheduleAfter(FromSeconds(ToSeconds(kReturnTime) * share(target_random_)),
                   [this, number]() { SubmitJob(number); });
   }
 }
--- a/simulate/tests/leaving_world_test.cc
+++ b/simulate/tests/leaving_world_test.cc
@@ -41,7 +41,6 @@
   static CoordinatorPlan Plan(const Disturbance& disturbance) {
     CoordinatorPlan plan = MakeUnequalEntriesPlan();
     plan.length = seconds(10);
-    plan.same_jobs = true;
     Disturbance full;
     full.until = seconds(10);
     full.arrival_factor = 1.6;
