Coordinator: learn the speed of targets and place by expected finish

Placing weighed free room and labels only, so long tasks ended late on slow targets. Gates learn the speed from ended runs, report and store it; entries prefer targets at which a task ends in time, by relative run time.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "entry_internal.h"
+#include "finish_time.h"
 #include "operator_sync.h"
 #include "placing.h"
 
@@ -315,7 +316,13 @@
                   {"target_crashed", ended.target_crashed ? "true" : "false"},
                   {"gate", core::ToString(gate->node)}});
     }
-    return ApplyTaskEnd(board, now, job, &task, ended);
+    RunEnded scaled = ended;
+    if (gate->report.has_value()) {
+      scaled.run_time =
+          RunTimeAtMeanSpeed(*board, job->request.steps[task.ref.step],
+                             *gate->report, ended.run_time);
+    }
+    return ApplyTaskEnd(board, now, job, &task, scaled);
   }
 }
 
@@ -417,6 +424,7 @@
   std::erase_if(board->gates, [board, now](const auto& entry) {
     return now - entry.second.last_heard_at > board->policy.forget_peer_after;
   });
+  UpdateSpeedScale(board, now);
   GiveUpExpiredJobs(board, now);
   FinishEvent(board, now);
 }
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -10,8 +10,8 @@
 
 constexpr double kPermille = 1000;
 constexpr std::int64_t kPermilleOfWhole = 1000;
-/// A run is overdue after this multiple of its expected time; most runs of a
-/// healthy target end earlier.
+/// A run is overdue after this multiple of its expected time, and later at a
+/// target that is slow by nature; most runs of a healthy target end earlier.
 constexpr double kOverdueFactor = 1.5;
 /// Upper limit of the reported slowness.
 constexpr double kMaxSlowness = 100;
@@ -19,10 +19,14 @@
 /// Grades the target by its ended runs and its overdue ones.
 TargetGrade GradeTarget(GateBoard* board, core::Time now) {
   std::vector<JobSample> overdue;
+  const std::uint32_t speed = SpeedPermille(board->target->speed);
+  const double overdue_factor =
+      speed == 0 ? kOverdueFactor
+                 : std::max(kOverdueFactor, kOverdueFactor * kPermille / speed);
   for (const auto& [ref, run] : board->runs) {
     if (run.phase != RunPhase::kRunning) continue;
     const double slowness = ComputeSlowness(run, now);
-    if (slowness <= kOverdueFactor) continue;
+    if (slowness <= overdue_factor) continue;
     overdue.push_back({ref.task.job, now, slowness, false});
   }
   return UpdateGrade(&board->target->history, now,
@@ -186,6 +190,7 @@
       const TargetGrade grade = GradeTarget(board, now);
       report.slowness_permille = static_cast<std::uint32_t>(
           std::min(grade.slowness, kMaxSlowness) * kPermille);
+      report.speed_permille = SpeedPermille(board->target->speed);
       report.failed_permille =
           static_cast<std::uint32_t>(grade.failed_share * kPermille);
     }
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -66,6 +66,9 @@
 /// or draining has changed.
 void StoreTargetIfChanged(GateBoard* board, const Announcement& announcement);
 
+/// Requests that the target is stored if its learned speed has changed enough.
+void StoreSpeedIfChanged(GateBoard* board, core::Time now);
+
 /// Applies an announcement that the target made to this process or to an
 /// earlier one. False if it is older than the known one.
 bool ApplyAnnouncement(GateBoard* board, core::Time now,
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -46,6 +46,16 @@
   RecordSample(&history, sample);
 }
 
+/// Learns the target's speed from a run that has ended by itself.
+void LearnSpeed(GateBoard* board, core::Time now, const RunRef& ref,
+                const GateRun& run, RunEnd end) {
+  if (!board->target.has_value()) return;
+  if (end != RunEnd::kDone || run.stop_requested) return;
+  RecordSpeedSample(&board->target->speed, ref.task.job, run.expected_run_time,
+                    now - run.started_at);
+  StoreSpeedIfChanged(board, now);
+}
+
 double ComputeSlowness(const GateRun& run, core::Time now) {
   if (run.expected_run_time.count() <= 0) return 1;
   return static_cast<double>((now - run.started_at).count()) /
@@ -62,6 +72,7 @@
   if (run.phase == RunPhase::kRunning) {
     ended.run_time = now - run.started_at;
     RecordRunSample(board, now, ref, run, end);
+    LearnSpeed(board, now, ref, run, end);
   }
   ended.target_crashed =
       run.target_crashed && (end == RunEnd::kLapsed || end == RunEnd::kStopped);
--- a/coordinator/gate_stored_target.cc
+++ b/coordinator/gate_stored_target.cc
@@ -33,6 +33,24 @@
       target.stored_report->draining == announcement.draining;
   if (is_kept) return;
   target.stored_report = MakeReport(announcement);
+  target.stored_report->speed_permille = SpeedPermille(target.speed);
+  board->actions.push_back(StoreTarget{*target.stored_report});
+}
+
+void StoreSpeedIfChanged(GateBoard* board, core::Time now) {
+  Target& target = *board->target;
+  if (!IsSpeedStoreDue(target.speed, board->policy, now)) return;
+  const std::uint32_t speed = SpeedPermille(target.speed);
+  AddLogLine(board, "Storing the learned speed of the target.",
+             target.announcement.target.value(),
+             {{"permille", std::to_string(speed)},
+              {"stored_permille", std::to_string(target.speed.stored_permille)},
+              {"jobs", std::to_string(target.speed.jobs)}});
+  target.speed.stored_permille = speed;
+  target.speed.stored_at = now;
+  ++board->counts.stored_speeds;
+  target.stored_report = MakeReport(target.announcement);
+  target.stored_report->speed_permille = speed;
   board->actions.push_back(StoreTarget{*target.stored_report});
 }
 
@@ -69,7 +87,11 @@
 void OnPreviousTargetFound(GateBoard* board, core::Time now, TargetReport last,
                            const std::string& source) {
   if (last.target.value().empty()) return FinishEvent(board, now);
+  const std::uint32_t speed = last.speed_permille;
   if (board->target.has_value()) {
+    if (last.target == board->target->announcement.target) {
+      RestoreSpeed(&board->target->speed, speed);
+    }
     ApplyEarlierReport(board, last);
     return FinishEvent(board, now);
   }
@@ -88,6 +110,7 @@
   announcement.draining = last.draining;
   // The target's clock stays unknown until the first poll is answered.
   ApplyAnnouncement(board, now, announcement);
+  RestoreSpeed(&board->target->speed, speed);
 }
 
 }  // namespace tarragon::coordinator
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -272,6 +272,7 @@
     // Orders name their target, so none can have started a run at another one.
     if (!board->runs.empty()) RecordCrash(board, "another_target");
     EndAllRuns(board, now, RunEnd::kLapsed);
+    board->target->speed = TargetSpeed{};
     BeginIncarnation(board, now, announcement.born, announcement.clock);
     AddLogLine(board, "Another target announced itself.",
                announcement.target.value(),
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -12,6 +12,7 @@
 #include "tarragon/coordinator/operator_sync_state.h"
 #include "tarragon/coordinator/policy.h"
 #include "tarragon/coordinator/target_history.h"
+#include "tarragon/coordinator/target_speed.h"
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
 
@@ -112,6 +113,7 @@
   /// Latest time on the target's clock until which runs may hold a lease.
   TargetClock lease_until;
   TargetHistory history;
+  TargetSpeed speed;
   /// The copy that was stored for a later process at this address.
   std::optional<TargetReport> stored_report;
 };
@@ -241,6 +243,8 @@
   /// Offers of room to entries, and offers that expired without an answer.
   std::uint64_t offers = 0;
   std::uint64_t lapsed_offers = 0;
+  /// Learned speeds that were stored.
+  std::uint64_t stored_speeds = 0;
 };
 
 /// All state of a gate.
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -17,6 +17,7 @@
 #include "tarragon/coordinator/operator_sync_state.h"
 #include "tarragon/coordinator/policy.h"
 #include "tarragon/coordinator/run_times.h"
+#include "tarragon/coordinator/speed_scale.h"
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
 
@@ -242,6 +243,10 @@
   std::uint64_t returned_offers = 0;
   std::map<Refusal, std::uint64_t> refused;
   std::map<JobState, std::uint64_t> ended;
+  /// Tasks placed by expected finish where targets differ for them, and those
+  /// of them that were expected to miss the objective there.
+  std::uint64_t placed_by_finish = 0;
+  std::uint64_t placed_late = 0;
 };
 
 /// An ended job, for the metrics.
@@ -268,6 +273,7 @@
   std::map<JobId, JobState> ended_states;
   std::deque<JobId> ended_order;
   RunTimes run_times;
+  SpeedScale speed_scale;
   std::uint64_t last_job_serial = 0;
   std::uint64_t last_start_sequence = 0;
   /// When the process started.
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -168,6 +168,25 @@
   std::size_t place_lookahead = 12;
   /// Number of ended jobs whose state is kept for later queries.
   std::size_t max_ended_states = 512;
+  /// Places tasks by their expected finish, with the learned speeds of the
+  /// targets; else by free room and label only.
+  bool place_by_finish = true;
+  /// Factor on the run time of a task away from its data, in thousandths. From
+  /// the node file.
+  std::uint32_t spread_permille = 1500;
+  /// Targets whose speed differs from the mean by less than this, in
+  /// thousandths, count as of mean speed. Learned speeds are off by some 3 %.
+  std::uint32_t speed_band_permille = 100;
+  /// A task is expected in time at a target if its run time there plus this
+  /// share of it, in thousandths, ends before its job's objective.
+  std::uint32_t finish_margin_permille = 100;
+  /// How often an entry computes the mean speed of the targets.
+  core::Duration speed_mean_interval{std::chrono::milliseconds(200)};
+  /// A gate stores the learned speed with its target once it differs from the
+  /// stored one by this share, in thousandths, and not more often than this.
+  /// After a restart a speed that is off by a fifth still serves.
+  std::uint32_t speed_store_permille = 200;
+  core::Duration speed_store_pause{std::chrono::seconds(5)};
 };
 
 }  // namespace tarragon::coordinator
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "entry_internal.h"
+#include "finish_time.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -38,13 +39,13 @@
   return suspects * 1000 <= all * board.policy.max_suspects_permille;
 }
 
-/// Computes the lower median of a field over the reports of usable gates.
-template <typename Field>
-std::uint32_t ComputeReportedMedian(const JobBoard& board, Field field) {
-  std::vector<std::uint32_t> values;
+/// Computes the lower median of a value over the reports of usable gates.
+template <typename Value>
+double ComputeReportedMedian(const JobBoard& board, Value value) {
+  std::vector<double> values;
   for (const auto& [address, gate] : board.gates) {
     if (gate.report.has_value() && gate.report->usable) {
-      values.push_back((*gate.report).*field);
+      values.push_back(value(*gate.report));
     }
   }
   if (values.empty()) return 0;
@@ -60,19 +61,24 @@
                                 const TargetReport& report) {
   const Policy& policy = board.policy;
   // Avoids computing the medians over all gates in the usual case.
-  if (report.slowness_permille <= policy.suspect_slowness * kPermille &&
+  const double slowness = OwnSlowness(board, report);
+  if (slowness <= policy.suspect_slowness * kPermille &&
       report.failed_permille <= policy.suspect_failed_permille) {
     return nullptr;
   }
   const double usual = std::max<double>(
-      ComputeReportedMedian(board, &TargetReport::slowness_permille),
+      ComputeReportedMedian(board,
+                            [&board](const TargetReport& each) {
+                              return OwnSlowness(board, each);
+                            }),
       kPermille);
-  if (report.slowness_permille > policy.suspect_slowness * usual) {
+  if (slowness > policy.suspect_slowness * usual) {
     return "slow";
   }
   if (report.failed_permille > policy.suspect_failed_permille &&
-      ComputeReportedMedian(board, &TargetReport::failed_permille) <
-          policy.suspect_failed_permille / 2) {
+      ComputeReportedMedian(board, [](const TargetReport& each) {
+        return each.failed_permille;
+      }) < policy.suspect_failed_permille / 2) {
     return "failures";
   }
   return nullptr;
@@ -147,6 +153,7 @@
 Candidate* ChooseGate(JobBoard* board, core::Time now, const Job& job,
                       const Task& task, std::vector<Candidate>* candidates) {
   const StepSpec& step = job.request.steps[task.ref.step];
+  const FinishWeights finish = ComputeFinishWeights(*board, now, job, task);
   Candidate* best = nullptr;
   double best_score = 0;
   for (Candidate& candidate : *candidates) {
@@ -179,6 +186,7 @@
     if (task.avoid_gate && gate.node.address == task.gate) score -= 1;
     if (trial) score -= 0.5;
     if (has_suspect) score -= kSuspectWeight;
+    score += ScoreFinish(*board, finish, step, report);
     score += kRandomWeight * NextRandomFraction(board);
     if (best != nullptr && score <= best_score) continue;
     best = &candidate;
@@ -201,6 +209,7 @@
              report.target.value(),
              {{"why", why != nullptr ? why : "none"},
               {"slowness_permille", std::to_string(report.slowness_permille)},
+              {"speed_permille", std::to_string(report.speed_permille)},
               {"failed_permille", std::to_string(report.failed_permille)}});
 }
 
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -6,6 +6,7 @@
 
 #include "admission.h"
 #include "entry_internal.h"
+#include "finish_time.h"
 #include "placing.h"
 
 namespace tarragon::coordinator {
@@ -67,7 +68,12 @@
   start.required = step.required;
   const core::Time gate_now = gate->report->clock + (now - gate->last_heard_at);
   start.start_by = gate_now + board->policy.start_window;
-  start.expected_run = EstimateRunTime(*board, *job, *task);
+  const core::Duration usual = EstimateRunTime(*board, *job, *task);
+  const core::Duration run_time = RunTimeAt(*board, step, *gate->report, usual);
+  // The gate learns the target's speed relative to this. The limit of a stalled
+  // run is not lowered at fast targets, where long tasks are placed.
+  start.expected_run = std::chrono::duration_cast<core::Duration>(
+      usual * SpreadFactor(*board, step, *gate->report));
   start.operator_revision = board->operator_state.revision;
   start.domains_digest = board->domains_digest;
   start.suspect = task->crashes > 0;
@@ -84,7 +90,10 @@
              {{"target", gate->report->target.value()},
               {"waited", FormatMillis(now - job->arrived_at)},
               {"report_age", FormatMillis(now - gate->last_heard_at)},
-              {"free", std::to_string(gate->report->free.millicores)}});
+              {"free", std::to_string(gate->report->free.millicores)},
+              {"speed_permille", std::to_string(gate->report->speed_permille)},
+              {"expected", FormatMillis(run_time)},
+              {"left", FormatMillis(job->objective - now)}});
   board->actions.push_back(SendTo<StartRun>{gate->node, std::move(start)});
 }
 
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -1,5 +1,6 @@
 #include "coordinator_daemon.h"
 
+#include <cmath>
 #include <map>
 #include <utility>
 #include <variant>
@@ -89,6 +90,7 @@
     if (!node.has_value()) return false;
     node_ = *node;
     board_.domain = node_.domain;
+    ApplySpreadFactor();
     board_.started_at = clock_.Now();
     board_.random ^= core::RandomIncarnation().value();
     wire::WireError wire_error;
@@ -343,6 +345,11 @@
     transport_.Shutdown([this]() { io_.stop(); });
   }
 
+  void ApplySpreadFactor() {
+    board_.policy.spread_permille =
+        static_cast<std::uint32_t>(std::lround(node_.spread_factor * 1000));
+  }
+
   void ReloadSettings() {
     std::string reason;
     const std::optional<platform::NodeSettings> node =
@@ -350,6 +357,7 @@
     if (node.has_value()) {
       ReloadNodeSettings(*node, EntryLog(), &node_);
       board_.domain = node_.domain;
+      ApplySpreadFactor();
       store_->SetAddress(node_.store_address);
       store_->SetWatchTimes(platform::MakeWatchTimes(node->recovery_grace));
     } else {
@@ -364,6 +372,7 @@
     }
     settings_ = *next;
     board_.policy = ReadCoordinationPolicy(settings_);
+    ApplySpreadFactor();
     ApplyLogSettings(settings_);
     EntryLog().Info("Reloaded the settings.");
   }
--- a/daemons/node_settings_reload.cc
+++ b/daemons/node_settings_reload.cc
@@ -42,6 +42,12 @@
   current->vm_name = next.vm_name;
   current->domain = next.domain;
   current->store_address = next.store_address;
+  if (next.spread_factor != current->spread_factor) {
+    log.Info("Changed the factor on run times away from the data.",
+             {{"old", std::to_string(current->spread_factor)},
+              {"new", std::to_string(next.spread_factor)}});
+    current->spread_factor = next.spread_factor;
+  }
 }
 
 }  // namespace tarragon::daemons
--- a/simulate/include/tarragon/simulate/room_world.h
+++ b/simulate/include/tarragon/simulate/room_world.h
@@ -30,6 +30,8 @@
   double worth = 1;
   /// Share of the jobs whose first task crashes each target that starts it.
   double deadly_share = 0;
+  /// Share of the tasks that run seven times as long as the others.
+  double long_share = 0;
 };
 
 /// An interval in which the load or the behaviour of some targets differs.
@@ -55,6 +57,8 @@
   std::uint32_t entries = 4;
   /// Capacity of each target.
   std::vector<std::int64_t> target_millicores;
+  /// Speed of each target; empty for a speed of 1 everywhere.
+  std::vector<double> target_speeds;
   std::vector<JobKind> kinds;
   std::vector<Disturbance> disturbances;
   core::Duration length{std::chrono::seconds(30)};
@@ -86,6 +90,8 @@
   double earned_worth = 0;
   /// Summed time from submission to refusal.
   core::Duration refused_wait_sum{0};
+  /// Ratio of duration to objective of each completed job.
+  std::vector<double> relative_durations;
 };
 
 /// Outcomes of all jobs of a simulation.
@@ -100,6 +106,8 @@
   std::uint64_t target_crashes = 0;
   /// Most crashes that one job has caused.
   std::uint32_t max_crashes_of_job = 0;
+  /// Speed of each target as learned by its gate, in thousandths.
+  std::vector<std::uint32_t> learned_permille;
 };
 
 /// Returns the job kinds of two users, with a mean target load of 0.62.
--- a/simulate/room_jobs.cc
+++ b/simulate/room_jobs.cc
@@ -15,6 +15,8 @@
 constexpr double kFixedWorth = 0.3;
 constexpr double kMaxWorth = 4.0;
 constexpr double kMinRunSeconds = 0.002;
+/// Run time of a long task relative to the others of its job.
+constexpr double kLongFactor = 7;
 
 }  // namespace
 
@@ -31,8 +33,12 @@
   core::Duration longest{0};
   double work = 0;
   for (long i = 0; i < width; ++i) {
-    const double run = std::clamp(base * std::max(within_job(*random), 0.5),
-                                  kMinRunSeconds, ToSeconds(kind->max_run));
+    double run = std::clamp(base * std::max(within_job(*random), 0.5),
+                            kMinRunSeconds, ToSeconds(kind->max_run));
+    if (kind->long_share > 0) {
+      std::bernoulli_distribution is_long(kind->long_share);
+      if (is_long(*random)) run *= kLongFactor;
+    }
     job.task_run_times.push_back(FromSeconds(run));
     longest = std::max(longest, job.task_run_times.back());
     work += run;
--- a/simulate/room_targets.cc
+++ b/simulate/room_targets.cc
@@ -46,11 +46,14 @@
       const Disturbance* disturbance = FindDisturbance(gate);
       std::uniform_real_distribution<double> share(0, 1);
       const double draw = share(random_);
-      core::Duration takes = work;
+      core::Duration takes =
+          plan_.target_speeds.empty()
+              ? work
+              : FromSeconds(ToSeconds(work) / plan_.target_speeds.at(gate));
       RunEnd end = RunEnd::kDone;
       bool hangs = false;
       if (disturbance != nullptr) {
-        takes = FromSeconds(ToSeconds(work) * disturbance->run_time_factor);
+        takes = FromSeconds(ToSeconds(takes) * disturbance->run_time_factor);
         hangs = draw < disturbance->hang_share;
         if (draw < disturbance->failure_share) {
           end = RunEnd::kFailed;
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -175,6 +175,10 @@
   const core::Duration took = now_ - job.submitted_at;
   const bool done = answer.answer.refusal == Refusal::kNone &&
                     answer.answer.state == JobState::kCompleted;
+  if (done) {
+    got.relative_durations.push_back(ToSeconds(took) /
+                                     ToSeconds(job.objective));
+  }
   if (done && took <= job.objective) {
     ++got.in_time;
     got.earned_worth += job.worth;
@@ -297,6 +301,12 @@
     now_ = event.at;
     event.run();
   }
+  for (const auto& gate : gates_) {
+    result_.learned_permille.push_back(
+        gate->target.has_value()
+            ? coordinator::SpeedPermille(gate->target->speed)
+            : 0);
+  }
   double offered = 0;
   double earned = 0;
   result_.worst_kind_share = 1;
