--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -79,6 +79,10 @@
   start.suspect = task->crashes > 0;
   ++job->ordered_runs;
   ++board->counts.starts;
+  if (ComputeFinishWeights(*board, now, *job, *task).matters) {
+    ++board->counts.placed_by_finish;
+    if (now + run_time > job->objective) ++board->counts.placed_late;
+  }
   if (gate->health.suspect) gate->health.last_trial_at = now;
   gate->uncounted_starts.push_back({start.sequence, step.room, now});
   gate->runs[start.run] = {.room = step.room,
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -387,6 +387,9 @@
     SetCounterTotal(&registry_, "wants_total", {}, counts.wants);
     SetCounterTotal(&registry_, "offers_returned_total", {},
                     counts.returned_offers);
+    SetCounterTotal(&registry_, "placed_by_finish_total", {},
+                    counts.placed_by_finish);
+    SetCounterTotal(&registry_, "placed_late_total", {}, counts.placed_late);
     for (const auto& [refusal, count] : counts.refused) {
       SetCounterTotal(&registry_, "jobs_refused_total",
                       {{"reason", coordinator::Name(refusal)}}, count);
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -299,6 +299,12 @@
     SetCounterTotal(&registry_, "offers_total", {}, counts.offers);
     SetCounterTotal(&registry_, "offers_lapsed_total", {},
                     counts.lapsed_offers);
+    SetCounterTotal(&registry_, "speeds_stored_total", {},
+                    counts.stored_speeds);
+    if (board_.target.has_value()) {
+      registry_.Set("target_speed_permille", {},
+                    coordinator::SpeedPermille(board_.target->speed));
+    }
     for (const auto& [reason, count] : counts.refusals) {
       SetCounterTotal(&registry_, "starts_refused_total",
                       {{"reason", coordinator::Name(reason)}}, count);
