--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -20,11 +20,15 @@
 /// Grades the target by its ended runs and its overdue ones.
 TargetGrade GradeTarget(GateBoard* board, core::Time now) {
   std::vector<JobSample> overdue;
+  const std::uint32_t speed = SpeedPermille(board->target->speed);
+  const double overdue_factor =
+      speed == 0 ? kOverdueFactor
+                 : std::max(kOverdueFactor, kOverdueFactor * kPermille / speed);
   for (const auto& [ref, run] : board->runs) {
     if (run.phase != RunPhase::kRunning) continue;
     const std::optional<double> projected = ProjectSlowness(*board, run, now);
     const double slowness = projected.value_or(ComputeSlowness(run, now));
-    if (slowness <= kOverdueFactor) continue;
+    if (slowness <= overdue_factor) continue;
     if (projected.has_value() && !DoOthersAgree(*board, now, ref.task.job)) {
       continue;
     }
@@ -225,6 +229,7 @@
       const TargetGrade grade = GradeTarget(board, now);
       report.slowness_permille = static_cast<std::uint32_t>(
           std::min(grade.slowness, kMaxSlowness) * kPermille);
+      report.speed_permille = SpeedPermille(board->target->speed);
       report.failed_permille =
           static_cast<std::uint32_t>(grade.failed_share * kPermille);
     }
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -13,6 +13,7 @@
 #include "tarragon/coordinator/policy.h"
 #include "tarragon/coordinator/run_progress.h"
 #include "tarragon/coordinator/target_history.h"
+#include "tarragon/coordinator/target_speed.h"
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
 
@@ -128,6 +129,7 @@
   /// Latest time on the target's clock until which runs may hold a lease.
   TargetClock lease_until;
   TargetHistory history;
+  TargetSpeed speed;
   /// The copy that was stored for a later process at this address.
   std::optional<TargetReport> stored_report;
   Departure departure;
@@ -308,6 +310,8 @@
   std::uint64_t backfills = 0;
   /// Starts that were refused because of a reservation.
   std::uint64_t reserved_refusals = 0;
+  /// Learned speeds that were stored.
+  std::uint64_t stored_speeds = 0;
 };
 
 /// All state of a gate.
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -18,6 +18,7 @@
 #include "tarragon/coordinator/policy.h"
 #include "tarragon/coordinator/precedence_state.h"
 #include "tarragon/coordinator/run_times.h"
+#include "tarragon/coordinator/speed_scale.h"
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
 
@@ -285,6 +286,10 @@
   /// Jobs that were accepted in spite of their predicted wait, because a target
   /// had room for them.
   std::uint64_t accepted_for_free_room = 0;
+  /// Tasks placed by expected finish where targets differ for them, and those
+  /// of them that were expected to miss the objective there.
+  std::uint64_t placed_by_finish = 0;
+  std::uint64_t placed_late = 0;
 };
 
 /// An ended job, for the metrics.
@@ -311,6 +316,7 @@
   std::map<JobId, JobState> ended_states;
   std::deque<JobId> ended_order;
   RunTimes run_times;
+  SpeedScale speed_scale;
   std::uint64_t last_job_serial = 0;
   std::uint64_t last_start_sequence = 0;
   /// When the process started.
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -9,6 +9,7 @@
 #include "admission.h"
 #include "entry_internal.h"
 #include "leaving_target.h"
+#include "finish_time.h"
 #include "placing.h"
 #include "precedence.h"
 
@@ -102,7 +103,12 @@
   start.required = step.required;
   const core::Time gate_now = gate->report->clock + (now - gate->last_heard_at);
   start.start_by = gate_now + board->policy.start_window;
-  start.expected_run = EstimateRunTime(*board, *job, *task);
+  const core::Duration usual = EstimateRunTime(*board, *job, *task);
+  const core::Duration run_time = RunTimeAt(*board, step, *gate->report, usual);
+  // The gate learns the target's speed relative to this. The limit of a stalled
+  // run is not lowered at fast targets, where long tasks are placed.
+  start.expected_run = std::chrono::duration_cast<core::Duration>(
+      usual * SpreadFactor(*board, step, *gate->report));
   start.longest_run = ComputeLongestRun(*board, *job, *task, *gate->report);
   start.operator_revision = board->operator_state.revision;
   start.domains_digest = board->domains_digest;
@@ -110,6 +116,10 @@
   start.priority = job->queue.priority;
   ++job->ordered_runs;
   ++board->counts.starts;
+  if (ComputeFinishWeights(*board, now, *job, *task).matters) {
+    ++board->counts.placed_by_finish;
+    if (now + run_time > job->objective) ++board->counts.placed_late;
+  }
   if (gate->health.suspect) gate->health.last_trial_at = now;
   gate->uncounted_starts.push_back({start.sequence, step.room, now});
   gate->runs[start.run] = {.room = step.room,
@@ -121,7 +131,10 @@
              {{"target", gate->report->target.value()},
               {"waited", FormatMillis(now - job->arrived_at)},
               {"report_age", FormatMillis(now - gate->last_heard_at)},
-              {"free", std::to_string(gate->report->free.millicores)}});
+              {"free", std::to_string(gate->report->free.millicores)},
+              {"speed_permille", std::to_string(gate->report->speed_permille)},
+              {"expected", FormatMillis(run_time)},
+              {"left", FormatMillis(job->objective - now)}});
   board->actions.push_back(SendTo<StartRun>{gate->node, std::move(start)});
 }
 
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -312,6 +312,12 @@
     SetCounterTotal(&registry_, "backfills_total", {}, counts.backfills);
     SetCounterTotal(&registry_, "reserved_refusals_total", {},
                     counts.reserved_refusals);
+    SetCounterTotal(&registry_, "speeds_stored_total", {},
+                    counts.stored_speeds);
+    if (board_.target.has_value()) {
+      registry_.Set("target_speed_permille", {},
+                    coordinator::SpeedPermille(board_.target->speed));
+    }
     for (const auto& [reason, count] : counts.refusals) {
       SetCounterTotal(&registry_, "starts_refused_total",
                       {{"reason", coordinator::Name(reason)}}, count);
--- a/simulate/include/tarragon/simulate/room_world.h
+++ b/simulate/include/tarragon/simulate/room_world.h
@@ -33,6 +33,8 @@
   /// Tasks of a job need between `millicores` and this; zero if all need
   /// `millicores`.
   std::int64_t max_millicores = 0;
+  /// Share of the tasks that run seven times as long as the others.
+  double long_share = 0;
 };
 
 /// An interval in which the load or the behaviour of some targets differs.
@@ -66,6 +68,8 @@
   std::uint32_t entries = 4;
   /// Capacity of each target.
   std::vector<std::int64_t> target_millicores;
+  /// Speed of each target; empty for a speed of 1 everywhere.
+  std::vector<double> target_speeds;
   std::vector<JobKind> kinds;
   std::vector<Disturbance> disturbances;
   core::Duration length{std::chrono::seconds(30)};
@@ -103,6 +107,8 @@
   double earned_worth = 0;
   /// Summed time from submission to refusal.
   core::Duration refused_wait_sum{0};
+  /// Ratio of duration to objective of each completed job.
+  std::vector<double> relative_durations;
 };
 
 /// Outcomes of the tenth of the jobs with the smallest or largest tasks.
@@ -152,6 +158,8 @@
   std::uint64_t kept_reservations = 0;
   std::uint64_t lapsed_reservations = 0;
   std::uint64_t backfills = 0;
+  /// Speed of each target as learned by its gate, in thousandths.
+  std::vector<std::uint32_t> learned_permille;
 };
 
 /// Returns the job kinds of two users, with a mean target load of 0.62.
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -189,6 +189,10 @@
   const core::Duration took = now_ - job.submitted_at;
   const bool done = answer.answer.refusal == Refusal::kNone &&
                     answer.answer.state == JobState::kCompleted;
+  if (done) {
+    got.relative_durations.push_back(ToSeconds(took) /
+                                     ToSeconds(job.objective));
+  }
   if (done && took <= job.objective) {
     ++got.in_time;
     got.earned_worth += job.worth;
@@ -389,6 +393,12 @@
     event.run();
   }
   SumCounts();
+  for (const auto& gate : gates_) {
+    result_.learned_permille.push_back(
+        gate->target.has_value()
+            ? coordinator::SpeedPermille(gate->target->speed)
+            : 0);
+  }
   double offered = 0;
   double earned = 0;
   result_.worst_kind_share = 1;
