--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -378,6 +378,11 @@
     SetCounterTotal(&registry_, "wants_total", {}, counts.wants);
     SetCounterTotal(&registry_, "offers_returned_total", {},
                     counts.returned_offers);
+    SetCounterTotal(&registry_, "runs_stalled_total", {}, counts.stalled_runs);
+    SetCounterTotal(&registry_, "runs_standing_total", {},
+                    counts.standing_runs);
+    SetCounterTotal(&registry_, "objectives_extended_total", {},
+                    counts.extended_objectives);
     for (const auto& [refusal, count] : counts.refused) {
       SetCounterTotal(&registry_, "jobs_refused_total",
                       {{"reason", coordinator::Name(refusal)}}, count);
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -299,6 +299,10 @@
     SetCounterTotal(&registry_, "offers_total", {}, counts.offers);
     SetCounterTotal(&registry_, "offers_lapsed_total", {},
                     counts.lapsed_offers);
+    SetCounterTotal(&registry_, "progress_messages_total", {},
+                    counts.progress_messages);
+    SetCounterTotal(&registry_, "runs_standing_total", {},
+                    counts.standing_runs);
     for (const auto& [reason, count] : counts.refusals) {
       SetCounterTotal(&registry_, "starts_refused_total",
                       {{"reason", coordinator::Name(reason)}}, count);
