--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -396,6 +396,11 @@
     SetCounterTotal(&registry_, "placed_by_finish_total", {},
                     counts.placed_by_finish);
     SetCounterTotal(&registry_, "placed_late_total", {}, counts.placed_late);
+    SetCounterTotal(&registry_, "runs_stalled_total", {}, counts.stalled_runs);
+    SetCounterTotal(&registry_, "runs_standing_total", {},
+                    counts.standing_runs);
+    SetCounterTotal(&registry_, "objectives_extended_total", {},
+                    counts.extended_objectives);
     for (const auto& [refusal, count] : counts.refused) {
       SetCounterTotal(&registry_, "jobs_refused_total",
                       {{"reason", coordinator::Name(refusal)}}, count);
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -318,6 +318,10 @@
       registry_.Set("target_speed_permille", {},
                     coordinator::SpeedPermille(board_.target->speed));
     }
+    SetCounterTotal(&registry_, "progress_messages_total", {},
+                    counts.progress_messages);
+    SetCounterTotal(&registry_, "runs_standing_total", {},
+                    counts.standing_runs);
     for (const auto& [reason, count] : counts.refusals) {
       SetCounterTotal(&registry_, "starts_refused_total",
                       {{"reason", coordinator::Name(reason)}}, count);
