Coordinator: refuse after a restart what cannot be served

An entry that does not know the gates yet accepts every job. After a loss of all power the surplus stayed queued; what did not expire started so late that it was late itself and delayed fresh jobs. For recovery_time after its start the entry now checks its queue against the room known and refuses at once the jobs of which nothing has run and which would not start in time.

--- a/coordinator/admission.cc
+++ b/coordinator/admission.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <map>
+#include <set>
 
 #include "placing.h"
 #include "room_forecast.h"
@@ -27,6 +29,8 @@
 struct RoomSummary {
   /// Millicores of usable targets that run the service.
   double capacity = 0;
+  /// Largest number of entries that a gate knows.
+  std::uint32_t entries = 1;
   /// Millicores that runs of this entry take.
   double own = 0;
   bool any_usable = false;
@@ -45,6 +49,7 @@
     if (!IsUsable(board, now, gate)) continue;
     seen.any_usable = true;
     seen.capacity += static_cast<double>(gate.report->capacity.millicores);
+    seen.entries = std::max(seen.entries, gate.report->entries);
   }
   return seen;
 }
@@ -131,8 +136,8 @@
   if (!seen.any_usable) {
     verdict.refusal = Refusal::kNoTarget;
     verdict.retry_after = ComputeRetryAfter(
-        board, ForecastWait(board, now, job.queue.service, core::Duration(0), 0,
-                            1));
+        board,
+        ForecastWait(board, now, job.queue.service, core::Duration(0), 0, 1));
     return verdict;
   }
   for (const StepSpec& step : job.request.steps) {
@@ -157,7 +162,48 @@
 }
 
 bool IsTooLateToStart(const JobBoard& board, core::Time now, const Job& job) {
-  return now + EstimateLongestRun(board, job) > std::min(job.objective, job.useful_until);
+  return now + EstimateLongestRun(board, job) >
+         std::min(job.objective, job.useful_until);
+}
+
+std::set<JobId> FindUnservableJobs(const JobBoard& board, core::Time now) {
+  std::set<JobId> unservable;
+  if (now - board.started_at > board.policy.recovery_time) return unservable;
+  if (board.waiting_tasks.empty() || IsDiscoveringGates(board, now)) {
+    return unservable;
+  }
+  const WaitingTask* last = nullptr;
+  bool is_unservable = false;
+  std::map<core::ServiceId, double> rates;
+  std::map<core::ServiceId, double> ahead;
+  for (const WaitingTask& each : board.waiting_tasks) {
+    if (each.late) break;
+    const Job& job = *board.jobs.at(each.job);
+    const core::ServiceId& service = job.queue.service;
+    if (!rates.contains(service)) {
+      const RoomSummary seen = SummarizeRoom(board, now, service);
+      rates[service] = std::max(seen.own, seen.capacity / seen.entries);
+    }
+    const double rate = rates[service];
+    if (rate <= 0) continue;
+    const double slack = ToSeconds(each.latest_start - now);
+    // The tasks of one job start together.
+    const bool is_next_job = last == nullptr || last->job != each.job;
+    last = &each;
+    if (!is_next_job && is_unservable) continue;
+    is_unservable = is_next_job && job.ordered_runs == 0 &&
+                    ahead[service] / rate * board.policy.wait_margin > slack;
+    if (is_unservable) {
+      unservable.insert(each.job);
+      continue;
+    }
+    const StepSpec& step =
+        job.request.steps[job.tasks[each.task_index].ref.step];
+    ahead[service] += static_cast<double>(step.room.millicores) *
+                      ToSeconds(EstimateRunTime(board.run_times, job.queue.name,
+                                                step.declared_run_time));
+  }
+  return unservable;
 }
 
 }  // namespace tarragon::coordinator
--- a/coordinator/admission.h
+++ b/coordinator/admission.h
@@ -1,6 +1,8 @@
 #ifndef TARRAGON_COORDINATOR_ADMISSION_H_
 #define TARRAGON_COORDINATOR_ADMISSION_H_
 
+#include <set>
+
 #include "tarragon/coordinator/job_board.h"
 
 /// Admission control. Designed for bursts: while no room is free, accepting a
@@ -25,6 +27,11 @@
 /// end in time and would take room from jobs that can.
 bool IsTooLateToStart(const JobBoard& board, core::Time now, const Job& job);
 
+/// Finds accepted jobs of which nothing has run and that would not start in
+/// time by the room known now. A restarted entry accepts jobs before it knows
+/// the room. Empty once it is seconds old.
+std::set<JobId> FindUnservableJobs(const JobBoard& board, core::Time now);
+
 /// Computes the Retry-After of a client that is refused now: `wait`, but at
 /// least `Policy::retry_floor`, plus a random time.
 core::Duration ComputeRetryAfter(const JobBoard& board, core::Duration wait);
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -232,9 +232,9 @@
 
 void RecordDeparture(GateBoard* board, core::Time now,
                      const Departure& departure) {
-  const bool is_new = departure.noticed_at.has_value() &&
-                      departure.noticed_at !=
-                          board->target->departure.noticed_at;
+  const bool is_new =
+      departure.noticed_at.has_value() &&
+      departure.noticed_at != board->target->departure.noticed_at;
   board->target->departure = departure;
   if (!is_new) return;
   ++board->counts.departures;
@@ -271,8 +271,7 @@
 
 void OnAnnouncement(GateBoard* board, core::Time now,
                     const Announcement& announcement) {
-  const Departure departure =
-      UpdateDeparture(board->target, now, announcement);
+  const Departure departure = UpdateDeparture(board->target, now, announcement);
   if (!ApplyAnnouncement(board, now, announcement)) return;
   RecordDeparture(board, now, departure);
   StoreTargetIfChanged(board, announcement);
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -174,6 +174,11 @@
   /// Time from the announced departure of a target until another one has joined
   /// in its place. Used only to predict room.
   core::Duration rejoin_time{std::chrono::seconds(4)};
+  /// For this time after its start an entry refuses accepted jobs that the room
+  /// known now cannot serve. It may have accepted them before it knew any gate.
+  /// Covers the time in which gates and targets come back after a loss of all
+  /// power.
+  core::Duration recovery_time{std::chrono::seconds(3)};
 };
 
 }  // namespace tarragon::coordinator
--- a/coordinator/leaving_target.cc
+++ b/coordinator/leaving_target.cc
@@ -60,8 +60,7 @@
                           const Announcement& announcement) {
   if (!announcement.draining) return {.heard_ready = true};
   const bool is_known =
-      known.has_value() &&
-      IsSameIncarnation(known->announcement, announcement);
+      known.has_value() && IsSameIncarnation(known->announcement, announcement);
   if (!is_known) return {};
   Departure departure = known->departure;
   if (!known->announcement.draining) {
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -173,6 +173,12 @@
                               : now > job->useful_until;
     if (hopeless) expired.push_back(id);
   }
+  for (const JobId& id : FindUnservableJobs(*board, now)) {
+    if (std::find(expired.begin(), expired.end(), id) != expired.end())
+      continue;
+    RefuseJob(board, now, board->jobs.at(id).get(), Refusal::kOverload,
+              ComputeRetryAfter(*board, core::Duration(0)));
+  }
   for (const JobId& id : expired) {
     Job* job = board->jobs.at(id).get();
     ++board->counts.given_up;
--- a/daemons/platform_daemon_settings.cc
+++ b/daemons/platform_daemon_settings.cc
@@ -52,6 +52,11 @@
      "How long new jobs are accepted after a stop signal."},
     {"retry_floor", &Policy::retry_floor, "100ms", "1min",
      "Shortest time after which a refused client is asked to retry."},
+    {"rejoin_time", &Policy::rejoin_time, "0s", "1min",
+     "Time from a target's announced departure until another one has joined."},
+    {"recovery_time", &Policy::recovery_time, "0s", "1min",
+     "Time after its start in which an entry refuses jobs that it accepted "
+     "before it knew the gates, if they cannot be served."},
 };
 
 core::SettingSpec MakeLogLevelSpec() {
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -140,10 +140,11 @@
 }
 
 std::size_t CoordinatorSimulation::PickEntry() {
-  if (plan_.entry_shares.empty()) return random_() % entries_.size();
+  std::mt19937_64& random = plan_.same_jobs ? other_random_ : random_;
+  if (plan_.entry_shares.empty()) return random() % entries_.size();
   std::discrete_distribution<std::size_t> entry(plan_.entry_shares.begin(),
                                                 plan_.entry_shares.end());
-  return entry(random_);
+  return entry(random);
 }
 
 void CoordinatorSimulation::Submit(const JobKind* kind) {
