--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -242,6 +242,11 @@
   /// After a restart a speed that is off by a fifth still serves.
   std::uint32_t speed_store_permille = 200;
   core::Duration speed_store_pause{std::chrono::seconds(5)};
+  /// For this time after its start an entry refuses accepted jobs that the room
+  /// known now cannot serve. It may have accepted them before it knew any gate.
+  /// Covers the time in which gates and targets come back after a loss of all
+  /// power.
+  core::Duration recovery_time{std::chrono::seconds(3)};
 };
 
 }  // namespace tarragon::coordinator
--- a/daemons/platform_daemon_settings.cc
+++ b/daemons/platform_daemon_settings.cc
@@ -63,6 +63,11 @@
      "How long the waiting work must be below shortage_ends."},
     {"floor_window", &Policy::floor_window, "100ms", "1min",
      "Time over which the share of tasks started in time is measured."},
+    {"rejoin_time", &Policy::rejoin_time, "0s", "1min",
+     "Time from a target's announced departure until another one has joined."},
+    {"recovery_time", &Policy::recovery_time, "0s", "1min",
+     "Time after its start in which an entry refuses jobs that it accepted "
+     "before it knew the gates, if they cannot be served."},
 };
 
 core::SettingSpec MakeLogLevelSpec() {
--- a/simulate/room_targets.cc
+++ b/simulate/room_targets.cc
@@ -65,6 +65,8 @@
           plan_.target_speeds.empty()
               ? work
               : FromSeconds(ToSeconds(work) / plan_.target_speeds.at(gate));
+      const double draw = share(plan_.same_jobs ? other_random_ : random_);
+      core::Duration takes = work;
       RunEnd end = RunEnd::kDone;
       bool hangs = false;
       if (disturbance != nullptr) {
@@ -199,8 +201,8 @@
   FakeTarget& target = targets_[gate];
   for (const auto& [run, state] : target.running) {
     ++result_.lost_runs;
-    result_.lost_millicore_seconds += static_cast<double>(state.millicores) *
-                                      ToSeconds(now_ - state.started);
+    result_.lost_millicore_seconds +=
+        static_cast<double>(state.millicores) * ToSeconds(now_ - state.started);
   }
   const std::uint64_t waiting_poll = target.waiting_poll;
   const std::int64_t born = target.born;
