--- a/daemons/platform_daemon_settings.cc
+++ b/daemons/platform_daemon_settings.cc
@@ -52,6 +52,11 @@
      "How long new jobs are accepted after a stop signal."},
     {"retry_floor", &Policy::retry_floor, "100ms", "1min",
      "Shortest time after which a refused client is asked to retry."},
+    {"reservation_reach", &Policy::reservation_reach, "0s", "5s",
+     "How long before its release a gate reserves room for an entry that waits "
+     "for it; 0 for no reservations."},
+    {"reservation_margin", &Policy::reservation_margin, "0s", "5s",
+     "How long a reservation lasts beyond the expected release."},
 };
 
 core::SettingSpec MakeLogLevelSpec() {
