--- a/daemons/platform_daemon_settings.cc
+++ b/daemons/platform_daemon_settings.cc
@@ -68,6 +68,11 @@
     {"recovery_time", &Policy::recovery_time, "0s", "1min",
      "Time after its start in which an entry refuses jobs that it accepted "
      "before it knew the gates, if they cannot be served."},
+    {"reservation_reach", &Policy::reservation_reach, "0s", "5s",
+     "How long before its release a gate reserves room for an entry that waits "
+     "for it; 0 for no reservations."},
+    {"reservation_margin", &Policy::reservation_margin, "0s", "5s",
+     "How long a reservation lasts beyond the expected release."},
 };
 
 core::SettingSpec MakeLogLevelSpec() {
