Coordinator: bound runs at leaving targets by the distribution of run times

Joins the parts: the longest run at a target comes from the run times of the queue, the learned speed and the rack factor, in place of eight times the mean. The simulation draws its targets and entries from one generator.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -287,8 +287,7 @@
           RunTimeAtMeanSpeed(*board, job->request.steps[task.ref.step],
                              *gate->report, ended.run_time);
     }
-    return ApplyTaskEnd(board, now, job, &task, scaled,
-                        gate->health.suspect);
+    return ApplyTaskEnd(board, now, job, &task, scaled, gate->health.suspect);
   }
 }
 
--- a/coordinator/leaving_target.cc
+++ b/coordinator/leaving_target.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "finish_time.h"
 #include "gate_internal.h"
 #include "placing.h"
 #include "tarragon/coordinator/run_times.h"
@@ -20,21 +21,8 @@
 constexpr core::Duration kOrderDelay = std::chrono::milliseconds(250);
 /// Time that an order of an entry may take to its gate.
 constexpr core::Duration kLinkDelay = std::chrono::milliseconds(10);
-/// The longest run takes this multiple of the expected time. At helpdesk, 3% of
-/// the tasks run seven times as long as the others.
-constexpr int kLongestRunFactor = 8;
-/// Upper bound of the factor by which a run is longer on another rack than that
-/// of its data.
-constexpr int kMaxSpreadFactor = 2;
 constexpr std::int64_t kPermille = 1000;
 
-// Stand-in until run_times.h offers this function.
-core::Duration EstimateLongestRunTime(const RunTimes& times,
-                                      const QueueId& queue,
-                                      core::Duration declared) {
-  return EstimateRunTime(times, queue, declared) * kLongestRunFactor;
-}
-
 /// Time since the target sent the announcement, as far as its clock shows.
 core::Duration ComputeAge(const Target& known, core::Time now,
                           const Announcement& announcement) {
@@ -134,7 +122,7 @@
   const StepSpec& step = job.request.steps[task.ref.step];
   core::Duration longest = EstimateLongestRunTime(
       board.run_times, job.queue.name, step.declared_run_time);
-  if (!HasLabel(report, step.preferred)) longest = longest * kMaxSpreadFactor;
+  longest = RunTimeAt(board, step, report, longest);
   if (report.slowness_permille > kPermille) {
     longest = longest * report.slowness_permille / kPermille;
   }
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "entry_internal.h"
-#include "leaving_target.h"
 #include "finish_time.h"
+#include "leaving_target.h"
 
 namespace tarragon::coordinator {
 namespace {
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -8,8 +8,8 @@
 
 #include "admission.h"
 #include "entry_internal.h"
-#include "leaving_target.h"
 #include "finish_time.h"
+#include "leaving_target.h"
 #include "placing.h"
 #include "precedence.h"
 
--- a/simulate/room_state.h
+++ b/simulate/room_state.h
@@ -65,7 +65,6 @@
       : plan_(plan),
         random_(plan.seed),
         target_random_(plan.seed + 1000003),
-        other_random_(plan.seed),
         now_{std::chrono::seconds(1)} {}
 
   CoordinatorResult Run();
--- a/simulate/room_targets.cc
+++ b/simulate/room_targets.cc
@@ -65,8 +65,6 @@
           plan_.target_speeds.empty()
               ? work
               : FromSeconds(ToSeconds(work) / plan_.target_speeds.at(gate));
-      const double draw = share(plan_.same_jobs ? other_random_ : random_);
-      core::Duration takes = work;
       RunEnd end = RunEnd::kDone;
       bool hangs = false;
       if (disturbance != nullptr) {
--- a/simulate/room_world.cc
+++ b/simulate/room_world.cc
@@ -140,11 +140,10 @@
 }
 
 std::size_t CoordinatorSimulation::PickEntry() {
-  std::mt19937_64& random = plan_.same_jobs ? other_random_ : random_;
-  if (plan_.entry_shares.empty()) return random() % entries_.size();
+  if (plan_.entry_shares.empty()) return target_random_() % entries_.size();
   std::discrete_distribution<std::size_t> entry(plan_.entry_shares.begin(),
                                                 plan_.entry_shares.end());
-  return entry(random);
+  return entry(target_random_);
 }
 
 void CoordinatorSimulation::Submit(const JobKind* kind) {
