--- a/dispatch/names.cc
+++ b/dispatch/names.cc
@@ -84,7 +84,8 @@
                 "leaving",       "handover",     "handover_ack",
                 "inherited",     "entry_notice", "operator_update",
                 "target_report", "start_run",    "ask_run",
-                "run_ended",     "target_hint",  "room_wanted"};
+                "run_ended",     "target_hint",  "room_wanted",
+                "run_progress"};
   return kNames[message.index()];
 }
 
