--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -79,9 +79,9 @@
     return "slow";
   }
   if (report.failed_permille > policy.suspect_failed_permille &&
-      ComputeReportedMedian(board, [](const TargetReport& each) {
+      2 * ComputeReportedMedian(board, [](const TargetReport& each) {
         return each.failed_permille;
-      }) < policy.suspect_failed_permille / 2) {
+      }) < policy.suspect_failed_permille) {
     return "failures";
   }
   return nullptr;
--- a/coordinator/tests/run_times_test.cc
+++ b/coordinator/tests/run_times_test.cc
@@ -33,7 +33,7 @@
   void LongestGrowsWithNumberOfTasks() {
     Record(600, true);
     CPPUNIT_ASSERT(LongestOf(1) ==
-                   EstimateRunTime(times_, kQueue, milliseconds(100)));
+                   EstimateRunTime(times_, queue_, milliseconds(100)));
     CPPUNIT_ASSERT(LongestOf(8) >= LongestOf(1));
     CPPUNIT_ASSERT(LongestOf(8) < milliseconds(200));
     CPPUNIT_ASSERT(LongestOf(128) > milliseconds(500));
@@ -50,18 +50,18 @@
   void Record(int runs, bool tail) {
     for (int i = 0; i < runs; ++i) {
       RecordRunTime(
-          &times_, kQueue, milliseconds(100),
+          &times_, queue_, milliseconds(100),
           tail && i % 33 == 5 ? milliseconds(700) : milliseconds(95 + i % 10));
     }
   }
   core::Duration Bound() const {
-    return EstimateLongestRunTime(times_, kQueue, milliseconds(100));
+    return EstimateLongestRunTime(times_, queue_, milliseconds(100));
   }
   core::Duration LongestOf(std::uint32_t tasks) const {
-    return EstimateLongestOf(times_, kQueue, milliseconds(100), tasks);
+    return EstimateLongestOf(times_, queue_, milliseconds(100), tasks);
   }
 
-  const QueueId kQueue{"checks"};
+  const QueueId queue_{"checks"};
   RunTimes times_;
 };
 
