Review: case 2, a heartbeat of another writer runs tasks twice (TWICE)

Cause: ApplyAnnouncement (coordinator/gate_target.cc) lets a heartbeat with another id and a later start time replace the target, whatever its service, and reports all runs of the former target as lapsed while they go on there.

Change: a script; three machines get one such heartbeat each.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 out=target/review
 mkdir -p "$out"
 includes=(-Icore/include -Ihttp/include -Itests/soak -Ireview/standins)
-sources=(review/standins/*.cc tests/soak/fake_store.cc tests/soak/relay.cc)
+sources=(review/standins/*.cc tests/soak/fake_store.cc)
 objects=()
 pids=()
 for source in "${sources[@]}"; do
--- a/review/standins/cases.h
+++ b/review/standins/cases.h
@@ -83,6 +83,9 @@
 /// A runner that has crashed and started again under its id drains, which its
 /// gate acknowledges and does not notice.
 int RunRebornDrainCase(const std::string& record, bool trouble);
+/// A heartbeat of another writer displaces a runner, whose runs are started
+/// again elsewhere while they go on.
+int RunForeignHeartbeatCase(const std::string& record, bool trouble);
 
 }  // namespace tarragon::review
 
--- a/review/standins/cluster.cc
+++ b/review/standins/cluster.cc
@@ -105,6 +105,10 @@
   return core::Address(Ip(true, edge) + ":" + std::to_string(base_port_ + 1));
 }
 
+core::Address Cluster::control(int side) const {
+  return core::Address(Ip(false, side) + ":" + std::to_string(base_port_ + 3));
+}
+
 std::string Cluster::WriteNodeFile(const std::string& name, bool edge,
                                    int index) {
   const std::string ip = Ip(edge, index);
@@ -242,7 +246,7 @@
     config.ip = Ip(false, i);
     config.zone = ZoneOf(i);
     config.service = kService;
-    config.control = Ip(false, i) + ":" + std::to_string(base_port_ + 3);
+    config.control = control(i).value();
     config.labels = {"a", "r" + std::to_string(i / 3 + 1)};
     runners_.push_back(std::make_unique<Runner>(io_, config, recorder_));
   }
--- a/review/standins/cluster.h
+++ b/review/standins/cluster.h
@@ -68,6 +68,7 @@
   int sides() const { return sides_; }
   soak::FakeStore& store() { return store_; }
   core::Address front(int edge) const;
+  core::Address control(int side) const;
   std::string host() const { return "queue.example"; }
   /// True if all programs still run.
   bool AllRun();
--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -23,6 +23,9 @@
   if (name == "late_copy") return RunLateCopyCase(record, trouble);
   if (name == "moved_client") return RunMovedClientCase(record, trouble);
   if (name == "reborn_drain") return RunRebornDrainCase(record, trouble);
+  if (name == "foreign_heartbeat") {
+    return RunForeignHeartbeatCase(record, trouble);
+  }
   std::fprintf(stderr, "review_case: unknown case %s\n", name.c_str());
   return kCouldNotRun;
 }
--- a/review/standins/stale_end_case.cc
+++ b/review/standins/stale_end_case.cc
@@ -18,11 +18,11 @@
 /// Time that a client waits for an answer.
 constexpr milliseconds kDeadline{1500};
 constexpr milliseconds kSubmitPause{75};
-constexpr milliseconds kTraffic{40000};
+constexpr milliseconds kTraffic{75000};
 constexpr milliseconds kFirstFreeze{4000};
 constexpr milliseconds kFreezePause{5000};
 constexpr milliseconds kFreezeTime{4000};
-constexpr int kFreezes = 7;
+constexpr int kFreezes = 14;
 constexpr int kMaxAttempts = 3;
 /// Shorter overlaps could be an error of the stand-ins' timers.
 constexpr milliseconds kLeastOverlap{50};
