--- a/review/build.sh
+++ b/review/build.sh
@@ -6,11 +6,11 @@
 out=target/review
 mkdir -p "$out"
 includes=(-Icore/include -Ihttp/include -Itests/soak -Ireview/standins)
-sources=(review/standins/*.cc tests/soak/fake_store.cc)
+sources=(review/standins/*.cpp tests/soak/fake_store.cc)
 objects=()
 pids=()
 for source in "${sources[@]}"; do
-  object="$out/$(basename "$source" .cc).o"
+  object="$out/$(basename "${source%.*}").o"
   objects+=("$object")
   g++ -std=c++20 -O1 -Wall -Wextra "${includes[@]}" -c "$source" -o "$object" &
   pids+=($!)
--- a/review/standins/cancel_cases.cc
+++ b/review/standins/cancel_cases.cpp
@@ -3,7 +3,7 @@
 #include <memory>
 #include <string>
 
-#include "cases.h"
+#include "cases.hpp"
 
 namespace tarragon::review {
 namespace {
--- a/review/standins/cases.h
+++ b/review/standins/cases.hpp
@@ -6,8 +6,8 @@
 #include <map>
 #include <string>
 
-#include "cluster.h"
-#include "recorder.h"
+#include "cluster.hpp"
+#include "recorder.hpp"
 #include "tarragon/http/client.h"
 
 namespace tarragon::review {
--- a/review/standins/cluster.cc
+++ b/review/standins/cluster.cpp
@@ -1,4 +1,4 @@
-#include "cluster.h"
+#include "cluster.hpp"
 
 #include <fcntl.h>
 #include <sys/prctl.h>
--- a/review/standins/cluster.h
+++ b/review/standins/cluster.hpp
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "fake_store.h"
-#include "recorder.h"
-#include "runner.h"
+#include "recorder.hpp"
+#include "runner.hpp"
 #include "tarragon/http/client.h"
 
 namespace tarragon::review {
--- a/review/standins/foreign_heartbeat_case.cc
+++ b/review/standins/foreign_heartbeat_case.cpp
@@ -4,7 +4,7 @@
 #include <random>
 #include <string>
 
-#include "cases.h"
+#include "cases.hpp"
 
 namespace tarragon::review {
 namespace {
--- a/review/standins/main.cc
+++ b/review/standins/main.cpp
@@ -3,14 +3,16 @@
 #include <cstring>
 #include <string>
 
-#include "cases.h"
+#include "cases.hpp"
 
 /// review_case NAME RECORD: plays a case and writes what was sent, answered and
 /// run to RECORD. TROUBLE=0 leaves out the disruption. Exits with 1 if the rule
 /// was broken, 0 if it held, 2 if the case could not run.
 
-int main(int argc, char** argv) {
-  using namespace tarragon::review;
+namespace tarragon::review {
+namespace {
+
+int PlayCase(int argc, char** argv) {
   if (argc != 3) {
     std::fprintf(stderr, "usage: review_case NAME RECORD\n");
     return kCouldNotRun;
@@ -29,3 +31,10 @@
   std::fprintf(stderr, "review_case: unknown case %s\n", name.c_str());
   return kCouldNotRun;
 }
+
+}  // namespace
+}  // namespace tarragon::review
+
+int main(int argc, char** argv) {
+  return tarragon::review::PlayCase(argc, argv);
+}
--- a/review/standins/reborn_drain_case.cc
+++ b/review/standins/reborn_drain_case.cpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "cases.h"
+#include "cases.hpp"
 
 namespace tarragon::review {
 namespace {
--- a/review/standins/recorder.cc
+++ b/review/standins/recorder.cpp
@@ -1,4 +1,4 @@
-#include "recorder.h"
+#include "recorder.hpp"
 
 #include <algorithm>
 #include <map>
--- a/review/standins/runner.cc
+++ b/review/standins/runner.cpp
@@ -1,4 +1,4 @@
-#include "runner.h"
+#include "runner.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/review/standins/runner.h
+++ b/review/standins/runner.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "recorder.h"
+#include "recorder.hpp"
 #include "tarragon/http/client.h"
 #include "tarragon/http/server.h"
 
--- a/review/standins/scene.cc
+++ b/review/standins/scene.cpp
@@ -1,13 +1,10 @@
-#include <boost/json.hpp>
 #include <memory>
 #include <utility>
 
-#include "cases.h"
+#include "cases.hpp"
 
 namespace tarragon::review {
 
-namespace json = boost::json;
-
 void Call(Scene* scene, const std::string& method, int edge,
           const std::string& route, const std::string& id,
           const std::string& body, milliseconds deadline,
--- a/review/standins/stale_end_case.cc
+++ b/review/standins/stale_end_case.cpp
@@ -5,7 +5,7 @@
 #include <random>
 #include <utility>
 
-#include "cases.h"
+#include "cases.hpp"
 
 namespace tarragon::review {
 namespace {
