Coordinator: an end of an earlier attempt's run is not taken for a later one's

Cause: an entry finds the run that has ended by the job's id and the run's number. A job that is submitted again is a new attempt under the same id, and numbered its runs from 1 again. So when the silent gate of the first attempt was given up after 1.9 s, its run 1 ended the task's run 1 of the second attempt at another gate, and the task was started once more beside it.

Change: a placed run records the attempt that ordered it, and its end and its progress reach only that attempt (HandleRunEnd, ApplyProgress, StopIfStalled, IsSoonerElsewhere). A later attempt continues the run numbers, which also gates and runners compare, and starts a task only after the earlier runs of that task have ended. The log tells the end of an earlier attempt's run.

RunsCancelledJobAgain expected a start while the second run of the cancelled job was still open, which is this fault; it now expects no start before the end of that run, and one after it.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -179,6 +179,23 @@
   EnqueueTask(board, now, job, task);
 }
 
+/// Handles the end of a run whose attempt at the job has ended. A later attempt
+/// may wait for it before it starts the task again.
+void QueueTaskAfterEarlierRun(JobBoard* board, core::Time now,
+                              const RunEnded& ended, const PlacedRun& placed,
+                              const GateLink& gate) {
+  const auto later = board->jobs.find(ended.run.task.job);
+  if (later == board->jobs.end()) return;
+  AddLogLine(board, "A run of an earlier attempt at a job ended.",
+             ToString(ended.run),
+             {{"end", Name(ended.end)},
+              {"attempt", std::to_string(placed.job_serial)},
+              {"later_attempt", std::to_string(later->second->serial)},
+              {"ordered", FormatMillis(now - placed.ordered_at)},
+              {"gate", core::ToString(gate.node)}});
+  QueueUnblockedTasks(board, now, later->second.get());
+}
+
 /// Sends a restarted gate the target that its earlier process had reported.
 void SendTargetHint(JobBoard* board, const core::NodeId& from, GateLink* gate) {
   if (!gate->report->target.value().empty()) {
@@ -265,9 +282,10 @@
   if (ended.end == RunEnd::kRefused && ended.reason != RefusalReason::kNoRoom) {
     gate->health.avoid_until = now + board->policy.refusal_pause;
   }
-  const auto found = board->jobs.find(ended.run.task.job);
-  if (found == board->jobs.end()) return;
-  Job* job = found->second.get();
+  Job* job = FindJobOfRun(*board, ended.run, placed);
+  if (job == nullptr) {
+    return QueueTaskAfterEarlierRun(board, now, ended, placed, *gate);
+  }
   for (Task& task : job->tasks) {
     if (task.ref != ended.run.task) continue;
     if (task.phase != TaskPhase::kPlaced || task.last_run != ended.run.number) {
--- a/coordinator/entry_internal.h
+++ b/coordinator/entry_internal.h
@@ -83,6 +83,14 @@
 void AwaitProgressAfterSilence(const JobBoard& board, core::Time now,
                                const core::NodeId& from, GateLink* gate);
 
+/// True if a run of the task was ordered in this attempt at the job.
+bool HasBeenPlaced(const Job& job, const Task& task);
+
+/// The job that ordered the run; null if it has ended, even if its client has
+/// submitted it again.
+Job* FindJobOfRun(const JobBoard& board, const RunRef& ref,
+                  const PlacedRun& placed);
+
 /// Records the progress of a run. Stops the run if it stands; extends the
 /// objective of its job if it takes longer than expected.
 void ApplyProgress(JobBoard* board, core::Time now, GateLink* gate,
--- a/coordinator/entry_jobs.cc
+++ b/coordinator/entry_jobs.cc
@@ -30,11 +30,14 @@
     job.answer_by = *deadline - board->policy.answer_margin;
   }
   job.serial = ++board->last_job_serial;
+  const auto earlier = board->last_runs.find(request.id);
+  if (earlier != board->last_runs.end()) job.earlier_runs = earlier->second;
   for (std::uint32_t step = 0; step < request.steps.size(); ++step) {
     job.step_tasks_left.push_back(request.steps[step].count);
     for (std::uint32_t index = 0; index < request.steps[step].count; ++index) {
       Task task;
       task.ref = {request.id, step, index};
+      task.last_run = job.earlier_runs;
       job.tasks.push_back(std::move(task));
     }
   }
@@ -81,6 +84,18 @@
   board->actions.push_back(AnswerCall{call, answer});
 }
 
+bool HasBeenPlaced(const Job& job, const Task& task) {
+  return task.last_run > job.earlier_runs;
+}
+
+Job* FindJobOfRun(const JobBoard& board, const RunRef& ref,
+                  const PlacedRun& placed) {
+  const auto found = board.jobs.find(ref.task.job);
+  if (found == board.jobs.end()) return nullptr;
+  return found->second->serial == placed.job_serial ? found->second.get()
+                                                    : nullptr;
+}
+
 core::Duration EstimateRunTime(const JobBoard& board, const Job& job,
                                const Task& task) {
   return EstimateRunTime(board.run_times, job.queue.name,
@@ -124,6 +139,7 @@
       {{"queue", queue.name.value()},
        {"version", std::to_string(board->operator_state.version)},
        {"tasks", std::to_string(job->tasks.size())},
+       {"earlier_runs", std::to_string(job->earlier_runs)},
        {"objective", FormatMillis(job->objective - now)},
        {"useful", FormatMillis(job->useful_until - now)},
        {"client_waits",
--- a/coordinator/entry_progress.cc
+++ b/coordinator/entry_progress.cc
@@ -44,12 +44,11 @@
                        const GateLink& gate, const RunRef& ref,
                        const PlacedRun& placed) {
   if (!gate.health.suspect) return false;
-  const auto found = board.jobs.find(ref.task.job);
-  if (found == board.jobs.end()) return false;
-  const Job& job = *found->second;
+  const Job* job = FindJobOfRun(board, ref, placed);
+  if (job == nullptr) return false;
   const core::Duration longest = EstimateLongestRunTime(
-      board.run_times, job.queue.name,
-      job.request.steps[ref.task.step].declared_run_time);
+      board.run_times, job->queue.name,
+      job->request.steps[ref.task.step].declared_run_time);
   const core::Duration remaining =
       placed.progress->remaining - (now - placed.progress->at);
   return remaining > longest + board.policy.stall_floor;
@@ -107,12 +106,11 @@
                    const RunRef& ref, PlacedRun* placed) {
   if (placed->stop_requested || !IsStalled(*board, now, *gate, ref, *placed))
     return;
-  const auto found = board->jobs.find(ref.task.job);
-  if (found == board->jobs.end()) return;
-  const Job& job = *found->second;
+  const Job* job = FindJobOfRun(*board, ref, *placed);
+  if (job == nullptr) return;
   const core::Time end = now + placed->expected_run_time;
-  if (job.answer_by.has_value() && end > *job.answer_by) return;
-  if (end > job.useful_until && !HasSoundRun(*board, now, job)) return;
+  if (job->answer_by.has_value() && end > *job->answer_by) return;
+  if (end > job->useful_until && !HasSoundRun(*board, now, *job)) return;
   placed->stop_requested = true;
   ++board->counts.stalled_runs;
   LogFields fields = {{"ran", FormatMillis(now - placed->ordered_at)},
@@ -152,9 +150,8 @@
                      const RunRef& ref, const PlacedRun& placed) {
   // A slow target says nothing about the task.
   if (gate.health.suspect) return;
-  const auto found = board->jobs.find(ref.task.job);
-  if (found == board->jobs.end()) return;
-  Job* job = found->second.get();
+  Job* job = FindJobOfRun(*board, ref, placed);
+  if (job == nullptr) return;
   const core::Duration total =
       NormalizeRunTime(gate, job->request.steps[ref.task.step],
                        now - placed.ordered_at + placed.progress->remaining);
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -137,7 +137,10 @@
   /// Runs that were ordered at gates, minus those that were refused. While this
   /// is zero, it is certain that no task has run.
   std::uint32_t ordered_runs = 0;
+  /// Unique among the jobs of this process, unlike the id.
   std::uint64_t serial = 0;
+  /// Highest run number of an earlier attempt at the job; zero for none.
+  std::uint32_t earlier_runs = 0;
 };
 
 /// A task that waits to be placed. Ordered by urgency: the first one is placed
@@ -186,6 +189,9 @@
 /// A run that this entry has ordered at a gate and whose end was not reported
 /// yet.
 struct PlacedRun {
+  /// `Job::serial` of the attempt that ordered the run. A job that is submitted
+  /// again after its end is another attempt under the same id.
+  std::uint64_t job_serial = 0;
   Room room;
   core::Time ordered_at;
   /// Expected run time.
@@ -315,6 +321,12 @@
   /// States of ended jobs; `ended_order` has their ids, oldest first.
   std::map<JobId, JobState> ended_states;
   std::deque<JobId> ended_order;
+  /// Highest run numbers of jobs that have ended without completing;
+  /// `last_runs_order` has their ids, oldest first. A later attempt goes on
+  /// from there, so that gates and targets can tell its runs from the earlier
+  /// ones.
+  std::map<JobId, std::uint32_t> last_runs;
+  std::deque<JobId> last_runs_order;
   RunTimes run_times;
   SpeedScale speed_scale;
   std::uint64_t last_job_serial = 0;
--- a/coordinator/job_end.cc
+++ b/coordinator/job_end.cc
@@ -17,6 +17,20 @@
   board->ended_order.pop_front();
 }
 
+/// Remembers the highest run number of a job that may be submitted again.
+void RememberLastRun(JobBoard* board, const Job& job) {
+  std::uint32_t last = job.earlier_runs;
+  for (const Task& task : job.tasks) last = std::max(last, task.last_run);
+  if (last == 0) return;
+  const JobId& id = job.request.id;
+  if (board->last_runs.insert_or_assign(id, last).second) {
+    board->last_runs_order.push_back(id);
+  }
+  if (board->last_runs_order.size() <= board->policy.max_ended_states) return;
+  board->last_runs.erase(board->last_runs_order.front());
+  board->last_runs_order.pop_front();
+}
+
 void StopRunsOfJob(JobBoard* board, core::Time now, const JobId& id) {
   for (auto& [address, gate] : board->gates) {
     const RunRef first{{id, 0, 0}, 0};
@@ -34,6 +48,7 @@
   for (const Task& task : job->tasks) {
     if (task.phase == TaskPhase::kQueued) DequeueTask(board, *job, task);
   }
+  if (job->tasks_left > 0) RememberLastRun(board, *job);
   StopRunsOfJob(board, now, id);
   board->jobs.erase(id);
 }
--- a/coordinator/placing.cc
+++ b/coordinator/placing.cc
@@ -180,7 +180,7 @@
     const bool trial = gate.health.suspect;
     if (trial && (now - gate.health.last_trial_at <
                       board->policy.trial_interval * report.entries ||
-                  task.last_run > 0)) {
+                  HasBeenPlaced(job, task))) {
       continue;
     }
     double score = static_cast<double>(free.millicores - step.room.millicores) /
--- a/coordinator/queue.cc
+++ b/coordinator/queue.cc
@@ -86,14 +86,14 @@
 
 void PlaceTask(JobBoard* board, core::Time now, Job* job, Task* task,
                GateLink* gate) {
-  if (task->last_run == 0 && now <= task->latest_start) {
+  if (!HasBeenPlaced(*job, *task) && now <= task->latest_start) {
     RecordTimelyStart(board, now, *job);
   }
   DequeueTask(board, *job, *task);
   const StepSpec& step = job->request.steps[task->ref.step];
   task->phase = TaskPhase::kPlaced;
   task->gate = gate->node.address;
-  if (task->last_run > 0) ++board->counts.restarted_tasks;
+  if (HasBeenPlaced(*job, *task)) ++board->counts.restarted_tasks;
   StartRun start;
   start.run = {task->ref, ++task->last_run};
   start.sequence = ++board->last_start_sequence;
@@ -122,7 +122,8 @@
   }
   if (gate->health.suspect) gate->health.last_trial_at = now;
   gate->uncounted_starts.push_back({start.sequence, step.room, now});
-  gate->runs[start.run] = {.room = step.room,
+  gate->runs[start.run] = {.job_serial = job->serial,
+                           .room = step.room,
                            .ordered_at = now,
                            .expected_run_time = start.expected_run,
                            .asked_at = now,
@@ -153,6 +154,18 @@
   return least;
 }
 
+/// True if a run of the task that an earlier attempt at the job has ordered may
+/// still be at work.
+bool HasEarlierRun(const JobBoard& board, const Job& job, const Task& task) {
+  if (job.earlier_runs == 0) return false;
+  return std::any_of(
+      board.gates.begin(), board.gates.end(), [&task](const auto& each) {
+        const std::map<RunRef, PlacedRun>& runs = each.second.runs;
+        const auto at = runs.lower_bound(RunRef{task.ref, 0});
+        return at != runs.end() && at->first.task == task.ref;
+      });
+}
+
 }  // namespace
 
 void EnqueueTask(JobBoard* board, core::Time now, Job* job, Task* task) {
@@ -197,7 +210,9 @@
                                  [job](std::uint32_t earlier) {
                                    return job->step_tasks_left[earlier] == 0;
                                  });
-    if (due) EnqueueTask(board, now, job, &task);
+    if (due && !HasEarlierRun(*board, *job, task)) {
+      EnqueueTask(board, now, job, &task);
+    }
   }
 }
 
--- a/coordinator/tests/entry_job_test.cc
+++ b/coordinator/tests/entry_job_test.cc
@@ -202,9 +202,13 @@
     Report(GateId(1), 16000);
     const CallId call = Submit("j1", 1);
     ReportEnd(TakeStarts().at(0), RunEnd::kStopped);
-    TakeStarts();
+    const auto open = TakeStarts();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, open.size());
     OnCallClosed(&board_, now_, call);
     Submit("j1", 1);
+    // The cancelled job's second run may still be at work.
+    CPPUNIT_ASSERT(TakeStarts().empty());
+    ReportEnd(open.at(0), RunEnd::kStopped);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, TakeStarts().size());
   }
 
