Coordinator: a gate tells the runs of two entries with one number apart

A client may send its job again to another entry, whose runs have the same task and number. A gate found a run by these alone when an entry asked about it: the asking entry took the run over, its entry never learned of the end, or had it stopped under it, or was told the end of the other's run as that of its own.

Change: a gate answers an entry that asks about another entry's run that its own start was refused, and leaves the run. If the gate did not order the run itself (it was restarted), the run may be that of either entry: both are told its end, and either may have it stopped.

Not seen with real processes.

--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -80,6 +80,30 @@
       home, {run, RunEnd::kRefused, reason, core::Duration{0}}});
 }
 
+bool IsOfAnotherEntry(const core::NodeId& home, const core::NodeId& from) {
+  return !home.address.value().empty() && home != from;
+}
+
+/// True if the run was not ordered through this process, so that it may belong
+/// to any entry that asks about its task and number.
+bool IsOwnerUncertain(const GateRun& run) {
+  return run.found || run.phase == RunPhase::kSealing;
+}
+
+/// Answers an entry that asks about a run with the task and number of another
+/// entry's run.
+void AnswerOtherEntry(GateBoard* board, const core::NodeId& from,
+                      const RunRef& ref, GateRun* run) {
+  if (!IsOwnerUncertain(*run)) {
+    // This process refuses a start that would be a second run of the task.
+    return RefuseStart(board, from, ref, RefusalReason::kDuplicate);
+  }
+  std::vector<core::NodeId>& others = run->other_homes;
+  if (std::find(others.begin(), others.end(), from) == others.end()) {
+    others.push_back(from);
+  }
+}
+
 /// Fills in the room that is free for the entry, and when it gets more if some
 /// entry waits for room.
 void FillRoom(const GateBoard& board, core::Time now, const HomeLink& home,
@@ -325,13 +349,23 @@
   }
   const auto past = board->ended_runs.find(ask.run);
   if (past != board->ended_runs.end()) {
-    board->actions.push_back(SendTo<RunEnded>{from, past->second.ended});
+    if (IsOfAnotherEntry(past->second.home, from)) {
+      RefuseStart(board, from, ask.run, RefusalReason::kSealed);
+    } else {
+      board->actions.push_back(SendTo<RunEnded>{from, past->second.ended});
+    }
     return FinishEvent(board, now);
   }
   const auto found = board->runs.find(ask.run);
   if (found != board->runs.end()) {
     GateRun& run = found->second;
-    run.home = from;
+    if (IsOfAnotherEntry(run.home, from)) {
+      AnswerOtherEntry(board, from, ask.run, &run);
+      // The run that the other entry ordered goes on.
+      if (!IsOwnerUncertain(run) || !ask.stop) return FinishEvent(board, now);
+    } else {
+      run.home = from;
+    }
     if (ask.stop) {
       StopRun(board, now, ask.run, &run);
     } else if (run.phase == RunPhase::kUnclaimed && !run.stop_requested) {
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -76,7 +77,7 @@
   }
   ended.target_crashed =
       run.target_crashed && (end == RunEnd::kLapsed || end == RunEnd::kStopped);
-  board->ended_runs[ref] = {ended, now};
+  board->ended_runs[ref] = {ended, now, run.found ? core::NodeId{} : run.home};
   ++board->counts.ends[end];
   if (end == RunEnd::kRefused) ++board->counts.refusals[reason];
   AddLogLine(board, "A run ended.", ToString(ref),
@@ -88,6 +89,9 @@
   if (!run.home.address.value().empty()) {
     board->actions.push_back(SendTo<RunEnded>{run.home, ended});
   }
+  for (const core::NodeId& other : run.other_homes) {
+    board->actions.push_back(SendTo<RunEnded>{other, ended});
+  }
   MarkRoomChanged(board, run.home);
 }
 
@@ -113,7 +117,10 @@
 void StopRunsOfEntry(GateBoard* board, core::Time now,
                      const core::NodeId& home) {
   for (auto& [ref, run] : board->runs) {
-    if (run.home == home) StopRun(board, now, ref, &run);
+    const bool is_other =
+        std::find(run.other_homes.begin(), run.other_homes.end(), home) !=
+        run.other_homes.end();
+    if (run.home == home || is_other) StopRun(board, now, ref, &run);
   }
 }
 
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -103,7 +103,9 @@
       EndRun(board, now, each.run, each.end, RefusalReason::kNone);
     } else {
       board->ended_runs[each.run] = {
-          {each.run, each.end, RefusalReason::kNone, core::Duration{0}}, now};
+          {each.run, each.end, RefusalReason::kNone, core::Duration{0}},
+          now,
+          {}};
     }
   }
 }
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -66,6 +66,10 @@
   Room room;
   /// The entry that coordinates its job; empty for an unclaimed run.
   core::NodeId home;
+  /// Other entries that have asked about a run of the same task and number,
+  /// which this process did not order, so it may be theirs. Attempts at a job
+  /// through several entries number their runs alike.
+  std::vector<core::NodeId> other_homes;
   /// When the start was sent, or when the gate learned of the run.
   core::Time ordered_at;
   /// When the start was answered.
@@ -222,6 +226,9 @@
 struct EndedRun {
   RunEnded ended;
   core::Time ended_at;
+  /// The entry that ordered the run; empty if it was not ordered through this
+  /// process, so that the entry is uncertain.
+  core::NodeId home;
 };
 
 /// Order the target to start a run. The answer is passed to OnStartAnswer.
