Coordinator: an announcement displaces a target only once its sender answers

Cause: a gate took any announcement with another id or a later start time for proof that the known target had ended, and ended its runs as lapsed. Nothing tells who sent it. The start time of the other writer then made the real target's announcements count as outdated.

Change: an announcement of another id or start time makes its sender a candidate. The gate polls it under the announced id; it has to answer with the announced start time. It takes the place of the known target once that has ended: it answers at the same address or under the same id, the known one refuses connections, or its lease has expired, or it idles and drains. If the known target answers, it stays. No start is accepted while a later incarnation at the same address is unproved. A sound new runner costs no further poll: its answer is the first list of its runs. Announcements of the known incarnation that change its service or address are ignored. A runner that comes back with an earlier start time (a clock that was set back) is found by its answer, too.

EndsRunsWhenAnotherTarget- Appears asserted the fault and now asserts both: no end before the new target's answer, the end after it. StoresEachIncarnationOfTargetOnce likewise.

--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -74,11 +74,19 @@
 /// Requests that the target is stored if its learned speed has changed enough.
 void StoreSpeedIfChanged(GateBoard* board, core::Time now);
 
-/// Applies an announcement that the target made to this process or to an
-/// earlier one. False if it is older than the known one.
+/// Applies an announcement of the known incarnation, or the first of all, that
+/// was made to this process or to an earlier one. False if it is older than the
+/// known one or contradicts it.
 bool ApplyAnnouncement(GateBoard* board, core::Time now,
                        const Announcement& announcement);
 
+/// Replaces the known target, which has ended, with the candidate.
+void AdoptCandidate(GateBoard* board, core::Time now);
+
+/// Applies the answer of the known incarnation to a poll sent at `poll_sent`.
+void ApplyPollReply(GateBoard* board, core::Time now, const PollReply& poll,
+                    core::Time poll_sent);
+
 /// Records the listed progress of a run, and tells its entry if the run is over
 /// its expected time. `clock` is the target's.
 void UpdateProgress(GateBoard* board, core::Time now, TargetClock clock,
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -4,6 +4,7 @@
 
 #include "gate_internal.h"
 #include "leaving_target.h"
+#include "target_candidate.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -36,12 +37,6 @@
 /// after this time, the stop is sent again.
 constexpr core::Duration kStopRepeat = std::chrono::milliseconds(250);
 
-bool IsNewer(const Announcement& announcement, const Target& known) {
-  if (announcement.born != known.announcement.born)
-    return announcement.born > known.announcement.born;
-  return announcement.sequence > known.announcement.sequence;
-}
-
 /// Ends all runs, for instance those of another target.
 void EndAllRuns(GateBoard* board, core::Time now, RunEnd end) {
   std::vector<RunRef> refs;
@@ -59,6 +54,7 @@
   Target& target = *board->target;
   if (!board->runs.empty()) RecordCrash(board, "new_incarnation");
   target.crashed = false;
+  target.has_answered = false;
   target.announcement.born = born;
   target.runs_known = false;
   target.last_end = 0;
@@ -254,6 +250,32 @@
        {"runs", std::to_string(board->runs.size())}});
 }
 
+/// True if the announcement may follow the last one of the known incarnation,
+/// whose service and address do not change.
+bool ContinuesKnown(const Target& known, const Announcement& announcement) {
+  return announcement.sequence > known.announcement.sequence &&
+         announcement.service == known.announcement.service &&
+         announcement.address == known.announcement.address;
+}
+
+/// Sets the last announcement of the known incarnation, received at `received`.
+void SetAnnouncement(GateBoard* board, core::Time received,
+                     const Announcement& announcement) {
+  Target& target = *board->target;
+  if (target.announcement.draining != announcement.draining) {
+    AddLogLine(board, "The target started or stopped draining.",
+               announcement.target.value(),
+               {{"leaving", announcement.draining ? "true" : "false"}});
+  }
+  target.announcement = announcement;
+  target.announced_at = received;
+  if (target.clock.value() == 0 || !target.runs_known) {
+    target.clock = announcement.clock;
+    target.clock_read_at = received;
+  }
+  MarkAllReportsDue(board);
+}
+
 }  // namespace
 
 bool IsUsable(const GateBoard& board, core::Time now) {
@@ -263,7 +285,7 @@
 bool IsInService(const GateBoard& board, core::Time now) {
   if (!board.target.has_value() || board.stopping) return false;
   const Target& target = *board.target;
-  if (!target.runs_known) return false;
+  if (!target.runs_known || IsTargetInDoubt(board)) return false;
   if (now - target.announced_at > board.policy.announcement_timeout)
     return false;
   if (target.silent_since.has_value() &&
@@ -276,6 +298,11 @@
 
 void OnAnnouncement(GateBoard* board, core::Time now,
                     const Announcement& announcement) {
+  if (board->target.has_value() &&
+      !IsSameIncarnation(board->target->announcement, announcement)) {
+    ConsiderCandidate(board, now, announcement);
+    return FinishEvent(board, now);
+  }
   const Departure departure = UpdateDeparture(board->target, now, announcement);
   if (!ApplyAnnouncement(board, now, announcement)) return;
   RecordDeparture(board, now, departure);
@@ -285,13 +312,6 @@
 
 bool ApplyAnnouncement(GateBoard* board, core::Time now,
                        const Announcement& announcement) {
-  if (board->target.has_value() && !IsNewer(announcement, *board->target)) {
-    AddLogLine(board, "Ignored an outdated announcement of the target.",
-               announcement.target.value(),
-               {{"sequence", std::to_string(announcement.sequence)},
-                {"born", std::to_string(announcement.born.value())}});
-    return false;
-  }
   if (!board->target.has_value()) {
     board->target.emplace();
     board->target->announcement = announcement;
@@ -301,39 +321,56 @@
                {{"address", announcement.address.value()},
                 {"service", announcement.service.value()},
                 {"born", std::to_string(announcement.born.value())}});
-  } else if (board->target->announcement.target != announcement.target) {
+  } else if (!ContinuesKnown(*board->target, announcement)) {
+    AddLogLine(board, "Ignored an outdated announcement of the target.",
+               announcement.target.value(),
+               {{"sequence", std::to_string(announcement.sequence)},
+                {"known_sequence",
+                 std::to_string(board->target->announcement.sequence)},
+                {"service", announcement.service.value()},
+                {"address", announcement.address.value()}});
+    return false;
+  }
+  SetAnnouncement(board, now, announcement);
+  return true;
+}
+
+void AdoptCandidate(GateBoard* board, core::Time now) {
+  const TargetCandidate candidate = *board->candidate;
+  const Announcement& announcement = candidate.announcement;
+  board->candidate.reset();
+  const Departure departure =
+      UpdateDeparture(std::nullopt, candidate.announced_at, announcement);
+  const bool is_other =
+      board->target->announcement.target != announcement.target;
+  if (is_other) {
     // Orders name their target, so none can have started a run at another one.
     if (!board->runs.empty()) RecordCrash(board, "another_target");
     EndAllRuns(board, now, RunEnd::kLapsed);
     board->target->speed = TargetSpeed{};
-    BeginIncarnation(board, now, announcement.born, announcement.clock);
-    AddLogLine(board, "Another target announced itself.",
-               announcement.target.value(),
-               {{"born", std::to_string(announcement.born.value())}});
-  } else if (board->target->announcement.born != announcement.born) {
-    BeginIncarnation(board, now, announcement.born, announcement.clock);
-    AddLogLine(board, "A new incarnation of the target announced itself.",
-               announcement.target.value(),
-               {{"born", std::to_string(announcement.born.value())},
-                {"runs", std::to_string(board->runs.size())}});
   }
-  Target& target = *board->target;
-  if (target.announcement.draining != announcement.draining) {
-    AddLogLine(board, "The target started or stopped draining.",
-               announcement.target.value(),
-               {{"leaving", announcement.draining ? "true" : "false"}});
-  }
-  target.announcement = announcement;
-  target.announced_at = now;
-  if (target.clock.value() == 0 || !target.runs_known) {
-    target.clock = announcement.clock;
-    target.clock_read_at = now;
-  }
-  MarkAllReportsDue(board);
-  return true;
+  BeginIncarnation(board, now, announcement.born, announcement.clock);
+  AddLogLine(
+      board,
+      is_other ? "Another target announced itself."
+               : "A new incarnation of the target announced itself.",
+      announcement.target.value(),
+      {{"born", std::to_string(announcement.born.value())},
+       {"runs", std::to_string(board->runs.size())},
+       {"proved_after",
+        std::to_string(core::Millis(now - candidate.announced_at)) + "ms"}});
+  SetAnnouncement(board, candidate.announced_at, announcement);
+  RecordDeparture(board, candidate.announced_at, departure);
+  StoreTargetIfChanged(board, announcement);
 }
 
 void OnTargetLeft(GateBoard* board, core::Time now, const TargetId& target) {
+  if (board->candidate.has_value() &&
+      board->candidate->announcement.target == target &&
+      board->target->announcement.target != target) {
+    board->candidate.reset();
+    return FinishEvent(board, now);
+  }
   if (!board->target.has_value() ||
       board->target->announcement.target != target) {
     return;
@@ -362,7 +399,10 @@
   if (!board->target.has_value()) return;
   Target& target = *board->target;
   const bool ends_unconfirmed = target.last_end > target.confirmed_end;
-  if (board->runs.empty() && target.runs_known && !ends_unconfirmed) return;
+  if (board->runs.empty() && target.runs_known && !ends_unconfirmed &&
+      !AwaitsKnownTarget(*board)) {
+    return;
+  }
   // A target that neither answers nor announces itself has ended.
   const bool is_gone =
       target.silent_since.has_value() &&
@@ -393,6 +433,10 @@
 
 void OnPollAnswer(GateBoard* board, core::Time now, std::uint64_t number,
                   const std::optional<PollReply>& poll, PollFailure failure) {
+  if (IsPollOfCandidate(*board, number)) {
+    OnCandidateAnswer(board, now, poll);
+    return FinishEvent(board, now);
+  }
   const auto open = board->polls.find(number);
   if (!board->target.has_value() || open == board->polls.end()) return;
   const OpenPoll asked = open->second;
@@ -411,18 +455,30 @@
     return FinishEvent(board, now);
   }
   const bool is_new_life = poll->born != target.announcement.born;
-  if (is_new_life) {
-    if (poll->born < target.announcement.born) return FinishEvent(board, now);
+  if (is_new_life &&
+      IsCandidate(*board, target.announcement.target, poll->born)) {
+    AdoptCandidate(board, now);
+  } else if (is_new_life) {
+    // The polls of earlier incarnations are not open any more, so this one is
+    // new even if the clock by which it was started is behind.
     BeginIncarnation(board, now, poll->born, poll->clock);
     AddLogLine(board, "A poll found a new incarnation of the target.",
                target.announcement.target.value(),
                {{"born", std::to_string(poll->born.value())}});
   } else {
     RevokeCrash(board);
+    target.confirmed_end = std::max(target.confirmed_end, asked.last_end);
   }
+  ApplyPollReply(board, now, *poll, asked.sent_at);
+  FinishEvent(board, now);
+}
+
+void ApplyPollReply(GateBoard* board, core::Time now, const PollReply& poll,
+                    core::Time poll_sent) {
+  Target& target = *board->target;
   RecordTargetAnswer(board, now);
-  if (poll->clock > target.clock) {
-    target.clock = poll->clock;
+  if (poll.clock > target.clock) {
+    target.clock = poll.clock;
     target.clock_read_at = now;
   }
   if (!target.runs_known) {
@@ -430,12 +486,9 @@
     target.runs_known_since = now;
   }
   target.runs_known = true;
-  if (!is_new_life) {
-    target.confirmed_end = std::max(target.confirmed_end, asked.last_end);
-  }
-  ApplyListedEnds(board, now, *poll);
-  ApplyListedRuns(board, now, *poll, asked.sent_at);
-  FinishEvent(board, now);
+  target.has_answered = true;
+  ApplyListedEnds(board, now, poll);
+  ApplyListedRuns(board, now, poll, poll_sent);
 }
 
 void OnTick(GateBoard* board, core::Time now) {
@@ -465,6 +518,7 @@
 }
 
 void FinishEvent(GateBoard* board, core::Time now) {
+  UpdateCandidate(board, now);
   const bool usable = IsUsable(*board, now);
   if (usable != board->was_usable) {
     board->was_usable = usable;
@@ -478,6 +532,7 @@
           std::to_string(board->operator_state.revision)}});
     MarkAllReportsDue(board);
   }
+  PollCandidateIfDue(board, now);
   PollIfDue(board, now);
   OfferFreeRoom(board, now);
   SendOperatorUpdates(board, now);
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -118,6 +118,8 @@
   std::optional<core::Time> silent_since;
   /// Its process is gone, although it was not draining.
   bool crashed = false;
+  /// This incarnation has answered a poll of this process.
+  bool has_answered = false;
   /// Its runs are known: this incarnation has answered a poll.
   bool runs_known = false;
   /// When its runs became known.
@@ -139,6 +141,22 @@
   Departure departure;
 };
 
+/// Another target, or another incarnation, that has announced itself while one
+/// is known. It takes the known one's place once it has answered a poll and the
+/// known one has ended.
+struct TargetCandidate {
+  Announcement announcement;
+  core::Time first_announced_at;
+  core::Time announced_at;
+  /// When the last poll was sent, and its number while it is not answered;
+  /// zero for none.
+  core::Time polled_at;
+  std::uint64_t open_poll = 0;
+  std::optional<core::Time> poll_failed_at;
+  /// When it answered a poll under the announced id and start time.
+  std::optional<core::Time> answered_at;
+};
+
 /// An entry's request for room.
 struct RoomWant {
   Room room;
@@ -319,6 +337,8 @@
   std::uint64_t reserved_refusals = 0;
   /// Learned speeds that were stored.
   std::uint64_t stored_speeds = 0;
+  /// Announcements of other targets or incarnations that were not taken over.
+  std::uint64_t ignored_candidates = 0;
 };
 
 /// All state of a gate.
@@ -330,6 +350,7 @@
   /// Digest of `operator_state.drained`.
   std::uint64_t domains_digest = DomainsDigest({});
   std::optional<Target> target;
+  std::optional<TargetCandidate> candidate;
   std::map<RunRef, GateRun> runs;
   std::map<RunRef, EndedRun> ended_runs;
   /// By the entry's address: a new incarnation replaces the old one.
--- a/coordinator/leaving_target.cc
+++ b/coordinator/leaving_target.cc
@@ -5,6 +5,7 @@
 #include "finish_time.h"
 #include "gate_internal.h"
 #include "placing.h"
+#include "target_candidate.h"
 #include "tarragon/coordinator/run_times.h"
 
 namespace tarragon::coordinator {
@@ -34,10 +35,6 @@
   return std::chrono::milliseconds(std::max<std::int64_t>(age, 0));
 }
 
-bool IsSameIncarnation(const Announcement& a, const Announcement& b) {
-  return a.target == b.target && a.born == b.born;
-}
-
 core::Duration TimeLeft(core::Time now, const GateLink& gate) {
   return gate.report->leaves_in - (now - gate.last_heard_at);
 }
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -180,6 +180,8 @@
     other.target = TargetId("t-2");
     other.born = TargetIncarnation(9);
     OnAnnouncement(&board_, now_, other);
+    CPPUNIT_ASSERT(!TakeEndOf(MakeRun(0)).has_value());
+    AnswerPoll({}, {}, 9);
     AssertEnded(MakeRun(0), RunEnd::kLapsed);
   }
 
@@ -407,6 +409,8 @@
     Announce(1, 2);
     CPPUNIT_ASSERT(TakeActions<StoreTarget>().empty());
     Announce(2, 1);
+    CPPUNIT_ASSERT(TakeActions<StoreTarget>().empty());
+    AnswerPoll({}, {}, 2);
     const std::vector<StoreTarget> kept = TakeActions<StoreTarget>();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, kept.size());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, kept[0].target.born.value());
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -296,6 +296,8 @@
     SetCounterTotal(&registry_, "lost_polls_total", {}, counts.lost_polls);
     SetCounterTotal(&registry_, "target_crashes_total", {},
                     counts.target_crashes);
+    SetCounterTotal(&registry_, "announcements_ignored_total", {},
+                    counts.ignored_candidates);
     SetCounterTotal(&registry_, "entries_silenced_total", {},
                     counts.timed_out_entries);
     SetCounterTotal(&registry_, "offers_total", {}, counts.offers);
