Coordinator: a gate drops what an earlier incarnation of its target announced

Cause: state about one incarnation was compared with messages of another. A poll that finds the new incarnation before its first heartbeat changed the start time alone; the sequence, the capacity, the labels and the draining of the earlier incarnation stayed. So the new one's heartbeats counted as outdated until it had sent more of them than the earlier one, and 5 s later it was unused.

Change: with a new incarnation the sequence starts anew, whatever told of it, and the target accepts no starts until it has announced itself, as it may be of another kind. A report of such a target tells that, so a restarted gate does not take it for an announced one.

--- a/coordinator/gate_stored_target.cc
+++ b/coordinator/gate_stored_target.cc
@@ -62,6 +62,8 @@
 void ApplyEarlierReport(GateBoard* board, const TargetReport& last) {
   Announcement& known = board->target->announcement;
   if (last.target != known.target || last.born != known.born) return;
+  // The incarnation has been found by a poll, and soon announces all of itself.
+  if (known.sequence == kNotAnnounced) return;
   if (last.draining && !known.draining && last.sequence >= known.sequence) {
     known.draining = true;
     AddLogLine(board, "The target was draining before the gate was restarted.",
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -55,7 +55,11 @@
   if (!board->runs.empty()) RecordCrash(board, "new_incarnation");
   target.crashed = false;
   target.has_answered = false;
+  // What the earlier incarnation announced says nothing about this one, which
+  // counts its announcements anew.
   target.announcement.born = born;
+  target.announcement.sequence = kNotAnnounced;
+  target.announcement.draining = false;
   target.runs_known = false;
   target.last_end = 0;
   target.confirmed_end = 0;
@@ -253,8 +257,9 @@
 /// True if the announcement may follow the last one of the known incarnation,
 /// whose service and address do not change.
 bool ContinuesKnown(const Target& known, const Announcement& announcement) {
-  return announcement.sequence > known.announcement.sequence &&
-         announcement.service == known.announcement.service &&
+  if (announcement.sequence <= known.announcement.sequence) return false;
+  if (known.announcement.sequence == kNotAnnounced) return true;
+  return announcement.service == known.announcement.service &&
          announcement.address == known.announcement.address;
 }
 
@@ -285,7 +290,9 @@
 bool IsInService(const GateBoard& board, core::Time now) {
   if (!board.target.has_value() || board.stopping) return false;
   const Target& target = *board.target;
-  if (!target.runs_known || IsTargetInDoubt(board)) return false;
+  if (!target.runs_known) return false;
+  if (target.announcement.sequence == kNotAnnounced) return false;
+  if (IsTargetInDoubt(board)) return false;
   if (now - target.announced_at > board.policy.announcement_timeout)
     return false;
   if (target.silent_since.has_value() &&
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -26,11 +26,14 @@
 /// A time on the target's own clock, in milliseconds.
 using TargetClock = core::Strong<struct TargetClockTag, std::int64_t>;
 
+/// `Announcement::sequence` while only a poll has told of an incarnation.
+inline constexpr std::int64_t kNotAnnounced = -1;
+
 /// A target's announcement of itself.
 struct Announcement {
   TargetId target;
   TargetIncarnation born;
-  /// Increases with each announcement of one incarnation.
+  /// Increases with each announcement of one incarnation; at least zero.
   std::int64_t sequence = 0;
   /// "IP:port" to which starts, stops and polls are sent.
   core::Address address;
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -191,6 +191,10 @@
     reply.born = TargetIncarnation(2);
     reply.clock = TargetClock(50);
     OnPollAnswer(&board_, now_, board_.last_poll, reply);
+    Announcement first = board_.target->announcement;
+    first.sequence = 1;
+    first.clock = TargetClock(50);
+    OnAnnouncement(&board_, now_, first);
     TakeActions<OrderStart>();
     Start(MakeRun(1));
     CPPUNIT_ASSERT_EQUAL(
