Coordinator: an answer to an order counts for the incarnation it was sent to

A start or stop names the target by id alone, and its answer may come from an earlier incarnation, after the gate has learned of the next one. The gate took over the clock of that answer, counted it as a sign of life, and took a stop that the earlier incarnation had answered for a proof that a late start cannot run at the new one, as it did with a deadline on the earlier one's clock.

Change: a run records the incarnation to which its start and its last stop were sent. Answers and deadlines of another incarnation prove nothing, and the stop is sent again to the new one.

Not seen with real processes.

--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -129,6 +129,7 @@
   run.suspect = start.suspect;
   run.home = home;
   run.ordered_at = now;
+  run.ordered_born = target.announcement.born;
   run.expected_run_time = start.expected_run;
   run.start_deadline = LimitStartDeadline(
       *board, now, start,
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -100,6 +100,7 @@
   if (run->stop_pending || !board->target.has_value()) return;
   run->stop_pending = true;
   run->stop_sent_at = now;
+  run->stop_sent_born = board->target->announcement.born;
   run->stop_answered_at.reset();
   board->actions.push_back(OrderStop{board->target->announcement.address,
                                      board->target->announcement.target, ref});
@@ -124,17 +125,24 @@
   }
 }
 
+/// Records the target's clock from an answer of its current incarnation.
+void RecordClock(GateBoard* board, core::Time now,
+                 std::optional<TargetClock> clock) {
+  Target& target = *board->target;
+  if (!clock.has_value() || *clock <= EstimateTargetClock(target, now)) return;
+  target.clock = *clock;
+  target.clock_read_at = now;
+}
+
 void OnStartAnswer(GateBoard* board, core::Time now, const RunRef& ref,
                    OrderAnswer answer, std::optional<TargetClock> clock) {
-  if (board->target.has_value() && clock.has_value() &&
-      *clock > EstimateTargetClock(*board->target, now)) {
-    board->target->clock = *clock;
-    board->target->clock_read_at = now;
-  }
-  if (answer == OrderAnswer::kAccepted) RecordTargetAnswer(board, now);
   const auto found = board->runs.find(ref);
   if (found == board->runs.end()) return;
   GateRun& run = found->second;
+  if (run.ordered_born == board->target->announcement.born) {
+    RecordClock(board, now, clock);
+    if (answer == OrderAnswer::kAccepted) RecordTargetAnswer(board, now);
+  }
   if (run.phase != RunPhase::kStarting) return FinishEvent(board, now);
   switch (answer) {
     case OrderAnswer::kAccepted:
@@ -167,7 +175,9 @@
   if (found == board->runs.end()) return;
   GateRun& run = found->second;
   run.stop_pending = false;
-  if (answer == OrderAnswer::kAccepted) {
+  const bool is_current =
+      run.stop_sent_born == board->target->announcement.born;
+  if (answer == OrderAnswer::kAccepted && is_current) {
     run.stop_answered_at = now;
     RecordTargetAnswer(board, now);
   }
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -70,6 +70,9 @@
   target.history = TargetHistory{};
   target.departure = Departure{};
   target.silent_since.reset();
+  // A stop that an earlier incarnation has answered does not keep this one from
+  // carrying out a start that arrives later.
+  for (auto& [ref, run] : board->runs) run.stop_answered_at.reset();
   board->polls.clear();
 }
 
@@ -87,7 +90,9 @@
     case RunPhase::kUnclaimed:
       return true;
     case RunPhase::kUnclear:
-      return stopped || poll.clock > run.start_deadline;
+      // The deadline is on the clock of the incarnation that was ordered.
+      return stopped ||
+             (run.ordered_born == poll.born && poll.clock > run.start_deadline);
     case RunPhase::kSealing:
       return stopped;
   }
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -75,6 +75,10 @@
   std::vector<core::NodeId> other_homes;
   /// When the start was sent, or when the gate learned of the run.
   core::Time ordered_at;
+  /// The target's incarnation when the start and the last stop were sent. An
+  /// answer may be that of an earlier one.
+  TargetIncarnation ordered_born;
+  TargetIncarnation stop_sent_born;
   /// When the start was answered.
   core::Time started_at;
   core::Duration expected_run_time{0};
