Dispatch: messages about a task, a slot or a member count only from its process

An executor took an end for confirmed by any process and for any attempt, stopped a task and released a reserved slot for a process that is not its home; an agent believed that another one leaves, and an entry that another entry is dead, whoever said so.

Change: FinishedAck, Seal, PullTask and PullEmpty are compared with the home of the record (FinishedAck with its attempt, too). An agent may say only of itself that it leaves; of another entry only a listed entry may.

Looked at, sound: HandleRefused, HandleStarted and HandleFinished (executor and attempt), HandleAnswer and HandleExplanation (destination, key, round), HandleHeartbeat (node), HandlePermit (sequence), HandleHandoverAck (heir).

Not seen with real processes, where all peers are the project's own.

--- a/dispatch/agent.cc
+++ b/dispatch/agent.cc
@@ -37,7 +37,7 @@
   void operator()(Finished& m) {
     HandleFinished(board_, now_, from_, std::move(m));
   }
-  void operator()(FinishedAck& m) { HandleFinishedAck(board_, now_, m); }
+  void operator()(FinishedAck& m) { HandleFinishedAck(board_, now_, from_, m); }
   void operator()(Seal& m) { HandleSeal(board_, now_, from_, m); }
   void operator()(Want& m) { HandleWant(board_, now_, from_, m); }
   void operator()(Pull& m) { HandlePull(board_, now_, from_, m); }
@@ -50,6 +50,7 @@
     PlaceWaitingTasks(board_, now_);
   }
   void operator()(Leaving& m) {
+    if (m.node != from_) return;
     const auto peer = board_->peers.find(m.node);
     if (peer != board_->peers.end()) peer->second.status.leaving = true;
   }
--- a/dispatch/entry.cc
+++ b/dispatch/entry.cc
@@ -28,6 +28,8 @@
     HandleExplanation(board_, from_, std::move(m));
   }
   void operator()(Leaving& m) {
+    // Only entries tell what an operator has said of another one.
+    if (m.node != from_ && !IsListed(board_->entries, from_)) return;
     MarkEntryDead(board_, m.node);
     HandleLeavingHome(board_, now_, from_, m);
   }
--- a/dispatch/executor.h
+++ b/dispatch/executor.h
@@ -30,7 +30,7 @@
 void HandleSeal(AgentBoard* board, core::Time now, const core::NodeId& home,
                 const Seal& seal);
 void HandleFinishedAck(AgentBoard* board, core::Time now,
-                       const FinishedAck& ack);
+                       const core::NodeId& home, const FinishedAck& ack);
 void HandleTaskEnd(AgentBoard* board, core::Time now, const TaskRef& ref,
                    TaskEnd end, std::string result);
 
@@ -47,9 +47,11 @@
 /// without a pull. Returns false if there is none.
 bool ReleaseReservedSlot(AgentBoard* board, const core::NodeId& home);
 
-/// Releases the slot of a pull for which the home has no task, and deletes the
-/// record of its waiting tasks. The number zero stands for no pull.
-void ReleasePull(AgentBoard* board, std::uint64_t number);
+/// Releases the slot of a pull for which `home` has no task, and deletes the
+/// record of its waiting tasks. The number zero stands for no pull; a pull that
+/// was sent to another home is kept.
+void ReleasePull(AgentBoard* board, const core::NodeId& home,
+                 std::uint64_t number);
 
 /// Fills free slots from the executor's own queue and by pulls to homes.
 void FillSlots(AgentBoard* board, core::Time now);
--- a/dispatch/executor_gate.cc
+++ b/dispatch/executor_gate.cc
@@ -228,7 +228,7 @@
     return;
   }
   Execution& execution = found->second;
-  if (execution.attempt != seal.ref.attempt) return;
+  if (execution.home != home || execution.attempt != seal.ref.attempt) return;
   if (execution.state == ExecutionState::kWaiting) {
     board->waiting_tasks.remove(key);
     RefuseTask(board, now, seal.ref, home, Reason::kSealed);
@@ -247,15 +247,16 @@
 }
 
 void HandleFinishedAck(AgentBoard* board, core::Time now,
-                       const FinishedAck& ack) {
+                       const core::NodeId& home, const FinishedAck& ack) {
   const TaskKey key{ack.ref.key, ack.ref.task};
-  ReleasePull(board, ack.pull);
+  ReleasePull(board, home, ack.pull);
   const auto found = board->executions.find(key);
   if (found == board->executions.end()) return;
-  if (found->second.state != ExecutionState::kFinished) return;
+  Execution& execution = found->second;
+  if (execution.state != ExecutionState::kFinished) return;
+  if (execution.home != home || execution.attempt != ack.ref.attempt) return;
   // The record stays as a tombstone, so that a late copy of the assignment does
   // not start the task again.
-  Execution& execution = found->second;
   execution.finished = Finished{};
   execution.state = ExecutionState::kConfirmed;
   SetDueTime(board, key, &execution, now + board->policy.tombstone_retention);
--- a/dispatch/executor_pull.cc
+++ b/dispatch/executor_pull.cc
@@ -123,9 +123,10 @@
   return true;
 }
 
-void ReleasePull(AgentBoard* board, std::uint64_t number) {
+void ReleasePull(AgentBoard* board, const core::NodeId& home,
+                 std::uint64_t number) {
   const auto pull = board->open_pulls.find(number);
-  if (pull == board->open_pulls.end()) return;
+  if (pull == board->open_pulls.end() || pull->second.home != home) return;
   board->remote_wants.erase({pull->second.home, pull->second.service});
   board->open_pulls.erase(pull);
 }
@@ -147,7 +148,10 @@
 
 void HandlePullTask(AgentBoard* board, core::Time now, const core::NodeId& home,
                     PullTask task) {
-  board->open_pulls.erase(task.number);
+  const auto pull = board->open_pulls.find(task.number);
+  if (pull != board->open_pulls.end() && pull->second.home == home) {
+    board->open_pulls.erase(pull);
+  }
   SetWant(board, now, {home, task.assign.service}, task.waiting,
           task.oldest_wait);
   HandleAssign(board, now, home, std::move(task.assign));
@@ -158,7 +162,7 @@
   (void)now;
   ++board->counters.empty_pulls;
   board->remote_wants.erase({home, empty.service});
-  ReleasePull(board, empty.number);
+  ReleasePull(board, home, empty.number);
 }
 
 void SendLoadHints(AgentBoard* board, core::Time now) {
