--- a/daemons/announcement.cc
+++ b/daemons/announcement.cc
@@ -1,11 +1,10 @@
 #include "announcement.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
-#include <charconv>
 
 #include "json_reader.h"
 #include "tarragon/dispatch/note.h"
+#include "tarragon/http/endpoint.h"
 
 namespace tarragon::daemons {
 namespace {
@@ -18,25 +17,6 @@
 constexpr std::size_t kMaxServices = 256;
 constexpr std::size_t kMaxAddressLength = 64;
 
-/// True for "IPv4:port" and "[IPv6]:port" with a nonzero port.
-bool IsIpAddressWithPort(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  std::string host = text.substr(0, colon);
-  const bool bracketed =
-      host.size() > 2 && host.front() == '[' && host.back() == ']';
-  if (bracketed) host = host.substr(1, host.size() - 2);
-  boost::system::error_code error;
-  const boost::asio::ip::address address =
-      boost::asio::ip::make_address(host, error);
-  if (error || address.is_v6() != bracketed) return false;
-  std::uint16_t port = 0;
-  const char* last = text.data() + text.size();
-  const std::from_chars_result read =
-      std::from_chars(text.data() + colon + 1, last, port);
-  return read.ec == std::errc() && read.ptr == last && port != 0;
-}
-
 void ReadServices(const json::array& services, ObjectReader* reader,
                   dispatch::Target* target) {
   if (services.empty() || services.size() > kMaxServices) {
@@ -75,10 +55,10 @@
   dispatch::Target target;
   const std::string address =
       reader.ReadText("address", kMaxAddressLength, false);
-  if (!IsIpAddressWithPort(address)) {
+  target.address = core::Address(address);
+  if (!http::IsEndpoint(target.address)) {
     reader.RecordError("address", "must be IP:port");
   }
-  target.address = core::Address(address);
   const json::array* services = reader.ReadArray("services");
   if (services != nullptr) ReadServices(*services, &reader, &target);
   target.slots = ReadCount("slots", 1, kMaxSlots, &reader);
--- a/http/net.cc
+++ b/http/net.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <cstdint>
 
+#include "tarragon/http/endpoint.h"
+
 namespace tarragon::http {
 namespace {
 
@@ -31,6 +33,11 @@
   return Tcp::endpoint(ip, *port);
 }
 
+bool IsEndpoint(const core::Address& address) {
+  const std::optional<Tcp::endpoint> endpoint = ParseEndpoint(address);
+  return endpoint.has_value() && endpoint->port() != 0;
+}
+
 core::Address ToAddress(const Tcp::endpoint& endpoint) {
   const std::string host = endpoint.address().to_string();
   const std::string port = std::to_string(endpoint.port());
