Daemons: go on reading a table behind odd rows

A page on which no row could be decoded ended the reading of the members and of the operators' table for good, as the next page began after the last decoded row; one row that is no object made its page invalid, so it was read again without end. A row of a member with an invalid address was passed on as a peer, which was dialled every 0.4 s for a minute.

Change: a page has the key of its last row, decoded or not, and an invalid row is skipped and logged. Members are reported only with an IP address and a port.

--- a/daemons/membership.cc
+++ b/daemons/membership.cc
@@ -5,6 +5,7 @@
 
 #include "store_retry_delay.h"
 #include "tarragon/core/log.h"
+#include "tarragon/http/endpoint.h"
 
 namespace tarragon::daemons {
 namespace {
@@ -54,9 +55,9 @@
                           platform::StoreError error) {
                      if (!page.has_value()) return RetryLater("read", error);
                      ReportMembers(*page);
-                     if (page->has_more && !page->rows.empty()) {
+                     if (page->has_more && !page->last_key.empty()) {
                        // The smallest key after the last one that was read.
-                       return ReadMembers(page->rows.back().key + '\0');
+                       return ReadMembers(page->last_key + '\0');
                      }
                      MemberLog().Info(
                          "Registered this process and read all members.",
@@ -65,18 +66,27 @@
 }
 
 void Membership::ReportMembers(const platform::StorePage& page) {
+  for (const std::string& error : page.row_errors) {
+    MemberLog().Warn("Skipped an invalid row of the members' table.",
+                     {{"fault", error}});
+  }
   for (const platform::StoreRow& row : page.rows) {
     const std::string_view key = row.key;
     if (key.starts_with(kEntryPrefix)) {
-      on_member_(MemberKind::kEntry,
-                 core::Address(std::string(key.substr(kEntryPrefix.size()))));
+      ReportMember(MemberKind::kEntry, key.substr(kEntryPrefix.size()));
     } else if (key.starts_with(kGatePrefix)) {
-      on_member_(MemberKind::kGate,
-                 core::Address(std::string(key.substr(kGatePrefix.size()))));
+      ReportMember(MemberKind::kGate, key.substr(kGatePrefix.size()));
     }
   }
 }
 
+void Membership::ReportMember(MemberKind kind, std::string_view text) {
+  const core::Address address{std::string(text)};
+  if (http::IsEndpoint(address)) return on_member_(kind, address);
+  MemberLog().Warn("Skipped a member whose address is invalid.",
+                   {{"address", address}});
+}
+
 void Membership::RetryLater(const char* call, platform::StoreError error) {
   MemberLog().Warn("A membership call to the store failed.",
                    {{"call", call}, {"error", platform::Name(error)}});
--- a/daemons/membership.h
+++ b/daemons/membership.h
@@ -35,6 +35,7 @@
   void RegisterSelf();
   void ReadMembers(const std::string& from);
   void ReportMembers(const platform::StorePage& page);
+  void ReportMember(MemberKind kind, std::string_view text);
   void RetryLater(const char* call, platform::StoreError error);
 
   platform::StoreClient* store_;
--- a/daemons/operator_watch.cc
+++ b/daemons/operator_watch.cc
@@ -40,9 +40,9 @@
                        full_read_revision_ = page->revision;
                      }
                      ApplyPage(*page);
-                     if (page->has_more && !page->rows.empty()) {
+                     if (page->has_more && !page->last_key.empty()) {
                        // The smallest key after the last one that was read.
-                       return ReadAllRows(page->rows.back().key + '\0');
+                       return ReadAllRows(page->last_key + '\0');
                      }
                      // Not before the last page: until then drained domains
                      // may be missing.
