Wire, Coordinator: amounts that overflow are refused or cut

A report, a stored target or a start with an amount of room near 2^63 was read, and the sums over runs and peers overflow. The work of a task that a client declares with huge numbers (2^32 millicores for 30 days) overflowed in the demand that all entries share.

Change: rooms beyond 2^40 are refused; a demand, which only orders tasks, is cut, so that it does not cost the peer; the work of one task counts up to a limit.

Tests: RefusesAmountsOutOfRange, CutsDemandOutOfRange and LimitsWorkOfOddTask failed on the code before; RefusesNestedBytes held.

--- a/coordinator/precedence.cc
+++ b/coordinator/precedence.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr std::int64_t kMicrosPerMilli = 1000;
+/// Limit of the work that one task counts for, in millicore-milliseconds. Sums
+/// over all tasks stay within 64 bits whatever the clients declare.
+constexpr std::int64_t kMaxTaskWork = std::int64_t{1} << 40;
 constexpr double kPermille = 1000;
 /// Weight of one report in the average over the reports of all gates. A gate
 /// that was just restarted has not heard all entries yet.
@@ -202,7 +205,10 @@
 }
 
 std::int64_t ComputeTaskWork(const Room& room, core::Duration run_time) {
-  return room.millicores * run_time.count() / kMicrosPerMilli;
+  const double work = static_cast<double>(room.millicores) *
+                      static_cast<double>(run_time.count()) / kMicrosPerMilli;
+  return static_cast<std::int64_t>(
+      std::min(work, static_cast<double>(kMaxTaskWork)));
 }
 
 void RecordOfferedJob(JobBoard* board, core::Time now, const Job& job) {
--- a/coordinator/precedence.h
+++ b/coordinator/precedence.h
@@ -24,7 +24,7 @@
 /// is not short.
 std::uint32_t RankOfQueue(const Precedence& precedence, const Queue& queue);
 
-/// Work of a task in millicore-milliseconds.
+/// Work of a task in millicore-milliseconds, with an upper limit.
 std::int64_t ComputeTaskWork(const Room& room, core::Duration run_time);
 
 /// Counts the tasks of a job that has arrived, also if it is refused then.
--- a/coordinator/tests/precedence_test.cc
+++ b/coordinator/tests/precedence_test.cc
@@ -3,6 +3,7 @@
 
 #include "entry_fixture.h"
 #include "gate_fixture.h"
+#include "precedence.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -19,6 +20,7 @@
   CPPUNIT_TEST(IgnoresDemandOfSilentEntries);
   CPPUNIT_TEST(KeepsShortageThroughBriefCalm);
   CPPUNIT_TEST(IgnoresDemandIfPrioritiesAreEqual);
+  CPPUNIT_TEST(LimitsWorkOfOddTask);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -27,6 +29,16 @@
     SetLowPriority(2);
   }
 
+  // Guards against sums of work that overflow after one odd submission.
+  void LimitsWorkOfOddTask() {
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{160000},
+                         ComputeTaskWork({1600, 64, 0}, milliseconds(100)));
+    const std::int64_t odd = ComputeTaskWork({std::int64_t{1} << 32, 0, 0},
+                                             std::chrono::hours(24 * 30));
+    CPPUNIT_ASSERT(odd > 0);
+    CPPUNIT_ASSERT(odd <= std::int64_t{1} << 40);
+  }
+
   /// Adds a queue "low" of the same service.
   void SetLowPriority(std::uint32_t priority) {
     OperatorState state = board_.operator_state;
--- a/wire/include/tarragon/wire/error.h
+++ b/wire/include/tarragon/wire/error.h
@@ -14,7 +14,7 @@
   kUnknownValue,  // A value of an enumeration is not known.
   kTooMany,       // A list is longer than allowed.
   kTooLarge,      // A frame is longer than allowed.
-  kOutOfRange,    // A duration is beyond kMaxEncodedDuration.
+  kOutOfRange,    // A duration or an amount is too large.
   kBadAddress,    // Not of the form "IP:port", or not usable.
   kCannotListen,  // The operating system refused the address.
   kProtocol,      // The peer does not follow the protocol.
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "proto_messages.h"
@@ -10,6 +11,11 @@
 namespace tarragon::wire {
 namespace {
 
+/// Largest amount of room, and largest number of millicore-milliseconds, that
+/// is read. Sums over all tasks and peers stay within 64 bits.
+constexpr std::int64_t kMaxAmount = std::int64_t{1} << 40;
+constexpr std::uint64_t kMaxWork = std::uint64_t{1} << 52;
+
 void ToProto(const coordinator::Room& room, Room* out) {
   const auto& [millicores, memory_mb, accelerators] = room;
   out->set_millicores(millicores);
@@ -17,8 +23,18 @@
   out->set_accelerators(accelerators);
 }
 
-coordinator::Room ReadRoom(const Room& in) {
-  return {in.millicores(), in.memory_mb(), in.accelerators()};
+bool IsAmount(std::int64_t amount) {
+  return amount >= -kMaxAmount && amount <= kMaxAmount;
+}
+
+bool ReadRoom(const Room& in, coordinator::Room* out, WireError* reason) {
+  *out = {in.millicores(), in.memory_mb(), in.accelerators()};
+  if (IsAmount(in.millicores()) && IsAmount(in.memory_mb()) &&
+      IsAmount(in.accelerators())) {
+    return true;
+  }
+  return Fail(WireErrorCode::kOutOfRange, "An amount of room is out of range.",
+              reason);
 }
 
 void ToProto(const coordinator::RunRef& run, RunRef* out) {
@@ -81,8 +97,11 @@
   out->set_arriving_millicores(arriving_millicores);
 }
 
+/// Cuts a demand that is too large: it only orders waiting tasks, so it is no
+/// reason to lose the peer.
 coordinator::PriorityDemand ReadDemand(const PriorityDemand& in) {
-  return {in.priority(), in.waiting_work(), in.arriving_millicores()};
+  return {in.priority(), std::min(in.waiting_work(), kMaxWork),
+          std::min(in.arriving_millicores(), kMaxWork)};
 }
 
 void WriteReport(const coordinator::TargetReport& message,
@@ -157,8 +176,6 @@
   for (std::string& label : *in->mutable_labels()) {
     out->labels.push_back(TakeId<coordinator::Label>(&label));
   }
-  out->capacity = ReadRoom(in->capacity());
-  out->free = ReadRoom(in->free());
   out->entries = in->entries();
   out->slowness_permille = in->slowness_permille();
   out->failed_permille = in->failed_permille();
@@ -174,9 +191,15 @@
   for (const RoomRelease& each : in->releases()) {
     coordinator::RoomRelease& release = out->releases.emplace_back();
     release.millicores = each.millicores();
+    if (!IsAmount(release.millicores)) {
+      return Fail(WireErrorCode::kOutOfRange,
+                  "An amount of room is out of range.", reason);
+    }
     if (!FromMicros(each.after_us(), &release.after, reason)) return false;
   }
-  return FromMicros(in->leaves_in_us(), &out->leaves_in, reason) &&
+  return ReadRoom(in->capacity(), &out->capacity, reason) &&
+         ReadRoom(in->free(), &out->free, reason) &&
+         FromMicros(in->leaves_in_us(), &out->leaves_in, reason) &&
          ReadClock(in->clock_us(), &out->clock, reason);
 }
 
@@ -292,10 +315,10 @@
 
 bool FromProto(RoomWanted* in, coordinator::RoomWanted* out,
                WireError* reason) {
-  out->room = ReadRoom(in->room());
   out->late = in->late();
   out->priority = in->priority();
-  return FromMicros(in->slack_us(), &out->slack, reason) &&
+  return ReadRoom(in->room(), &out->room, reason) &&
+         FromMicros(in->slack_us(), &out->slack, reason) &&
          FromMicros(in->expected_run_us(), &out->expected_run, reason);
 }
 
@@ -335,14 +358,14 @@
   }
   out->sequence = in->sequence();
   out->service = TakeId<core::ServiceId>(in->mutable_service());
-  out->room = ReadRoom(in->room());
   out->payload = std::move(*in->mutable_payload());
   out->required = TakeId<coordinator::Label>(in->mutable_required());
   out->operator_revision = in->operator_revision();
   out->domains_digest = in->domains_digest();
   out->suspect = in->suspect();
   out->priority = in->priority();
-  return ReadClock(in->start_by_us(), &out->start_by, reason) &&
+  return ReadRoom(in->room(), &out->room, reason) &&
+         ReadClock(in->start_by_us(), &out->start_by, reason) &&
          FromMicros(in->expected_run_us(), &out->expected_run, reason) &&
          FromMicros(in->longest_run_us(), &out->longest_run, reason);
 }
@@ -357,8 +380,8 @@
 
 bool FromProto(AskRun* in, coordinator::AskRun* out, WireError* reason) {
   out->stop = in->stop();
-  out->room = ReadRoom(in->room());
-  return ReadRun(in->has_run(), in->mutable_run(), &out->run, reason);
+  return ReadRoom(in->room(), &out->room, reason) &&
+         ReadRun(in->has_run(), in->mutable_run(), &out->run, reason);
 }
 
 void ToProto(const coordinator::RunProgress& message, Envelope* out) {
--- a/wire/tests/codec_test.cc
+++ b/wire/tests/codec_test.cc
@@ -30,6 +30,9 @@
   CPPUNIT_TEST(RefusesAbsentParts);
   CPPUNIT_TEST(RefusesNamesTwice);
   CPPUNIT_TEST(CutsAndRefusesLongDurations);
+  CPPUNIT_TEST(RefusesAmountsOutOfRange);
+  CPPUNIT_TEST(CutsDemandOutOfRange);
+  CPPUNIT_TEST(RefusesNestedBytes);
   CPPUNIT_TEST(CompletesRepeatedTarget);
   CPPUNIT_TEST(RefusesRepeatedTargetWithoutEarlierReport);
   CPPUNIT_TEST(SurvivesMutations);
@@ -170,6 +173,55 @@
     AssertRefused(envelope.SerializeAsString(), WireErrorCode::kOutOfRange);
   }
 
+  // Guards against sums that overflow after one odd report or stored row.
+  void RefusesAmountsOutOfRange() {
+    for (const std::int64_t odd : {INT64_MAX, INT64_MIN, INT64_MAX / 2}) {
+      Envelope envelope;
+      envelope.mutable_target_hint()
+          ->mutable_last()
+          ->mutable_capacity()
+          ->set_millicores(odd);
+      AssertRefused(envelope.SerializeAsString(), WireErrorCode::kOutOfRange);
+      envelope.Clear();
+      envelope.mutable_target_report()->mutable_free()->set_memory_mb(odd);
+      AssertRefused(envelope.SerializeAsString(), WireErrorCode::kOutOfRange);
+      envelope.Clear();
+      envelope.mutable_target_report()->add_releases()->set_millicores(odd);
+      AssertRefused(envelope.SerializeAsString(), WireErrorCode::kOutOfRange);
+      envelope.Clear();
+      envelope.mutable_start_run()->mutable_run()->set_job("j");
+      envelope.mutable_start_run()->mutable_room()->set_accelerators(odd);
+      AssertRefused(envelope.SerializeAsString(), WireErrorCode::kOutOfRange);
+      envelope.Clear();
+      envelope.mutable_ask_run()->mutable_run()->set_job("j");
+      envelope.mutable_ask_run()->mutable_room()->set_millicores(odd);
+      AssertRefused(envelope.SerializeAsString(), WireErrorCode::kOutOfRange);
+      envelope.Clear();
+      envelope.mutable_room_wanted()->mutable_room()->set_millicores(odd);
+      AssertRefused(envelope.SerializeAsString(), WireErrorCode::kOutOfRange);
+    }
+  }
+
+  // A demand only orders tasks, so an odd one does not cost the peer.
+  void CutsDemandOutOfRange() {
+    Envelope envelope;
+    envelope.mutable_entry_notice()->add_demand()->set_waiting_work(UINT64_MAX);
+    const std::optional<dispatch::Message> read =
+        Decode(envelope.SerializeAsString(), nullptr);
+    CPPUNIT_ASSERT(read);
+    const auto& notice = std::get<coordinator::EntryNotice>(*read);
+    CPPUNIT_ASSERT(notice.demand.at(0).waiting_work < UINT64_MAX / 1000);
+  }
+
+  // Unknown groups within groups, deeper than a parser's stack may bear.
+  void RefusesNestedBytes() {
+    constexpr char kStartGroup = '\x0b';
+    constexpr char kEndGroup = '\x0c';
+    const std::string nested =
+        std::string(100000, kStartGroup) + std::string(100000, kEndGroup);
+    AssertRefused(nested, WireErrorCode::kMalformed);
+  }
+
   /// Changes, cuts and lengthens real messages. What is still read must be a
   /// message that round-trips.
   static coordinator::TargetReport MakeReport() {
