Coordinator: polls and queries of a gate in files of their own

Change: gate_polls.cc has the polls of the target and what their answers tell, gate_queries.cc the queries of entries about runs. No logic is changed.

--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -71,39 +71,6 @@
   return RefusalReason::kNone;
 }
 
-void RefuseStart(GateBoard* board, const core::NodeId& home, const RunRef& run,
-                 RefusalReason reason) {
-  ++board->counts.refusals[reason];
-  AddLogLine(board, "Refused a start.", ToString(run),
-             {{"reason", Name(reason)}, {"entry", core::ToString(home)}});
-  board->actions.push_back(SendTo<RunEnded>{
-      home, {run, RunEnd::kRefused, reason, core::Duration{0}}});
-}
-
-bool IsOfAnotherEntry(const core::NodeId& home, const core::NodeId& from) {
-  return !home.address.value().empty() && home != from;
-}
-
-/// True if the run was not ordered through this process, so that it may belong
-/// to any entry that asks about its task and number.
-bool IsOwnerUncertain(const GateRun& run) {
-  return run.found || run.phase == RunPhase::kSealing;
-}
-
-/// Answers an entry that asks about a run with the task and number of another
-/// entry's run.
-void AnswerOtherEntry(GateBoard* board, const core::NodeId& from,
-                      const RunRef& ref, GateRun* run) {
-  if (!IsOwnerUncertain(*run)) {
-    // This process refuses a start that would be a second run of the task.
-    return RefuseStart(board, from, ref, RefusalReason::kDuplicate);
-  }
-  std::vector<core::NodeId>& others = run->other_homes;
-  if (std::find(others.begin(), others.end(), from) == others.end()) {
-    others.push_back(from);
-  }
-}
-
 /// Fills in the room that is free for the entry, and when it gets more if some
 /// entry waits for room.
 void FillRoom(const GateBoard& board, core::Time now, const HomeLink& home,
@@ -147,6 +114,15 @@
 
 }  // namespace
 
+void RefuseStart(GateBoard* board, const core::NodeId& home, const RunRef& run,
+                 RefusalReason reason) {
+  ++board->counts.refusals[reason];
+  AddLogLine(board, "Refused a start.", ToString(run),
+             {{"reason", Name(reason)}, {"entry", core::ToString(home)}});
+  board->actions.push_back(SendTo<RunEnded>{
+      home, {run, RunEnd::kRefused, reason, core::Duration{0}}});
+}
+
 HomeLink& RecordEntryContact(GateBoard* board, core::Time now,
                              const core::NodeId& from) {
   HomeLink& home = board->homes[from.address];
@@ -340,54 +316,6 @@
   FinishEvent(board, now);
 }
 
-void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
-               const AskRun& ask) {
-  RecordEntryContact(board, now, from);
-  // While the target's runs are unknown, the run may be running there, so there
-  // is no answer yet. The entry asks again.
-  if (!board->target.has_value() || !board->target->runs_known) {
-    return FinishEvent(board, now);
-  }
-  const auto past = board->ended_runs.find(ask.run);
-  if (past != board->ended_runs.end()) {
-    if (IsOfAnotherEntry(past->second.home, from)) {
-      RefuseStart(board, from, ask.run, RefusalReason::kSealed);
-    } else {
-      board->actions.push_back(SendTo<RunEnded>{from, past->second.ended});
-    }
-    return FinishEvent(board, now);
-  }
-  const auto found = board->runs.find(ask.run);
-  if (found != board->runs.end()) {
-    GateRun& run = found->second;
-    if (IsOfAnotherEntry(run.home, from)) {
-      AnswerOtherEntry(board, from, ask.run, &run);
-      // The run that the other entry ordered goes on.
-      if (!IsOwnerUncertain(run) || !ask.stop) return FinishEvent(board, now);
-    } else {
-      run.home = from;
-    }
-    if (ask.stop) {
-      StopRun(board, now, ask.run, &run);
-    } else if (run.phase == RunPhase::kUnclaimed && !run.stop_requested) {
-      run.phase = RunPhase::kRunning;
-      run.room = ask.room;
-      AddLogLine(board, "An entry claimed a run that this gate did not order.",
-                 ToString(ask.run), {{"entry", core::ToString(from)}});
-      MarkAllReportsDue(board);
-    }
-    return FinishEvent(board, now);
-  }
-  GateRun run;
-  run.phase = RunPhase::kSealing;
-  run.home = from;
-  run.ordered_at = now;
-  run.stop_requested = true;
-  GateRun& sealing = board->runs[ask.run] = run;
-  SendStop(board, now, ask.run, &sealing);
-  FinishEvent(board, now);
-}
-
 void OnMessage(GateBoard* board, core::Time now, const core::NodeId& from,
                TargetHint hint) {
   RecordEntryContact(board, now, from);
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -45,6 +45,10 @@
 void StopRunsOfEntry(GateBoard* board, core::Time now,
                      const core::NodeId& home);
 
+/// Tells the entry `home` that its start of `run` was refused.
+void RefuseStart(GateBoard* board, const core::NodeId& home, const RunRef& run,
+                 RefusalReason reason);
+
 /// Records that a message has come from an entry. Stops the runs of an earlier
 /// incarnation at its address.
 HomeLink& RecordEntryContact(GateBoard* board, core::Time now,
@@ -80,6 +84,12 @@
 bool ApplyAnnouncement(GateBoard* board, core::Time now,
                        const Announcement& announcement);
 
+/// Begins another incarnation of the target. Its runs are kept until the first
+/// poll, because an order that was sent shortly before may have reached the new
+/// incarnation.
+void BeginIncarnation(GateBoard* board, core::Time now, TargetIncarnation born,
+                      TargetClock clock);
+
 /// Replaces the known target, which has ended, with the candidate.
 void AdoptCandidate(GateBoard* board, core::Time now);
 
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "gate_internal.h"
 #include "leaving_target.h"
@@ -9,30 +9,12 @@
 namespace tarragon::coordinator {
 namespace {
 
-/// Maximum number of ends that the target lists in one answer. If the list is
-/// full, a missing run proves nothing.
-constexpr std::size_t kMaxListedEnds = 500;
 /// Entries may claim an unclaimed run within this time, which covers two
 /// notices.
 constexpr core::Duration kClaimTime = std::chrono::milliseconds(300);
 /// Entries always have this time to claim a run. Within it a restarted gate
 /// reads the list of entries from the store.
 constexpr core::Duration kMinClaimTime = std::chrono::milliseconds(60);
-/// A poll that is unanswered for this time after `Policy::hold_wait` is
-/// probably lost, so another is sent without waiting for it.
-constexpr core::Duration kPollOverdueAfter = std::chrono::milliseconds(40);
-/// Maximum number of pending polls.
-constexpr std::size_t kMaxPolls = 4;
-/// Number of pending polls while answers get lost, so that an end is seen
-/// promptly in spite of the losses.
-constexpr std::size_t kPollsWhenLossy = 2;
-/// Interval between such polls, so that one is still held open when the other
-/// returns.
-constexpr core::Duration kPollSpacing = std::chrono::milliseconds(20);
-/// Answers are considered lossy for this time after a failed poll.
-constexpr core::Duration kLossMemory = std::chrono::seconds(2);
-/// Pause after a failed poll. Several pauses fit into `target_silence`.
-constexpr core::Duration kPollPause = std::chrono::milliseconds(60);
 /// A run ends within 50 ms after its stop is answered. If it is still listed
 /// after this time, the stop is sent again.
 constexpr core::Duration kStopRepeat = std::chrono::milliseconds(250);
@@ -46,159 +28,6 @@
   }
 }
 
-/// Begins another incarnation of the target. Its runs are kept until the first
-/// poll, because an order that was sent shortly before may have reached the new
-/// incarnation.
-void BeginIncarnation(GateBoard* board, core::Time now, TargetIncarnation born,
-                      TargetClock clock) {
-  Target& target = *board->target;
-  if (!board->runs.empty()) RecordCrash(board, "new_incarnation");
-  target.crashed = false;
-  target.has_answered = false;
-  // What the earlier incarnation announced says nothing about this one, which
-  // counts its announcements anew.
-  target.announcement.born = born;
-  target.announcement.sequence = kNotAnnounced;
-  target.announcement.draining = false;
-  target.runs_known = false;
-  target.last_end = 0;
-  target.confirmed_end = 0;
-  target.clock = clock;
-  target.clock_read_at = now;
-  target.lease_until =
-      TargetClock(clock.value() + core::Millis(board->policy.max_lease));
-  target.history = TargetHistory{};
-  target.departure = Departure{};
-  target.silent_since.reset();
-  // A stop that an earlier incarnation has answered does not keep this one from
-  // carrying out a start that arrives later.
-  for (auto& [ref, run] : board->runs) run.stop_answered_at.reset();
-  board->polls.clear();
-}
-
-/// True if a run that the poll does not list has certainly ended, or can never
-/// start.
-bool IsProvedEnded(const GateRun& run, const PollReply& poll,
-                   core::Time poll_sent) {
-  const bool stopped =
-      run.stop_answered_at.has_value() && *run.stop_answered_at < poll_sent;
-  switch (run.phase) {
-    case RunPhase::kStarting:
-      return false;
-    case RunPhase::kRunning:
-      return run.started_at < poll_sent;
-    case RunPhase::kUnclaimed:
-      return true;
-    case RunPhase::kUnclear:
-      // The deadline is on the clock of the incarnation that was ordered.
-      return stopped ||
-             (run.ordered_born == poll.born && poll.clock > run.start_deadline);
-    case RunPhase::kSealing:
-      return stopped;
-  }
-  return false;
-}
-
-void ApplyListedEnds(GateBoard* board, core::Time now, const PollReply& poll) {
-  Target& target = *board->target;
-  for (const ListedEnd& each : poll.ended) {
-    if (each.number <= target.last_end) continue;
-    target.last_end = each.number;
-    if (board->runs.contains(each.run)) {
-      EndRun(board, now, each.run, each.end, RefusalReason::kNone);
-    } else {
-      board->ended_runs[each.run] = {
-          {each.run, each.end, RefusalReason::kNone, core::Duration{0}},
-          now,
-          {}};
-    }
-  }
-}
-
-void ApplyListedRuns(GateBoard* board, core::Time now, const PollReply& poll,
-                     core::Time poll_sent) {
-  std::set<RunRef> listed;
-  for (const ListedRun& each : poll.running) {
-    listed.insert(each.run);
-    const auto found = board->runs.find(each.run);
-    if (found == board->runs.end()) {
-      // The list may be older than an end that was processed already.
-      if (board->ended_runs.contains(each.run)) continue;
-      GateRun run;
-      run.phase = RunPhase::kUnclaimed;
-      run.ordered_at = now;
-      run.started_at = now;
-      run.found = true;
-      UpdateProgress(board, now, poll.clock, each, &run);
-      board->runs[each.run] = run;
-      AddLogLine(board, "Found a run that this gate did not order.",
-                 ToString(each.run), {});
-      continue;
-    }
-    // An order that was sent shortly before has reached a new incarnation.
-    found->second.target_crashed = false;
-    if (found->second.phase == RunPhase::kStarting) {
-      found->second.phase = RunPhase::kRunning;
-      found->second.started_at = now;
-    }
-    UpdateProgress(board, now, poll.clock, each, &found->second);
-  }
-  if (poll.ended.size() >= kMaxListedEnds) return;
-  std::vector<RunRef> ended;
-  for (const auto& [ref, run] : board->runs) {
-    if (!listed.contains(ref) && IsProvedEnded(run, poll, poll_sent)) {
-      ended.push_back(ref);
-    }
-  }
-  for (const RunRef& ref : ended) {
-    const bool ran = board->runs[ref].phase == RunPhase::kRunning;
-    EndRun(board, now, ref, ran ? RunEnd::kLapsed : RunEnd::kStopped,
-           RefusalReason::kNone);
-  }
-}
-
-/// True if the end of a run can be proved only by a poll that is sent after the
-/// answer to the run's stop.
-bool NeedsLaterPoll(const GateBoard& board) {
-  const core::Time newest = board.polls.rbegin()->second.sent_at;
-  for (const auto& [ref, run] : board.runs) {
-    const bool unproved =
-        run.phase == RunPhase::kUnclear || run.phase == RunPhase::kSealing;
-    if (unproved && run.stop_answered_at.has_value() &&
-        *run.stop_answered_at >= newest) {
-      return true;
-    }
-  }
-  return false;
-}
-
-/// True if another poll may be sent now.
-bool CanSendPoll(const GateBoard& board, core::Time now) {
-  const Target& target = *board.target;
-  if (board.polls.empty()) {
-    return !target.silent_since.has_value() ||
-           now - target.last_poll_failure_at >= kPollPause;
-  }
-  if (board.polls.size() >= kMaxPolls) return false;
-  const core::Duration under_way = now - board.polls.rbegin()->second.sent_at;
-  if (under_way >= board.policy.hold_wait + kPollOverdueAfter) return true;
-  const bool lossy = now - target.last_poll_failure_at < kLossMemory;
-  if (lossy && board.polls.size() < kPollsWhenLossy) {
-    return under_way >= kPollSpacing;
-  }
-  return now > board.polls.rbegin()->second.sent_at && NeedsLaterPoll(board);
-}
-
-bool HasUnprovedRuns(const GateBoard& board) {
-  for (const auto& [ref, run] : board.runs) {
-    if (run.phase == RunPhase::kUnclear || run.phase == RunPhase::kSealing ||
-        run.phase == RunPhase::kUnclaimed) {
-      return true;
-    }
-  }
-  return false;
-}
-
 /// True if every entry has acknowledged a report sent since the target's runs
 /// are known, so it has claimed its runs by now.
 bool HaveAllEntriesClaimedRuns(const GateBoard& board, core::Time now) {
@@ -288,6 +117,33 @@
 
 }  // namespace
 
+void BeginIncarnation(GateBoard* board, core::Time now, TargetIncarnation born,
+                      TargetClock clock) {
+  Target& target = *board->target;
+  if (!board->runs.empty()) RecordCrash(board, "new_incarnation");
+  target.crashed = false;
+  target.has_answered = false;
+  // What the earlier incarnation announced says nothing about this one, which
+  // counts its announcements anew.
+  target.announcement.born = born;
+  target.announcement.sequence = kNotAnnounced;
+  target.announcement.draining = false;
+  target.runs_known = false;
+  target.last_end = 0;
+  target.confirmed_end = 0;
+  target.clock = clock;
+  target.clock_read_at = now;
+  target.lease_until =
+      TargetClock(clock.value() + core::Millis(board->policy.max_lease));
+  target.history = TargetHistory{};
+  target.departure = Departure{};
+  target.silent_since.reset();
+  // A stop that an earlier incarnation has answered does not keep this one from
+  // carrying out a start that arrives later.
+  for (auto& [ref, run] : board->runs) run.stop_answered_at.reset();
+  board->polls.clear();
+}
+
 bool IsUsable(const GateBoard& board, core::Time now) {
   return IsInService(board, now) && !board.target->announcement.draining;
 }
@@ -396,113 +252,6 @@
   FinishEvent(board, now);
 }
 
-void RecordTargetAnswer(GateBoard* board, core::Time now) {
-  if (!board->target.has_value()) return;
-  Target& target = *board->target;
-  target.last_answer_at = now;
-  if (!target.silent_since.has_value()) return;
-  target.silent_since.reset();
-  AddLogLine(board, "The target answers again.",
-             target.announcement.target.value(), {});
-  MarkAllReportsDue(board);
-}
-
-void PollIfDue(GateBoard* board, core::Time now) {
-  if (!board->target.has_value()) return;
-  Target& target = *board->target;
-  const bool ends_unconfirmed = target.last_end > target.confirmed_end;
-  if (board->runs.empty() && target.runs_known && !ends_unconfirmed &&
-      !AwaitsKnownTarget(*board)) {
-    return;
-  }
-  // A target that neither answers nor announces itself has ended.
-  const bool is_gone =
-      target.silent_since.has_value() &&
-      now - target.announced_at > board->policy.announcement_timeout;
-  if (is_gone || !CanSendPoll(*board, now)) return;
-  OrderPoll poll;
-  poll.address = target.announcement.address;
-  poll.target = target.announcement.target;
-  poll.last_end = target.last_end;
-  // If the lease is not renewed, it expires, which proves that the runs of a
-  // dead target have ended.
-  const bool renew =
-      !target.silent_since.has_value() ||
-      now - *target.silent_since < board->policy.lease_renewal_silence;
-  if (target.runs_known && renew) {
-    poll.lease_until = TargetClock(EstimateTargetClock(target, now).value() +
-                                   core::Millis(board->policy.requested_lease));
-    target.lease_until = std::max(target.lease_until, *poll.lease_until);
-  }
-  if (target.runs_known && !HasUnprovedRuns(*board) && !board->runs.empty()) {
-    poll.wait = AwaitsProgress(*board, now) ? board->policy.progress_hold_wait
-                                            : board->policy.hold_wait;
-  }
-  poll.number = ++board->last_poll;
-  board->polls[poll.number] = {now, poll.last_end};
-  board->actions.push_back(poll);
-}
-
-void OnPollAnswer(GateBoard* board, core::Time now, std::uint64_t number,
-                  const std::optional<PollReply>& poll, PollFailure failure) {
-  if (IsPollOfCandidate(*board, number)) {
-    OnCandidateAnswer(board, now, poll);
-    return FinishEvent(board, now);
-  }
-  const auto open = board->polls.find(number);
-  if (!board->target.has_value() || open == board->polls.end()) return;
-  const OpenPoll asked = open->second;
-  board->polls.erase(open);
-  Target& target = *board->target;
-  if (!poll.has_value()) {
-    ++board->counts.lost_polls;
-    target.last_poll_failure_at = now;
-    if (!target.silent_since.has_value() &&
-        target.last_answer_at < asked.sent_at) {
-      target.silent_since = asked.sent_at;
-      AddLogLine(board, "A poll of the target was not answered.",
-                 target.announcement.target.value(), {});
-    }
-    if (failure == PollFailure::kRefused) RecordCrash(board, "refused");
-    return FinishEvent(board, now);
-  }
-  const bool is_new_life = poll->born != target.announcement.born;
-  if (is_new_life &&
-      IsCandidate(*board, target.announcement.target, poll->born)) {
-    AdoptCandidate(board, now);
-  } else if (is_new_life) {
-    // The polls of earlier incarnations are not open any more, so this one is
-    // new even if the clock by which it was started is behind.
-    BeginIncarnation(board, now, poll->born, poll->clock);
-    AddLogLine(board, "A poll found a new incarnation of the target.",
-               target.announcement.target.value(),
-               {{"born", std::to_string(poll->born.value())}});
-  } else {
-    RevokeCrash(board);
-    target.confirmed_end = std::max(target.confirmed_end, asked.last_end);
-  }
-  ApplyPollReply(board, now, *poll, asked.sent_at);
-  FinishEvent(board, now);
-}
-
-void ApplyPollReply(GateBoard* board, core::Time now, const PollReply& poll,
-                    core::Time poll_sent) {
-  Target& target = *board->target;
-  RecordTargetAnswer(board, now);
-  if (poll.clock > target.clock) {
-    target.clock = poll.clock;
-    target.clock_read_at = now;
-  }
-  if (!target.runs_known) {
-    MarkAllReportsDue(board);
-    target.runs_known_since = now;
-  }
-  target.runs_known = true;
-  target.has_answered = true;
-  ApplyListedEnds(board, now, poll);
-  ApplyListedRuns(board, now, poll, poll_sent);
-}
-
 void OnTick(GateBoard* board, core::Time now) {
   if (board->target.has_value()) {
     RepeatStops(board, now);
