--- a/coordinator/tests/gate_candidate_test.cc
+++ b/coordinator/tests/gate_candidate_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(AnnouncementUnderKnownIdLeavesRuns);
   CPPUNIT_TEST(ChangedServiceOfKnownIncarnationChangesNothing);
   CPPUNIT_TEST(FirstAnnouncementOfOtherWriterIsReplaced);
+  CPPUNIT_TEST(OddStoredTargetIsReplaced);
   CPPUNIT_TEST(AdoptsTargetThatAnswersAtKnownAddress);
   CPPUNIT_TEST(AdoptsOtherTargetOnceKnownOneRefusesConnections);
   CPPUNIT_TEST(AdoptsOtherTargetOnceLeaseOfSilentOneExpires);
@@ -92,6 +93,28 @@
     AssertAcceptsStart(MakeRun(0));
   }
 
+  // Guards against a restarted gate that never uses its target, because an odd
+  // entry for it lies in the store.
+  void OddStoredTargetIsReplaced() {
+    constexpr std::int64_t kHuge = std::int64_t{1} << 62;
+    TargetReport odd;
+    odd.target = TargetId("t-1");
+    odd.born = TargetIncarnation(kHuge);
+    odd.sequence = kHuge;
+    odd.address = core::Address("10.0.0.9:70000");
+    odd.capacity = {std::int64_t{1} << 40, -1, 0};
+    odd.speed_permille = 0xffffffff;
+    board_ = GateBoard{};
+    board_.domain = core::DomainId("szeged");
+    OnPreviousTargetFound(&board_, now_, odd, "store");
+    LosePolls();
+    Announce(1, 1);
+    AnswerPoll({}, {}, 1);
+    AssertAcceptsStart(MakeRun(0));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{16000},
+                         board_.target->announcement.capacity.millicores);
+  }
+
   void AdoptsTargetThatAnswersAtKnownAddress() {
     StartAndAccept(MakeRun(0));
     Announcement other = MakeOther();
--- a/ctl/tests/table_test.cc
+++ b/ctl/tests/table_test.cc
@@ -79,6 +79,8 @@
     CPPUNIT_ASSERT(!FormatJsonForPeople("[1]"));
     CPPUNIT_ASSERT(!FormatJsonForPeople("plain"));
     CPPUNIT_ASSERT(!FormatJsonForPeople(""));
+    CPPUNIT_ASSERT(!FormatJsonForPeople(std::string(100000, '[')));
+    CPPUNIT_ASSERT(!FormatJsonForPeople(R"({"a":NaN})"));
   }
 };
 
