Coordinator: an announcement with a target's address leaves it in use

Cause: a candidate at the known target's own address was polled for up to 5 s if it did not answer, and nothing was started there meanwhile. The known target answers such a poll with 421, another instance, which counted as no answer.

Change: that answer ends the candidate at once.

Tests: AnnouncementAtKnownAddressLeavesTargetInUse; it names the new answer, so it does not compile on the code before.

--- a/coordinator/gate_polls.cc
+++ b/coordinator/gate_polls.cc
@@ -205,7 +205,7 @@
 void OnPollAnswer(GateBoard* board, core::Time now, std::uint64_t number,
                   const std::optional<PollReply>& poll, PollFailure failure) {
   if (IsPollOfCandidate(*board, number)) {
-    OnCandidateAnswer(board, now, poll);
+    OnCandidateAnswer(board, now, poll, failure);
     return FinishEvent(board, now);
   }
   const auto open = board->polls.find(number);
--- a/coordinator/include/tarragon/coordinator/gate.h
+++ b/coordinator/include/tarragon/coordinator/gate.h
@@ -92,6 +92,8 @@
   kNoAnswer,
   /// The connection was refused: the target's process is gone.
   kRefused,
+  /// Another target answers at the address.
+  kOtherTarget,
 };
 
 /// `number` is that of the OrderPoll; `poll` is empty if there was no usable
--- a/coordinator/target_candidate.cc
+++ b/coordinator/target_candidate.cc
@@ -121,9 +121,13 @@
 }
 
 void OnCandidateAnswer(GateBoard* board, core::Time now,
-                       const std::optional<PollReply>& poll) {
+                       const std::optional<PollReply>& poll,
+                       PollFailure failure) {
   TargetCandidate& candidate = *board->candidate;
   candidate.open_poll = 0;
+  if (failure == PollFailure::kOtherTarget) {
+    return DropCandidate(board, "another target answers");
+  }
   if (!poll.has_value()) {
     candidate.poll_failed_at = now;
     return;
--- a/coordinator/target_candidate.h
+++ b/coordinator/target_candidate.h
@@ -30,9 +30,11 @@
 bool IsPollOfCandidate(const GateBoard& board, std::uint64_t number);
 
 /// Handles the answer to the poll of the candidate; `poll` is empty if there
-/// was none. The candidate takes the place of a target that has ended.
+/// was none, and `failure` says why. The candidate takes the place of a target
+/// that has ended.
 void OnCandidateAnswer(GateBoard* board, core::Time now,
-                       const std::optional<PollReply>& poll);
+                       const std::optional<PollReply>& poll,
+                       PollFailure failure);
 
 /// Lets the candidate take the place of the known target once that has ended;
 /// drops the candidate if the known target answers or its own sender does not.
--- a/coordinator/tests/gate_candidate_test.cc
+++ b/coordinator/tests/gate_candidate_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(AnnouncementOfOtherWriterLeavesRuns);
   CPPUNIT_TEST(TargetStaysInUseAfterAnnouncementOfOtherWriter);
   CPPUNIT_TEST(AnnouncementUnderKnownIdLeavesRuns);
+  CPPUNIT_TEST(AnnouncementAtKnownAddressLeavesTargetInUse);
   CPPUNIT_TEST(ChangedServiceOfKnownIncarnationChangesNothing);
   CPPUNIT_TEST(FirstAnnouncementOfOtherWriterIsReplaced);
   CPPUNIT_TEST(OddStoredTargetIsReplaced);
@@ -70,6 +71,17 @@
     AssertAcceptsStart(MakeRun(1));
   }
 
+  // Guards against a target that stays unused for seconds after an announcement
+  // of another writer with its address.
+  void AnnouncementAtKnownAddressLeavesTargetInUse() {
+    Announcement foreign = MakeForeign();
+    foreign.address = board_.target->announcement.address;
+    OnAnnouncement(&board_, now_, foreign);
+    FailCandidatePoll(PollFailure::kOtherTarget);
+    CPPUNIT_ASSERT(!board_.candidate.has_value());
+    AssertAcceptsStart(MakeRun(0));
+  }
+
   void ChangedServiceOfKnownIncarnationChangesNothing() {
     Announcement foreign = board_.target->announcement;
     foreign.sequence = 2;
