Coordinator: an older list does not end a run that a restarted gate has found

Cause: a run found at the target counted as over as soon as any poll did not list it, also one that was sent before the run was found and answered after it (answers on several connections overtake each other). Its entry was told "stopped" and placed the task again beside it. Change: as for other runs, only a poll sent after the run was found proves its end. Test: GateUnclaimedRunTest failed before ("Told as stopped").

--- a/coordinator/gate_polls.cc
+++ b/coordinator/gate_polls.cc
@@ -40,9 +40,8 @@
     case RunPhase::kStarting:
       return false;
     case RunPhase::kRunning:
-      return run.started_at < poll_sent;
     case RunPhase::kUnclaimed:
-      return true;
+      return run.started_at < poll_sent;
     case RunPhase::kUnclear:
       // The deadline is on the clock of the incarnation that was ordered.
       return stopped ||
