Coordinator: a run that is listed after its end was told is stopped

Cause: a gate passes over a listed run whose end it has told, as the list may be older than the end. It did so for later lists as well, so a run that was wrongly taken for over went on beside its successor, its lease renewed for the others. Change: a run that a poll sent after the end lists is stopped at once. Test: GateRelistedRunTest failed before ("The run is listed and nobody stops it."); an older list changes nothing, as before.

--- a/coordinator/gate_polls.cc
+++ b/coordinator/gate_polls.cc
@@ -75,8 +75,10 @@
     listed.insert(each.run);
     const auto found = board->runs.find(each.run);
     if (found == board->runs.end()) {
+      const auto ended = board->ended_runs.find(each.run);
+      const bool was_ended = ended != board->ended_runs.end();
       // The list may be older than an end that was processed already.
-      if (board->ended_runs.contains(each.run)) continue;
+      if (was_ended && poll_sent <= ended->second.ended_at) continue;
       GateRun run;
       run.phase = RunPhase::kUnclaimed;
       run.ordered_at = now;
@@ -86,6 +88,8 @@
       board->runs[each.run] = run;
       AddLogLine(board, "Found a run that this gate did not order.",
                  ToString(each.run), {});
+      // Its entry may have placed the task again.
+      if (was_ended) StopRun(board, now, each.run, &board->runs[each.run]);
       continue;
     }
     // An order that was sent shortly before has reached a new incarnation.
