Coordinator: a start that is read after its entry timed out is stopped

Cause: a gate stops the runs of a silent entry once, when it times out. A start that was delayed until after that was accepted and never stopped if the entry stayed lost: it went on until done, beside the client's next attempt. Change: the runs of a silent entry are stopped at every tick. Test: GateSilentEntryStartTest failed before ("The run was not stopped, and its lease lasts for another 950 ms.").

--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -259,14 +259,16 @@
   }
   for (auto& [address, home] : board->homes) {
     if (now - home.confirmed_report_at <= board->policy.home_silence) continue;
-    if (home.timed_out) continue;
-    home.timed_out = true;
-    ++board->counts.timed_out_entries;
-    AddLogLine(board, "An entry is silent; stopping its runs.",
-               core::ToString(home.node),
-               {{"silent",
-                 std::to_string(core::Millis(now - home.confirmed_report_at)) +
-                     "ms"}});
+    if (!home.timed_out) {
+      home.timed_out = true;
+      ++board->counts.timed_out_entries;
+      AddLogLine(board, "An entry is silent; stopping its runs.",
+                 core::ToString(home.node),
+                 {{"silent", std::to_string(
+                                 core::Millis(now - home.confirmed_report_at)) +
+                                 "ms"}});
+    }
+    // A start of the entry may have been delayed until after it timed out.
     StopRunsOfEntry(board, now, home.node);
   }
   std::erase_if(board->homes, [board, now](const auto& entry) {
