Coordinator: the estimate of the target's clock is never ahead of it

Cause: the estimate went on at the pace of the gate's clock. A target without runs is not polled, so with a clock that is 2 % slow the estimate was 1.2 s ahead after a minute; and the gate's clock counts the time in which its machine is suspended, the target's does not. Starts then had deadlines seconds ahead, and runs at work were told as lapsed. Change: the estimate goes on at 98 %, is moved up by each announcement, and does not count a time in which the gate handled nothing. Test: GateIdleClockTest ("The target accepts the start for 2150 ms.") and GateSuspendedMachineTest ("Told as lapsed while the target lists it.") failed before.

--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -125,6 +125,7 @@
 
 HomeLink& RecordEntryContact(GateBoard* board, core::Time now,
                              const core::NodeId& from) {
+  RecordEvent(board, now);
   HomeLink& home = board->homes[from.address];
   if (home.node != from) {
     if (!home.node.address.value().empty()) {
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -15,12 +15,17 @@
 
 using LogFields = std::vector<std::pair<const char*, std::string>>;
 
+/// Records that an event is handled. After a pause the time of the pause does
+/// not count for the estimate of the target's clock, which stands still while
+/// its machine is suspended; the next answer of the target corrects it.
+void RecordEvent(GateBoard* board, core::Time now);
+
 /// Adds a line for the log. `message` must be a constant string.
 void AddLogLine(GateBoard* board, const char* sentence, std::string subject,
                 LogFields details);
 
-/// Estimates the current time on the target's clock. The estimate is ahead of
-/// that clock by no more than the drift between the clocks.
+/// Estimates the current time on the target's clock. The estimate is never
+/// ahead of that clock, which may be 2 % slow.
 TargetClock EstimateTargetClock(const Target& target, core::Time now);
 
 /// A run is overdue after this multiple of its expected time; most runs of a
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -5,6 +5,16 @@
 #include "gate_internal.h"
 
 namespace tarragon::coordinator {
+namespace {
+
+/// How much slower the target's clock may be than the gate's.
+constexpr std::int64_t kMaxClockLagPermille = 20;
+constexpr std::int64_t kPermille = 1000;
+/// Ticks come every 20 ms, so the machine or the process was paused if nothing
+/// happens for this time.
+constexpr core::Duration kMaxPause = std::chrono::milliseconds(200);
+
+}  // namespace
 
 void AddLogLine(GateBoard* board, const char* sentence, std::string subject,
                 LogFields details) {
@@ -13,8 +23,10 @@
 }
 
 TargetClock EstimateTargetClock(const Target& target, core::Time now) {
-  return TargetClock(target.clock.value() +
-                     core::Millis(now - target.clock_read_at));
+  const core::Duration elapsed = now - target.clock_read_at;
+  return TargetClock(
+      target.clock.value() +
+      core::Millis(elapsed - elapsed * kMaxClockLagPermille / kPermille));
 }
 
 Room ComputeFreeRoom(const GateBoard& board) {
@@ -125,6 +137,13 @@
   }
 }
 
+void RecordEvent(GateBoard* board, core::Time now) {
+  const core::Duration pause = now - board->last_event_at.value_or(now);
+  board->last_event_at = now;
+  if (pause <= kMaxPause || !board->target.has_value()) return;
+  board->target->clock_read_at = board->target->clock_read_at + pause;
+}
+
 /// Records the target's clock from an answer of its current incarnation.
 void RecordClock(GateBoard* board, core::Time now,
                  std::optional<TargetClock> clock) {
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -108,7 +108,9 @@
   }
   target.announcement = announcement;
   target.announced_at = received;
-  if (target.clock.value() == 0 || !target.runs_known) {
+  // A target without runs is not polled, so this keeps the estimate close.
+  if (target.clock.value() == 0 || !target.runs_known ||
+      announcement.clock > EstimateTargetClock(target, received)) {
     target.clock = announcement.clock;
     target.clock_read_at = received;
   }
@@ -253,6 +255,7 @@
 }
 
 void OnTick(GateBoard* board, core::Time now) {
+  RecordEvent(board, now);
   if (board->target.has_value()) {
     RepeatStops(board, now);
     EndLapsedRuns(board, now);
