Coordinator: an entry has caught up after a stall only at a later tick

Cause: after a stall an entry started nothing for 60 ms by its clock. Paused again in that time, as a core with a quota is, it started tasks before it had read that their clients were gone. Change: it starts again at the first tick after the 60 ms, before which it has read its connections. Test: EntryStallRecoveryTest failed before (1 start, 0 expected).

--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -335,7 +335,9 @@
   core::Time started_at;
   /// Empty until the first tick.
   std::optional<core::Time> last_tick_at;
-  /// After a stall nothing is started before this time.
+  /// After a stall nothing is started before the first tick at or after
+  /// `caught_up_at`.
+  bool stalled = false;
   core::Time caught_up_at;
   bool stopping = false;
   core::Time stop_requested;
