Coordinator: a job of which another attempt is at work is given up

Cause: a gate refused a start as "duplicate" since a run of the task was at work there, ordered by another entry; the entry placed the task at another gate at once. The client sends it again after a pause. Test: EntryDuplicateRefusalTest failed before ("Started at 10.0.1.2:7000~1 at once.").

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -174,6 +174,10 @@
       break;
     case RunEnd::kRefused:
       --job->ordered_runs;
+      if (ended.reason == RefusalReason::kDuplicate) {
+        // The client had submitted the job to another entry before.
+        return GiveUpJob(board, now, job, "another attempt is at work");
+      }
       break;
   }
   EnqueueTask(board, now, job, task);
