Coordinator: a target's lease ends with the confirmation of each run

What callers saw: two runs of one task at once (TWICE), when an entry was lost and a gate within 0.7 s after it, or restarted within the lease.

Cause: what kept two attempts at a job apart was a sum of timeouts (700 ms until a gate stops the runs of a silent entry, a stop, a lease of 1 s) against the 1.3 s after which a client submits again. It holds for one fault, not for two in a row: until it stopped a run, a gate renewed its lease in full for an entry that was gone; a restarted gate renewed for runs that nobody had claimed; polls renewed for runs whose stops were lost. Class: a bound that is the sum of timeouts of several processes, each started anew by the one before, instead of a term fixed at the source.

Change: each run has a confirmation: the last moment at which its entry had certainly not lost its client. It comes from the reports that the entry acknowledges, which it now does only once it has polled its clients' connections since, and stands still once a stop is requested. The lease that a gate gives, with starts and polls, lasts until 1.1 s after the oldest confirmation at the target. So the target itself ends the run before the client comes back, whatever is lost afterwards. A run without a confirmation is not renewed; one that appears later than the claims is stopped. AskRun travels with the notices, so that none overtakes an order to stop; one that was lost with its connection is repeated at once.

GateStartTest::StartsRunThatFits and GateProofTest::UsesClockOfNewIncarnation expect the full lease of 950 ms: their entry now acknowledges a report first, as a start alone tells only that it was not stalled for more than 300 ms.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -27,6 +27,8 @@
     gate.hint_sent = false;
     gate.echo_due = true;
     gate.sent_want.reset();
+    gate.received_report = ReportMark{};
+    gate.acknowledged_report = ReportMark{};
     gate.notice_sent_at = core::Time{};
     AddLogLine(board, "Connected to a gate.", core::ToString(from),
                {{"runs", std::to_string(gate.runs.size())}});
@@ -45,7 +47,11 @@
   gate->operator_sync = OperatorSync{};
   gate->uncounted_starts.clear();
   gate->sent_want.reset();
-  for (auto& [ref, placed] : gate->runs) placed.unconfirmed = true;
+  for (auto& [ref, placed] : gate->runs) {
+    placed.unconfirmed = true;
+    // A query may have been lost with the connection.
+    placed.asked_at = core::Time{};
+  }
 }
 
 /// Queries runs of which the gate may not know, and repeats requests to stop a
@@ -83,7 +89,7 @@
 void SendNotice(JobBoard* board, core::Time now, GateLink* gate) {
   gate->notice_sent_at = now;
   EntryNotice notice;
-  if (gate->report.has_value()) notice.echo = gate->report->clock;
+  notice.echo = gate->acknowledged_report.clock;
   notice.operator_revision = board->operator_state.revision;
   notice.domains_digest = board->domains_digest;
   notice.config_version = board->operator_state.version;
@@ -94,6 +100,16 @@
   board->actions.push_back(SendTo<EntryNotice>{to, notice});
 }
 
+/// Advances what notices acknowledge. A report acknowledged at a tick was
+/// received before the previous tick. The event loop has polled all sockets
+/// between the two, so whichever client was lost before the gate sent the
+/// report has been noticed, and its runs have been asked to stop.
+void AdvanceAcknowledgement(GateLink* gate) {
+  gate->acknowledged_report = gate->received_report;
+  if (!gate->report.has_value()) return;
+  gate->received_report = {gate->report->clock, gate->report->runs_known};
+}
+
 /// Sends the gate what it lacks of the operator state, once that is due.
 void SendOperatorUpdate(JobBoard* board, core::Time now, GateLink* gate) {
   if (!gate->connected || !gate->operator_copy.has_value()) return;
@@ -116,6 +132,7 @@
 }
 
 void TickGate(JobBoard* board, core::Time now, GateLink* gate) {
+  AdvanceAcknowledgement(gate);
   ForgetStaleStarts(*board, now, gate);
   if (gate->connected &&
       now - gate->last_heard_at > board->policy.redial_after) {
@@ -129,7 +146,13 @@
   const core::Duration pause = gate->connected
                                    ? board->policy.notice_interval
                                    : board->policy.reconnect_interval;
-  if (now - gate->notice_sent_at >= pause) SendNotice(board, now, gate);
+  // This notice follows the claims of the gate's unclaimed runs and tells the
+  // gate that this entry has no others.
+  const bool echo_due = gate->echo_due && gate->acknowledged_report.runs_known;
+  if (echo_due) gate->echo_due = false;
+  if (echo_due || now - gate->notice_sent_at >= pause) {
+    SendNotice(board, now, gate);
+  }
   SendOperatorUpdate(board, now, gate);
   QueryUnconfirmedRuns(board, now, gate);
   StopStalledRuns(board, now, gate);
@@ -267,11 +290,11 @@
 
 void QueryRun(JobBoard* board, core::Time now, const GateLink& gate,
               const RunRef& ref, PlacedRun* placed) {
-  placed->asked_at = now;
   if (!gate.connected) {
     placed->unconfirmed = true;
     return;
   }
+  placed->asked_at = now;
   placed->unconfirmed = false;
   board->actions.push_back(
       SendTo<AskRun>{gate.node, {ref, placed->stop_requested, placed->room}});
@@ -347,12 +370,8 @@
   UpdateSuspicion(board, now, &gate);
   const bool knows_newer = SyncOperatorState(board, now, &gate);
   QueryUnconfirmedRuns(board, now, &gate);
-  // This notice follows the claims of the gate's unclaimed runs and tells the
-  // gate that this entry has no others.
-  const bool echo_due = gate.echo_due && gate.report->runs_known;
-  if (echo_due || knows_newer ||
+  if (knows_newer ||
       now - gate.notice_sent_at >= board->policy.notice_interval) {
-    gate.echo_due = gate.echo_due && !echo_due;
     SendNotice(board, now, &gate);
   }
   const std::uint64_t starts = board->last_start_sequence;
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gate_internal.h"
+#include "gate_lease.h"
 #include "leaving_target.h"
 #include "operator_sync.h"
 #include "precedence.h"
@@ -43,10 +44,19 @@
   return at != board.runs.end() && at->first.task == task;
 }
 
+/// True if the entry has asked to stop the run before its start was read.
+bool IsBeingSealed(const GateBoard& board, const core::NodeId& from,
+                   const RunRef& run) {
+  const auto found = board.runs.find(run);
+  return found != board.runs.end() && found->second.home == from &&
+         found->second.phase == RunPhase::kSealing;
+}
+
 RefusalReason CheckStart(const GateBoard& board, core::Time now,
-                         const StartRun& start) {
+                         const core::NodeId& from, const StartRun& start) {
   if (now > start.start_by) return RefusalReason::kStale;
   if (board.ended_runs.contains(start.run)) return RefusalReason::kSealed;
+  if (IsBeingSealed(board, from, start.run)) return RefusalReason::kSealed;
   if (HasRunOfTask(board, start.run.task)) return RefusalReason::kDuplicate;
   if (board.operator_state.revision < start.operator_revision &&
       board.domains_digest != start.domains_digest) {
@@ -68,6 +78,7 @@
   if (start.suspect && HasSuspect(board)) return RefusalReason::kOtherSuspect;
   if (!Fits(start.room, ComputeFreeRoom(board))) return RefusalReason::kNoRoom;
   if (BreaksReservation(board, now, start)) return RefusalReason::kNoRoom;
+  if (!IsLeaseLongEnough(board, now)) return RefusalReason::kNoTarget;
   return RefusalReason::kNone;
 }
 
@@ -98,10 +109,9 @@
   run.ordered_at = now;
   run.ordered_born = target.announcement.born;
   run.expected_run_time = start.expected_run;
+  board->runs[start.run] = run;
   run.start_deadline = LimitStartDeadline(
-      *board, now, start,
-      TargetClock(EstimateTargetClock(target, now).value() +
-                  core::Millis(board->policy.requested_lease)));
+      *board, now, start, MakeLeaseEnd(*board, now, FindLeaseLimit(*board)));
   target.lease_until = std::max(target.lease_until, run.start_deadline);
   board->runs[start.run] = run;
   ++board->counts.starts;
@@ -253,6 +263,7 @@
   if (notice.echo.since_start.count() > 0 && notice.echo <= now) {
     home.echoed_report_at =
         std::max(home.echoed_report_at.value_or(notice.echo), notice.echo);
+    home.clients_read_at = std::max(home.clients_read_at, notice.echo);
   }
   if (notice.echo > home.confirmed_report_at && notice.echo <= now) {
     home.confirmed_report_at = notice.echo;
@@ -303,12 +314,14 @@
                StartRun start) {
   HomeLink& home = RecordEntryContact(board, now, from);
   home.starts_seen = std::max(home.starts_seen, start.sequence);
+  home.clients_read_at = std::max(home.clients_read_at,
+                                  FindClientsRead(board->policy, now, start));
   home.offer.reset();
   home.report_due = true;
   if (BreaksReservation(*board, now, start)) {
     ++board->counts.reserved_refusals;
   }
-  const RefusalReason reason = CheckStart(*board, now, start);
+  const RefusalReason reason = CheckStart(*board, now, from, start);
   if (reason == RefusalReason::kNone) {
     SendStart(board, now, from, std::move(start));
   } else {
--- a/coordinator/gate_polls.cc
+++ b/coordinator/gate_polls.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "gate_internal.h"
+#include "gate_lease.h"
 #include "target_candidate.h"
 
 // Polls of the target, and what their answers tell of its runs.
@@ -191,11 +192,7 @@
   const bool renew =
       !target.silent_since.has_value() ||
       now - *target.silent_since < board->policy.lease_renewal_silence;
-  if (target.runs_known && renew) {
-    poll.lease_until = TargetClock(EstimateTargetClock(target, now).value() +
-                                   core::Millis(board->policy.requested_lease));
-    target.lease_until = std::max(target.lease_until, *poll.lease_until);
-  }
+  if (target.runs_known && renew) poll.lease_until = RenewLease(board, now);
   if (target.runs_known && !HasUnprovedRuns(*board) && !board->runs.empty()) {
     poll.wait = AwaitsProgress(*board, now) ? board->policy.progress_hold_wait
                                             : board->policy.hold_wait;
@@ -258,6 +255,10 @@
   if (!target.runs_known) {
     MarkAllReportsDue(board);
     target.runs_known_since = now;
+    // An earlier process may have renewed the lease shortly before.
+    target.lease_until = std::max(
+        target.lease_until, TargetClock(poll.clock.value() +
+                                        core::Millis(board->policy.max_lease)));
   }
   target.runs_known = true;
   target.has_answered = true;
--- a/coordinator/gate_queries.cc
+++ b/coordinator/gate_queries.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "gate_internal.h"
+#include "gate_lease.h"
 
 // Queries of entries about runs. Attempts at a job through several entries give
 // their runs the same numbers, so a run is that of the asking entry only if
@@ -79,6 +80,7 @@
   run.phase = RunPhase::kSealing;
   run.home = from;
   run.ordered_at = now;
+  run.confirmed_at = FindConfirmation(*board, run);
   run.stop_requested = true;
   GateRun& sealing = board->runs[ask.run] = run;
   SendStop(board, now, ask.run, &sealing);
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "gate_internal.h"
+#include "gate_lease.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -121,6 +122,7 @@
 void StopRun(GateBoard* board, core::Time now, const RunRef& ref,
              GateRun* run) {
   if (run->stop_requested) return;
+  run->confirmed_at = FindConfirmation(*board, *run);
   run->stop_requested = true;
   // The target may carry out the stop before a start that is still pending. It
   // then refuses the start, which has the same effect.
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -9,8 +9,9 @@
 namespace tarragon::coordinator {
 namespace {
 
-/// Entries may claim an unclaimed run within this time, which covers two
-/// notices.
+/// Entries may claim unclaimed runs within this time after the runs are known,
+/// which covers two notices. A run that is found later was ordered by an
+/// earlier process and delayed; its entry has claimed it before or is gone.
 constexpr core::Duration kClaimTime = std::chrono::milliseconds(300);
 /// Entries always have this time to claim a run. Within it a restarted gate
 /// reads the list of entries from the store.
@@ -44,7 +45,7 @@
 void RepeatStops(GateBoard* board, core::Time now) {
   for (auto& [ref, run] : board->runs) {
     if (run.phase == RunPhase::kUnclaimed && !run.stop_requested &&
-        (now - run.ordered_at > kClaimTime ||
+        (now - board->target->runs_known_since > kClaimTime ||
          HaveAllEntriesClaimedRuns(*board, now))) {
       StopRun(board, now, ref, &run);
     }
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -75,6 +75,8 @@
   std::vector<core::NodeId> other_homes;
   /// When the start was sent, or when the gate learned of the run.
   core::Time ordered_at;
+  /// `HomeLink::clients_read_at` when the stop was requested.
+  core::Time confirmed_at;
   /// The target's incarnation when the start and the last stop were sent. An
   /// answer may be that of an earlier one.
   TargetIncarnation ordered_born;
@@ -216,6 +218,9 @@
   core::Time confirmed_report_at;
   /// The same, but empty until the entry has acknowledged a report.
   std::optional<core::Time> echoed_report_at;
+  /// The entry has noticed whichever client it had lost before this, and has
+  /// asked to stop the runs of that client's job. Zero until it is known.
+  core::Time clients_read_at;
   /// Sequence number of the last StartRun that was read.
   std::uint64_t starts_seen = 0;
   /// The entry's copy of the operator state, from its last notice; empty until
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -16,10 +16,14 @@
   /// nothing has changed. Three intervals fit into `home_silence` and two into
   /// `gate_silence`.
   core::Duration notice_interval{std::chrono::milliseconds(200)};
+  /// A target may go on with a run for this time after the last moment at which
+  /// the run's entry had certainly not lost its client. On a clock that is 2 %
+  /// slow it ends before the client resubmits the job, 1.3 s after it lost the
+  /// entry.
+  core::Duration confirmation_lifetime{std::chrono::milliseconds(1100)};
   /// A gate stops the runs of an entry that has not acknowledged a report of
-  /// the gate for this time. Stopping takes 50 ms and a lease lasts 1 s, so a
-  /// lost run has ended well before the client's second attempt, 1.3 s after
-  /// this.
+  /// the gate for this time. Stopping takes 50 ms, so it is done before the
+  /// lease of all runs at the target ends with `confirmation_lifetime`.
   core::Duration home_silence{std::chrono::milliseconds(700)};
   /// An entry places no tasks at a gate from which it has received nothing for
   /// this time.
--- a/coordinator/tests/gate_proof_test.cc
+++ b/coordinator/tests/gate_proof_test.cc
@@ -196,6 +196,7 @@
     first.clock = TargetClock(50);
     OnAnnouncement(&board_, now_, first);
     TakeActions<OrderStart>();
+    OnMessage(&board_, now_, kEntry, MakeNotice(now_));
     Start(MakeRun(1));
     CPPUNIT_ASSERT_EQUAL(
         std::int64_t{50 + 950},
--- a/coordinator/tests/gate_start_test.cc
+++ b/coordinator/tests/gate_start_test.cc
@@ -27,6 +27,7 @@
 
  public:
   void StartsRunThatFits() {
+    OnMessage(&board_, now_, kEntry, MakeNotice(now_));
     Start(MakeRun(0));
     const std::vector<OrderStart> orders = TakeActions<OrderStart>();
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, orders.size());
--- a/wire/hello.cc
+++ b/wire/hello.cc
@@ -60,7 +60,11 @@
     return Channel::kWork;
   }
   Channel operator()(const coordinator::StartRun&) { return Channel::kWork; }
-  Channel operator()(const coordinator::AskRun&) { return Channel::kWork; }
+  Channel operator()(const coordinator::AskRun&) {
+    // Must not be overtaken by a later notice, which confirms the runs that the
+    // entry has not asked to stop.
+    return Channel::kControl;
+  }
   Channel operator()(const coordinator::TargetHint&) { return Channel::kWork; }
   Channel operator()(const coordinator::RoomWanted&) { return Channel::kWork; }
   Channel operator()(const coordinator::RunProgress&) { return Channel::kWork; }
