Coordinator: warn of a run that is listed after its end

A gate that takes a start for refused, or a run for over, lets the entry place the task again. If the target carries the run out all the same, later polls list it; the gate passed over that, as the list may be older than the end.

Change: a run that is listed in the answer to a poll that was sent after its end is certainly at work. The gate warns once for each such run ("The target lists a run that had ended here.": end, reason, age of the end and of the poll, target, entry) and counts it: runs_listed_after_end_total. Lines of a board can have the level "warn".

--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -22,7 +22,8 @@
 
 /// Adds a line for the log. `message` must be a constant string.
 void AddLogLine(GateBoard* board, const char* sentence, std::string subject,
-                LogFields details);
+                LogFields details,
+                core::LogLevel level = core::LogLevel::kInfo);
 
 /// Estimates the current time on the target's clock. The estimate is never
 /// ahead of that clock, which may be 2 % slow.
--- a/coordinator/gate_polls.cc
+++ b/coordinator/gate_polls.cc
@@ -64,11 +64,30 @@
       board->ended_runs[each.run] = {
           {each.run, each.end, RefusalReason::kNone, core::Duration{0}},
           now,
-          {}};
+          {},
+          false};
     }
   }
 }
 
+/// Reports a listed run that this gate took for ended or refused. A poll sent
+/// before the end may be answered with an older list.
+void CheckListedEndedRun(GateBoard* board, core::Time now, const RunRef& ref,
+                         core::Time poll_sent, EndedRun* past) {
+  if (past->listed_later || poll_sent <= past->ended_at) return;
+  past->listed_later = true;
+  ++board->counts.runs_listed_after_end;
+  AddLogLine(
+      board, "The target lists a run that had ended here.", ToString(ref),
+      {{"end", Name(past->ended.end)},
+       {"reason", Name(past->ended.reason)},
+       {"ended", std::to_string(core::Millis(now - past->ended_at)) + "ms"},
+       {"poll", std::to_string(core::Millis(now - poll_sent)) + "ms"},
+       {"target", board->target->announcement.target.value()},
+       {"entry", core::ToString(past->home)}},
+      core::LogLevel::kWarn);
+}
+
 void ApplyListedRuns(GateBoard* board, core::Time now, const PollReply& poll,
                      core::Time poll_sent) {
   std::set<RunRef> listed;
@@ -76,10 +95,13 @@
     listed.insert(each.run);
     const auto found = board->runs.find(each.run);
     if (found == board->runs.end()) {
-      const auto ended = board->ended_runs.find(each.run);
-      const bool was_ended = ended != board->ended_runs.end();
+      const auto past = board->ended_runs.find(each.run);
+      const bool had_ended = past != board->ended_runs.end();
       // The list may be older than an end that was processed already.
-      if (was_ended && poll_sent <= ended->second.ended_at) continue;
+      if (had_ended && poll_sent <= past->second.ended_at) continue;
+      if (had_ended) {
+        CheckListedEndedRun(board, now, each.run, poll_sent, &past->second);
+      }
       GateRun run;
       run.phase = RunPhase::kUnclaimed;
       run.ordered_at = now;
@@ -90,7 +112,7 @@
       AddLogLine(board, "Found a run that this gate did not order.",
                  ToString(each.run), {});
       // Its entry may have placed the task again.
-      if (was_ended) StopRun(board, now, each.run, &board->runs[each.run]);
+      if (had_ended) StopRun(board, now, each.run, &board->runs[each.run]);
       continue;
     }
     // An order that was sent shortly before has reached a new incarnation.
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -18,9 +18,9 @@
 }  // namespace
 
 void AddLogLine(GateBoard* board, const char* sentence, std::string subject,
-                LogFields details) {
+                LogFields details, core::LogLevel level) {
   board->log_lines.push_back(
-      {sentence, std::move(subject), std::move(details)});
+      {sentence, std::move(subject), std::move(details), level});
 }
 
 TargetClock EstimateTargetClock(const Target& target, core::Time now) {
@@ -90,7 +90,8 @@
   }
   ended.target_crashed =
       run.target_crashed && (end == RunEnd::kLapsed || end == RunEnd::kStopped);
-  board->ended_runs[ref] = {ended, now, run.found ? core::NodeId{} : run.home};
+  board->ended_runs[ref] = {ended, now, run.found ? core::NodeId{} : run.home,
+                            false};
   ++board->counts.ends[end];
   if (end == RunEnd::kRefused) ++board->counts.refusals[reason];
   AddLogLine(board, "A run ended.", ToString(ref),
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -16,6 +16,7 @@
 #include "tarragon/coordinator/target_speed.h"
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
+#include "tarragon/core/log.h"
 
 /// The state of a gate, and the actions that it requests from its daemon. A
 /// gate is a process beside a target; no other process starts or stops runs
@@ -259,6 +260,8 @@
   /// The entry that ordered the run; empty if it was not ordered through this
   /// process, so that the entry is uncertain.
   core::NodeId home;
+  /// A poll sent after the end has listed it as running.
+  bool listed_later = false;
 };
 
 /// Order the target to start a run. The answer is passed to OnStartAnswer.
@@ -316,6 +319,7 @@
   std::string subject;
   /// Further fields as pairs of name and value.
   std::vector<std::pair<const char*, std::string>> fields;
+  core::LogLevel level = core::LogLevel::kInfo;
 };
 
 /// Counters for the metrics endpoint.
@@ -325,6 +329,8 @@
   std::map<RefusalReason, std::uint64_t> refusals;
   std::map<RunEnd, std::uint64_t> ends;
   std::uint64_t lost_polls = 0;
+  /// Ended or refused runs that a later poll listed as running.
+  std::uint64_t runs_listed_after_end = 0;
   std::uint64_t target_crashes = 0;
   std::uint64_t timed_out_entries = 0;
   /// Offers of room to entries, and offers that expired without an answer.
--- a/core/include/tarragon/core/log.h
+++ b/core/include/tarragon/core/log.h
@@ -62,16 +62,15 @@
             std::initializer_list<Field> fields = {}) const;
   void Error(std::string_view sentence,
              std::initializer_list<Field> fields = {}) const;
-  /// As Info, with fields that are made while the program runs.
-  void Info(std::string_view sentence, const std::vector<Field>& fields) const;
+  /// As the above, with a level and fields that are chosen while the program
+  /// runs.
+  void Write(LogLevel level, std::string_view sentence,
+             std::span<const Field> fields) const;
 
   /// True if lines of `level` are written. Spares costly fields.
   bool Enabled(LogLevel level) const;
 
  private:
-  void Write(LogLevel level, std::string_view sentence,
-             std::span<const Field> fields) const;
-
   LogPart* part_;
 };
 
--- a/core/log.cc
+++ b/core/log.cc
@@ -137,11 +137,6 @@
 
 bool Log::Enabled(LogLevel level) const { return level >= part_->level; }
 
-void Log::Info(std::string_view sentence,
-               const std::vector<Field>& fields) const {
-  Write(LogLevel::kInfo, sentence, fields);
-}
-
 void Log::Write(LogLevel level, std::string_view sentence,
                 std::span<const Field> fields) const {
   if (!Enabled(level)) return;
--- a/daemons/decision_log.h
+++ b/daemons/decision_log.h
@@ -9,7 +9,7 @@
 namespace tarragon::daemons {
 
 /// Writes each of `log_lines`, which a board collected about its decisions, as
-/// one line of level "info", and clears the vector.
+/// one line, and clears the vector.
 void LogDecisions(const core::Log& log,
                   std::vector<coordinator::LogLine>* log_lines);
 
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -294,6 +294,8 @@
     SetCounterTotal(&registry_, "unclear_starts_total", {},
                     counts.unclear_starts);
     SetCounterTotal(&registry_, "lost_polls_total", {}, counts.lost_polls);
+    SetCounterTotal(&registry_, "runs_listed_after_end_total", {},
+                    counts.runs_listed_after_end);
     SetCounterTotal(&registry_, "target_crashes_total", {},
                     counts.target_crashes);
     SetCounterTotal(&registry_, "announcements_ignored_total", {},
