Coordinator, Platform: say who ordered a run when, and why it was stopped

The logs did not tell whether one entry had ordered both or two had, nor why the first run went on.

Change: the gate's "A run ended." has the age of the order, how long its entry had not acknowledged a report, and why and since when the run was to stop. "Refused a start." has the age of the start and, for duplicate and sealed, the other run, its entry and its age. "Connected to an entry." names the incarnation that it replaces.

No line is new, so none is added per run.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -323,7 +323,11 @@
                  {{"end", Name(ended.end)},
                   {"reason", Name(ended.reason)},
                   {"ordered", FormatMillis(now - placed.ordered_at)},
+                  {"attempt", std::to_string(placed.job_serial)},
+                  {"earlier_runs", std::to_string(job->earlier_runs)},
+                  {"stop_requested", placed.stop_requested ? "true" : "false"},
                   {"target_crashed", ended.target_crashed ? "true" : "false"},
+                  {"silent", FormatMillis(now - gate->last_heard_at)},
                   {"gate", core::ToString(gate->node)}});
     }
     RunEnded scaled = ended;
--- a/coordinator/entry_jobs.cc
+++ b/coordinator/entry_jobs.cc
@@ -110,7 +110,8 @@
     ++board->counts.attached;
     known->second->calls.push_back(call);
     AddLogLine(board, "Attached a client to its job.", id.value(),
-               {{"age", FormatMillis(now - known->second->arrived_at)}});
+               {{"age", FormatMillis(now - known->second->arrived_at)},
+                {"attempt", std::to_string(known->second->serial)}});
     return;
   }
   const auto kept = board->ended_states.find(id);
@@ -139,6 +140,7 @@
       {{"queue", queue.name.value()},
        {"version", std::to_string(board->operator_state.version)},
        {"tasks", std::to_string(job->tasks.size())},
+       {"attempt", std::to_string(job->serial)},
        {"earlier_runs", std::to_string(job->earlier_runs)},
        {"objective", FormatMillis(job->objective - now)},
        {"useful", FormatMillis(job->useful_until - now)},
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -125,10 +125,12 @@
 }  // namespace
 
 void RefuseStart(GateBoard* board, const core::NodeId& home, const RunRef& run,
-                 RefusalReason reason) {
+                 RefusalReason reason, LogFields details) {
   ++board->counts.refusals[reason];
-  AddLogLine(board, "Refused a start.", ToString(run),
-             {{"reason", Name(reason)}, {"entry", core::ToString(home)}});
+  LogFields fields = {{"reason", Name(reason)},
+                      {"entry", core::ToString(home)}};
+  fields.insert(fields.end(), details.begin(), details.end());
+  AddLogLine(board, "Refused a start.", ToString(run), std::move(fields));
   board->actions.push_back(SendTo<RunEnded>{
       home, {run, RunEnd::kRefused, reason, core::Duration{0}}});
 }
@@ -138,14 +140,20 @@
   RecordEvent(board, now);
   HomeLink& home = board->homes[from.address];
   if (home.node != from) {
+    LogFields details;
     if (!home.node.address.value().empty()) {
-      StopRunsOfEntry(board, now, home.node);
+      const std::size_t stopped =
+          StopRunsOfEntry(board, now, home.node, StopReason::kEntryReplaced);
+      details = {{"replaces", core::ToString(home.node)},
+                 {"silent", DescribeSilence(*board, now, home.node)},
+                 {"runs", std::to_string(stopped)}};
     }
     home = HomeLink{};
     home.node = from;
     home.confirmed_report_at = now;
     home.report_due = true;
-    AddLogLine(board, "Connected to an entry.", core::ToString(from), {});
+    AddLogLine(board, "Connected to an entry.", core::ToString(from),
+               std::move(details));
   } else if (!home.connected) {
     home.report_due = true;
     AddLogLine(board, "Reconnected to an entry.", core::ToString(from), {});
@@ -325,7 +333,8 @@
   if (reason == RefusalReason::kNone) {
     SendStart(board, now, from, std::move(start));
   } else {
-    RefuseStart(board, from, start.run, reason);
+    RefuseStart(board, from, start.run, reason,
+                DescribeRefusal(*board, now, start, reason));
   }
   FinishEvent(board, now);
 }
@@ -371,11 +380,14 @@
 
 void OnEntryReplaced(GateBoard* board, core::Time now,
                      const core::NodeId& home) {
-  StopRunsOfEntry(board, now, home);
+  const std::size_t stopped =
+      StopRunsOfEntry(board, now, home, StopReason::kEntryReplaced);
   const auto found = board->homes.find(home.address);
   if (found != board->homes.end() && found->second.node == home) {
     AddLogLine(board, "An entry was replaced by another incarnation.",
-               core::ToString(home), {});
+               core::ToString(home),
+               {{"silent", DescribeSilence(*board, now, home)},
+                {"runs", std::to_string(stopped)}});
     board->homes.erase(found);
   }
   FinishEvent(board, now);
--- a/coordinator/gate_internal.h
+++ b/coordinator/gate_internal.h
@@ -44,16 +44,41 @@
 void SendStop(GateBoard* board, core::Time now, const RunRef& ref,
               GateRun* run);
 
-/// Requests the stop of a run, unless that was done before.
-void StopRun(GateBoard* board, core::Time now, const RunRef& ref, GateRun* run);
-
-/// Stops all runs of an entry.
-void StopRunsOfEntry(GateBoard* board, core::Time now,
-                     const core::NodeId& home);
+/// Records why a run is to be stopped, for the log; the first reason stays.
+void SetStopReason(core::Time now, StopReason reason, GateRun* run);
 
-/// Tells the entry `home` that its start of `run` was refused.
+/// Requests the stop of a run, unless that was done before.
+void StopRun(GateBoard* board, core::Time now, const RunRef& ref,
+             StopReason reason, GateRun* run);
+
+/// Stops all runs of an entry. Returns the number of runs that were not to be
+/// stopped before.
+std::size_t StopRunsOfEntry(GateBoard* board, core::Time now,
+                            const core::NodeId& home, StopReason reason);
+
+/// How long the entry has not acknowledged a report, for logs: "12ms", or
+/// "unknown" if this process has no connection to that entry.
+std::string DescribeSilence(const GateBoard& board, core::Time now,
+                            const core::NodeId& home);
+
+/// Logs the end of a run.
+void LogRunEnd(GateBoard* board, core::Time now, const RunRef& ref,
+               const GateRun& run, const RunEnded& ended);
+
+/// Describes, for logs, an earlier run with the same number and a present run
+/// of the same task.
+LogFields DescribeRivals(const GateBoard& board, core::Time now,
+                         const RunRef& ref);
+
+/// Describes, for logs, when a refused start was ordered, and what keeps it
+/// from being the only run of its task.
+LogFields DescribeRefusal(const GateBoard& board, core::Time now,
+                          const StartRun& start, RefusalReason reason);
+
+/// Tells the entry `home` that its start of `run` was refused. `details` are
+/// logged.
 void RefuseStart(GateBoard* board, const core::NodeId& home, const RunRef& run,
-                 RefusalReason reason);
+                 RefusalReason reason, LogFields details);
 
 /// Records that a message has come from an entry. Stops the runs of an earlier
 /// incarnation at its address.
--- a/coordinator/gate_polls.cc
+++ b/coordinator/gate_polls.cc
@@ -109,10 +109,18 @@
       run.found = true;
       UpdateProgress(board, now, poll.clock, each, &run);
       board->runs[each.run] = run;
-      AddLogLine(board, "Found a run that this gate did not order.",
-                 ToString(each.run), {});
+      AddLogLine(
+          board, "Found a run that this gate did not order.",
+          ToString(each.run),
+          {{"target", board->target->announcement.target.value()},
+           {"runs_known_for", std::to_string(core::Millis(
+                                  now - board->target->runs_known_since)) +
+                                  "ms"}});
       // Its entry may have placed the task again.
-      if (had_ended) StopRun(board, now, each.run, &board->runs[each.run]);
+      if (had_ended) {
+        StopRun(board, now, each.run, StopReason::kListedAfterEnd,
+                &board->runs[each.run]);
+      }
       continue;
     }
     // An order that was sent shortly before has reached a new incarnation.
--- a/coordinator/gate_queries.cc
+++ b/coordinator/gate_queries.cc
@@ -24,11 +24,13 @@
 
 /// Answers an entry that asks about a run with the task and number of another
 /// entry's run.
-void AnswerOtherEntry(GateBoard* board, const core::NodeId& from,
-                      const RunRef& ref, GateRun* run) {
+void AnswerOtherEntry(GateBoard* board, core::Time now,
+                      const core::NodeId& from, const RunRef& ref,
+                      GateRun* run) {
   if (!IsOwnerUncertain(*run)) {
     // This process refuses a start that would be a second run of the task.
-    return RefuseStart(board, from, ref, RefusalReason::kDuplicate);
+    return RefuseStart(board, from, ref, RefusalReason::kDuplicate,
+                       DescribeRivals(*board, now, ref));
   }
   std::vector<core::NodeId>& others = run->other_homes;
   if (std::find(others.begin(), others.end(), from) == others.end()) {
@@ -49,7 +51,8 @@
   const auto past = board->ended_runs.find(ask.run);
   if (past != board->ended_runs.end()) {
     if (IsOfAnotherEntry(past->second.home, from)) {
-      RefuseStart(board, from, ask.run, RefusalReason::kSealed);
+      RefuseStart(board, from, ask.run, RefusalReason::kSealed,
+                  DescribeRivals(*board, now, ask.run));
     } else {
       board->actions.push_back(SendTo<RunEnded>{from, past->second.ended});
     }
@@ -59,19 +62,22 @@
   if (found != board->runs.end()) {
     GateRun& run = found->second;
     if (IsOfAnotherEntry(run.home, from)) {
-      AnswerOtherEntry(board, from, ask.run, &run);
+      AnswerOtherEntry(board, now, from, ask.run, &run);
       // The run that the other entry ordered goes on.
       if (!IsOwnerUncertain(run) || !ask.stop) return FinishEvent(board, now);
     } else {
       run.home = from;
     }
     if (ask.stop) {
-      StopRun(board, now, ask.run, &run);
+      StopRun(board, now, ask.run, StopReason::kByEntry, &run);
     } else if (run.phase == RunPhase::kUnclaimed && !run.stop_requested) {
       run.phase = RunPhase::kRunning;
       run.room = ask.room;
       AddLogLine(board, "An entry claimed a run that this gate did not order.",
-                 ToString(ask.run), {{"entry", core::ToString(from)}});
+                 ToString(ask.run),
+                 {{"entry", core::ToString(from)},
+                  {"found",
+                   std::to_string(core::Millis(now - run.ordered_at)) + "ms"}});
       MarkAllReportsDue(board);
     }
     return FinishEvent(board, now);
@@ -82,6 +88,7 @@
   run.ordered_at = now;
   run.confirmed_at = FindConfirmation(*board, run);
   run.stop_requested = true;
+  SetStopReason(now, StopReason::kUnknownRun, &run);
   GateRun& sealing = board->runs[ask.run] = run;
   SendStop(board, now, ask.run, &sealing);
   FinishEvent(board, now);
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -94,12 +94,7 @@
                             false};
   ++board->counts.ends[end];
   if (end == RunEnd::kRefused) ++board->counts.refusals[reason];
-  AddLogLine(board, "A run ended.", ToString(ref),
-             {{"end", Name(end)},
-              {"reason", Name(reason)},
-              {"run_time", std::to_string(core::Millis(ended.run_time)) + "ms"},
-              {"target_crashed", ended.target_crashed ? "true" : "false"},
-              {"entry", core::ToString(run.home)}});
+  LogRunEnd(board, now, ref, run, ended);
   if (!run.home.address.value().empty()) {
     board->actions.push_back(SendTo<RunEnded>{run.home, ended});
   }
@@ -121,23 +116,28 @@
 }
 
 void StopRun(GateBoard* board, core::Time now, const RunRef& ref,
-             GateRun* run) {
+             StopReason reason, GateRun* run) {
   if (run->stop_requested) return;
   run->confirmed_at = FindConfirmation(*board, *run);
   run->stop_requested = true;
+  SetStopReason(now, reason, run);
   // The target may carry out the stop before a start that is still pending. It
   // then refuses the start, which has the same effect.
   SendStop(board, now, ref, run);
 }
 
-void StopRunsOfEntry(GateBoard* board, core::Time now,
-                     const core::NodeId& home) {
+std::size_t StopRunsOfEntry(GateBoard* board, core::Time now,
+                            const core::NodeId& home, StopReason reason) {
+  std::size_t stopped = 0;
   for (auto& [ref, run] : board->runs) {
     const bool is_other =
         std::find(run.other_homes.begin(), run.other_homes.end(), home) !=
         run.other_homes.end();
-    if (run.home == home || is_other) StopRun(board, now, ref, &run);
+    if (run.home != home && !is_other) continue;
+    if (!run.stop_requested) ++stopped;
+    StopRun(board, now, ref, reason, &run);
   }
+  return stopped;
 }
 
 void RecordEvent(GateBoard* board, core::Time now) {
@@ -180,11 +180,13 @@
     case OrderAnswer::kUnclear:
       run.phase = RunPhase::kUnclear;
       ++board->counts.unclear_starts;
+      SetStopReason(now, StopReason::kUnansweredStart, &run);
       AddLogLine(board, "A start was not answered; sending a stop.",
                  ToString(ref),
                  {{"waited",
                    std::to_string(core::Millis(now - run.ordered_at)) + "ms"},
-                  {"until", std::to_string(run.start_deadline.value())}});
+                  {"until", std::to_string(run.start_deadline.value())},
+                  {"entry", core::ToString(run.home)}});
       SendStop(board, now, ref, &run);
       break;
   }
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -47,7 +47,7 @@
     if (run.phase == RunPhase::kUnclaimed && !run.stop_requested &&
         (now - board->target->runs_known_since > kClaimTime ||
          HaveAllEntriesClaimedRuns(*board, now))) {
-      StopRun(board, now, ref, &run);
+      StopRun(board, now, ref, StopReason::kUnclaimed, &run);
     }
     const bool wants = run.stop_requested || run.phase == RunPhase::kUnclear ||
                        run.phase == RunPhase::kSealing;
@@ -263,17 +263,19 @@
   }
   for (auto& [address, home] : board->homes) {
     if (now - home.confirmed_report_at <= board->policy.home_silence) continue;
-    if (!home.timed_out) {
-      home.timed_out = true;
-      ++board->counts.timed_out_entries;
-      AddLogLine(board, "An entry is silent; stopping its runs.",
-                 core::ToString(home.node),
-                 {{"silent", std::to_string(
-                                 core::Millis(now - home.confirmed_report_at)) +
-                                 "ms"}});
-    }
     // A start of the entry may have been delayed until after it timed out.
-    StopRunsOfEntry(board, now, home.node);
+    const std::size_t stopped =
+        StopRunsOfEntry(board, now, home.node, StopReason::kEntrySilent);
+    if (home.timed_out) continue;
+    home.timed_out = true;
+    ++board->counts.timed_out_entries;
+    AddLogLine(board, "An entry is silent; stopping its runs.",
+               core::ToString(home.node),
+               {{"silent", DescribeSilence(*board, now, home.node)},
+                {"heard",
+                 std::to_string(core::Millis(now - home.last_heard_at)) + "ms"},
+                {"connected", home.connected ? "true" : "false"},
+                {"runs", std::to_string(stopped)}});
   }
   std::erase_if(board->homes, [board, now](const auto& entry) {
     return now - entry.second.last_heard_at > board->policy.forget_peer_after;
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -64,6 +64,27 @@
   kSealing,
 };
 
+/// Why a gate stops a run.
+enum class StopReason : std::uint8_t {
+  kNone,
+  /// Its entry asked for it.
+  kByEntry,
+  kEntrySilent,
+  /// Another process runs at its entry's address.
+  kEntryReplaced,
+  /// No entry claimed a run that this process had not ordered.
+  kUnclaimed,
+  /// The start was not answered.
+  kUnansweredStart,
+  /// An entry asked about a run that was unknown here.
+  kUnknownRun,
+  /// The target lists it after its end was told.
+  kListedAfterEnd,
+};
+
+/// The reason's name in logs.
+const char* Name(StopReason reason);
+
 /// A run that takes room at the target, or may do so.
 struct GateRun {
   RunPhase phase = RunPhase::kStarting;
@@ -93,6 +114,9 @@
   bool target_crashed = false;
   /// The run is to be stopped.
   bool stop_requested = false;
+  /// Why the run was first to be stopped, and when.
+  StopReason stop_reason = StopReason::kNone;
+  core::Time stop_requested_at;
   bool stop_pending = false;
   /// When the last stop was sent.
   core::Time stop_sent_at;
--- a/coordinator/job_end.cc
+++ b/coordinator/job_end.cc
@@ -108,6 +108,8 @@
               {"why", why},
               {"took", FormatMillis(now - job->arrived_at)},
               {"objective", FormatMillis(job->objective - job->arrived_at)},
+              {"attempt", std::to_string(job->serial)},
+              {"earlier_runs", std::to_string(job->earlier_runs)},
               {"runs", std::to_string(job->ordered_runs)},
               {"tasks_left", std::to_string(job->tasks_left)}});
   ++board->counts.ended[state];
@@ -125,6 +127,8 @@
              {{"why", why},
               {"took", FormatMillis(now - job->arrived_at)},
               {"objective", FormatMillis(job->objective - job->arrived_at)},
+              {"attempt", std::to_string(job->serial)},
+              {"earlier_runs", std::to_string(job->earlier_runs)},
               {"runs", std::to_string(job->ordered_runs)},
               {"tasks_left", std::to_string(job->tasks_left)}});
   ++board->counts.refused[Refusal::kGivenUp];
@@ -139,6 +143,8 @@
   AddLogLine(board, "Gave up a job that has not run.", job->request.id.value(),
              {{"reason", Name(refusal)},
               {"waited", FormatMillis(now - job->arrived_at)},
+              {"attempt", std::to_string(job->serial)},
+              {"earlier_runs", std::to_string(job->earlier_runs)},
               {"retry_after", FormatMillis(retry_after)},
               {"waiting", std::to_string(board->waiting_tasks.size())}});
   ++board->counts.refused[refusal];
--- a/coordinator/tests/gate_log_test.cc
+++ b/coordinator/tests/gate_log_test.cc
@@ -1,4 +1,5 @@
 #include "gate_fixture.h"
+#include "log_lines.h"
 
 namespace tarragon::coordinator {
 namespace {
@@ -14,6 +15,13 @@
   CPPUNIT_TEST(WarnsOnceOfRunListedAfterItsRefusal);
   CPPUNIT_TEST(WarnsOfRunListedAfterItsEnd);
   CPPUNIT_TEST(SilentAboutListOlderThanTheEnd);
+  CPPUNIT_TEST(TellsWhyAndForHowLongRunWasToStop);
+  CPPUNIT_TEST(KeepsFirstReasonOfStop);
+  CPPUNIT_TEST(TellsThatStartWasNotAnswered);
+  CPPUNIT_TEST(TellsThatNobodyClaimedRun);
+  CPPUNIT_TEST(TellsThatEntryWasReplaced);
+  CPPUNIT_TEST(TellsWhichRunKeepsStartFromBeingOnlyOne);
+  CPPUNIT_TEST(TellsAgeOfRefusedStart);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -25,7 +33,8 @@
     OnStartAnswer(&board_, now_, MakeRun(0), OrderAnswer::kRefused,
                   std::nullopt);
     AnswerNextPoll({MakeRun(0), MakeRun(1)}, {});
-    const std::vector<LogLine> lines = TakeLines(kListedAfterEnd);
+    const std::vector<LogLine> lines =
+        TakeLines(kListedAfterEnd, &board_.log_lines);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
     CPPUNIT_ASSERT(lines[0].level == core::LogLevel::kWarn);
     CPPUNIT_ASSERT_EQUAL(ToString(MakeRun(0)), lines[0].subject);
@@ -34,7 +43,7 @@
     AssertField(lines[0], "ended", "81ms");
     AssertField(lines[0], "entry", core::ToString(kEntry));
     AnswerNextPoll({MakeRun(0), MakeRun(1)}, {});
-    CPPUNIT_ASSERT(TakeLines(kListedAfterEnd).empty());
+    CPPUNIT_ASSERT(TakeLines(kListedAfterEnd, &board_.log_lines).empty());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, board_.counts.runs_listed_after_end);
   }
 
@@ -43,7 +52,8 @@
     StartAndAccept(MakeRun(1));
     AnswerNextPoll({MakeRun(1)}, {});
     AnswerNextPoll({MakeRun(0), MakeRun(1)}, {});
-    const std::vector<LogLine> lines = TakeLines(kListedAfterEnd);
+    const std::vector<LogLine> lines =
+        TakeLines(kListedAfterEnd, &board_.log_lines);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
     AssertField(lines[0], "end", "lapsed");
   }
@@ -63,29 +73,132 @@
     for (std::uint32_t i = 0; i < 3; ++i)
       poll.running.push_back({MakeRun(i), {}});
     OnPollAnswer(&board_, now_, older_poll, poll);
-    CPPUNIT_ASSERT(TakeLines(kListedAfterEnd).empty());
+    CPPUNIT_ASSERT(TakeLines(kListedAfterEnd, &board_.log_lines).empty());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, board_.counts.runs_listed_after_end);
   }
 
- private:
-  /// Removes all lines from the board and returns those with `sentence`.
-  std::vector<LogLine> TakeLines(const std::string& sentence) {
-    std::vector<LogLine> found;
-    for (const LogLine& line : board_.log_lines) {
-      if (sentence == line.message) found.push_back(line);
+  void TellsWhyAndForHowLongRunWasToStop() {
+    StartAndAccept(MakeRun(0));
+    StartAndAccept(MakeRun(1));
+    // The other entry goes on.
+    for (int i = 0; i < 40; ++i) {
+      now_ = now_ + milliseconds(20);
+      OnMessage(&board_, now_, kOtherEntry, MakeNotice(now_));
+      OnTick(&board_, now_);
     }
+    const std::vector<LogLine> silent =
+        TakeLines("An entry is silent; stopping its runs.", &board_.log_lines);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, silent.size());
+    AssertField(silent[0], "runs", "2");
+    AssertField(silent[0], "connected", "true");
+    AnswerNextPollWithoutEntry({MakeRun(1)},
+                               {{1, MakeRun(0), RunEnd::kStopped}});
+    const LogLine line = TakeEndLine(MakeRun(0));
+    AssertField(line, "entry", core::ToString(kEntry));
+    AssertField(line, "stop", "entry_silent");
+    CPPUNIT_ASSERT(ReadMillis(line, "entry_silent") > 700);
+    CPPUNIT_ASSERT(ReadMillis(line, "stop_age") > 0);
+    CPPUNIT_ASSERT(ReadMillis(line, "ordered") > 700);
+  }
+
+  void KeepsFirstReasonOfStop() {
+    StartAndAccept(MakeRun(0));
+    StartAndAccept(MakeRun(1));
+    OnMessage(&board_, now_, kEntry, AskRun{MakeRun(0), true, {}});
+    OnEntryReplaced(&board_, now_, kEntry);
+    AnswerNextPoll({}, {{1, MakeRun(0), RunEnd::kStopped},
+                        {2, MakeRun(1), RunEnd::kStopped}});
+    AssertField(TakeEndLine(MakeRun(0), false), "stop", "by_entry");
+    AssertField(TakeEndLine(MakeRun(1)), "stop", "entry_replaced");
+  }
+
+  void TellsThatStartWasNotAnswered() {
+    StartAndAccept(MakeRun(1));
+    Start(MakeRun(0));
+    OnStartAnswer(&board_, now_, MakeRun(0), OrderAnswer::kUnclear,
+                  std::nullopt);
+    AnswerNextPoll({MakeRun(1)}, {{1, MakeRun(0), RunEnd::kStopped}});
+    AssertField(TakeEndLine(MakeRun(0)), "stop", "unanswered_start");
+  }
+
+  void TellsThatNobodyClaimedRun() {
+    StartAndAccept(MakeRun(1));
+    AnswerNextPoll({MakeRun(0), MakeRun(1)}, {});
+    const std::vector<LogLine> found = TakeLines(
+        "Found a run that this gate did not order.", &board_.log_lines);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+    AssertField(found[0], "target", "t-1");
+    Advance(milliseconds(400));
+    AnswerNextPoll({MakeRun(1)}, {{1, MakeRun(0), RunEnd::kStopped}});
+    const LogLine line = TakeEndLine(MakeRun(0));
+    AssertField(line, "stop", "unclaimed");
+    CPPUNIT_ASSERT(ReadMillis(line, "found") >= 400);
+  }
+
+  void TellsThatEntryWasReplaced() {
+    StartAndAccept(MakeRun(0));
     board_.log_lines.clear();
-    return found;
+    OnMessage(&board_, now_, kEntryAgain, MakeNotice(now_));
+    const std::vector<LogLine> lines =
+        TakeLines("Connected to an entry.", &board_.log_lines);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
+    AssertField(lines[0], "replaces", core::ToString(kEntry));
+    AssertField(lines[0], "runs", "1");
+  }
+
+  void TellsWhichRunKeepsStartFromBeingOnlyOne() {
+    StartAndAccept(MakeRun(0));
+    Start(MakeRun(0, 2), 1600, kOtherEntry);
+    std::vector<LogLine> lines =
+        TakeLines("Refused a start.", &board_.log_lines);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
+    AssertField(lines[0], "reason", "duplicate");
+    AssertField(lines[0], "entry", core::ToString(kOtherEntry));
+    AssertField(lines[0], "other_run", "1");
+    AssertField(lines[0], "other_entry", core::ToString(kEntry));
+    AssertField(lines[0], "other_ordered", "1ms");
+    AnswerNextPoll({}, {{1, MakeRun(0), RunEnd::kDone}});
+    Start(MakeRun(0), 1600, kOtherEntry);
+    lines = TakeLines("Refused a start.", &board_.log_lines);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
+    AssertField(lines[0], "reason", "sealed");
+    AssertField(lines[0], "past_end", "done");
+    AssertField(lines[0], "past_entry", core::ToString(kEntry));
+  }
+
+  void TellsAgeOfRefusedStart() {
+    StartRun start;
+    start.run = MakeRun(0);
+    start.service = core::ServiceId("carve");
+    start.start_by = now_ - milliseconds(100);
+    OnMessage(&board_, now_, kEntry, start);
+    const std::vector<LogLine> lines =
+        TakeLines("Refused a start.", &board_.log_lines);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
+    AssertField(lines[0], "reason", "stale");
+    AssertField(
+        lines[0], "ordered",
+        std::to_string(core::Millis(board_.policy.start_window) + 100) + "ms");
+  }
+
+ private:
+  /// As AnswerNextPoll, while kEntry stays silent.
+  void AnswerNextPollWithoutEntry(const std::vector<RunRef>& running,
+                                  const std::vector<ListedEnd>& ended) {
+    LosePolls();
+    Advance(milliseconds(80), false);
+    AnswerPoll(running, ended);
   }
 
-  static void AssertField(const LogLine& line, const std::string& name,
-                          const std::string& value) {
-    for (const auto& [field, text] : line.fields) {
-      if (field != name) continue;
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, value, text);
-      return;
+  LogLine TakeEndLine(const RunRef& run, bool remove = true) {
+    const std::vector<LogLine> kept = board_.log_lines;
+    for (const LogLine& line : TakeLines("A run ended.", &board_.log_lines)) {
+      if (line.subject != ToString(run)) continue;
+      if (!remove) board_.log_lines = kept;
+      return line;
     }
-    CPPUNIT_FAIL("no field " + name);
+    CPPUNIT_FAIL("no end of " + ToString(run));
+    return {};
   }
 };
 
