--- a/ctl/log_story.cc
+++ b/ctl/log_story.cc
@@ -34,6 +34,18 @@
     {"A job ended.", "Answered (200)"},
 }};
 
+/// Sentences about entries that tell nothing of what happened to them.
+constexpr std::array<const char*, 2> kCommon = {"Reserved room.",
+                                                "A reservation ended."};
+
+/// Sentences that say that other lines are not there.
+constexpr std::array<const char*, 2> kGaps = {
+    "Dropped log lines.", "Left out lines of the same sentence."};
+
+/// Fields that name a target, gate or entry of a run.
+constexpr std::array<const char*, 5> kPeers = {"target", "gate", "entry",
+                                               "other_entry", "past_entry"};
+
 /// Fields that tell why, in the order in which they are printed.
 constexpr std::array<const char*, 5> kReasons = {"state", "reason", "why",
                                                  "waited", "took"};
@@ -59,6 +71,15 @@
   return subject == job || subject.rfind(job + "/", 0) == 0;
 }
 
+template <std::size_t size>
+bool HasOneOf(const std::string& text,
+              const std::array<const char*, size>& sentences) {
+  return std::any_of(sentences.begin(), sentences.end(),
+                     [&text](const char* sentence) {
+                       return text.find(sentence) != std::string::npos;
+                     });
+}
+
 std::string Conclude(const std::vector<Line>& story) {
   std::string conclusion =
       "No line tells how the job ended: its entry was lost, or its logs are "
@@ -91,27 +112,37 @@
   std::stable_sort(all.begin(), all.end(), [](const Line& a, const Line& b) {
     return a.time < b.time;
   });
-  std::set<std::string> targets;
+  std::set<std::string> peers;
   std::string begin;
   std::string end;
   for (const Line& line : all) {
     if (!IsOfJob(line.subject, job)) continue;
-    const std::string target = FieldOf(line.text, "target");
-    if (!target.empty()) targets.insert(target);
+    for (const char* field : kPeers) {
+      const std::string peer = FieldOf(line.text, field);
+      if (!peer.empty()) peers.insert(peer);
+    }
     if (begin.empty()) begin = line.time;
     end = line.time;
   }
   LogStory story;
   std::vector<Line> own;
+  bool has_gaps = false;
   for (const Line& line : all) {
     const bool of_job = IsOfJob(line.subject, job);
-    const bool of_target = targets.contains(line.subject) &&
-                           line.time >= begin && line.time <= end;
+    const bool meanwhile = line.time >= begin && line.time <= end;
+    const bool of_peer = peers.contains(line.subject) && meanwhile &&
+                         !HasOneOf(line.text, kCommon);
     if (of_job) own.push_back(line);
-    if (of_job || of_target) story.lines.push_back(line.text);
+    if (of_job || of_peer) story.lines.push_back(line.text);
+    has_gaps = has_gaps || HasOneOf(line.text, kGaps);
   }
   story.conclusion =
       own.empty() ? "The logs do not name this job." : Conclude(own);
+  if (has_gaps) {
+    story.conclusion +=
+        " Some lines were left out or dropped, so lines may be missing unless "
+        "the job is in the sample.";
+  }
   return story;
 }
 
--- a/ctl/log_story.h
+++ b/ctl/log_story.h
@@ -12,7 +12,7 @@
 /// The lines about one job, and what became of it.
 struct LogStory {
   /// In the order of their time: lines with the job's id, and those about the
-  /// targets of its runs while it was open.
+  /// targets, gates and entries of its runs while it was open.
   std::vector<std::string> lines;
   /// One sentence.
   std::string conclusion;
--- a/ctl/tests/log_story_test.cc
+++ b/ctl/tests/log_story_test.cc
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(SaysThatTheEndIsNotThere);
   CPPUNIT_TEST(SaysThatTheJobIsNotThere);
   CPPUNIT_TEST(PassesOverLinesWithoutATime);
+  CPPUNIT_TEST(TellsTwoRunsOfOneTask);
+  CPPUNIT_TEST(SaysThatLinesMayBeMissing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -92,6 +94,56 @@
         std::size_t{1},
         Read(std::string("no time id=34b3\n") + kTaken, "34b3").lines.size());
   }
+
+  // Guards against a story that lacks what made the second run possible: the
+  // first entry fell silent, and its run was listed after its end.
+  void TellsTwoRunsOfOneTask() {
+    const std::string day = "2026-03-18T15:57:";
+    const std::vector<std::string> lines = {
+        day +
+            "45.101Z info  coordinator/entry: Placed a task. id=34b3/0.1#1 "
+            "target=t-9 gate=10.0.0.9:7~b attempt=5 earlier_runs=0",
+        day +
+            "45.102Z info  gate/target: The target did not accept an order. "
+            "id=34b3/0.1#1 order=/v1/run-start target=t-9 status=0",
+        day +
+            "45.300Z info  gate/gate: A run ended. id=34b3/0.1#1 end=refused "
+            "entry=10.0.0.1:7~a ordered=199ms stop=unanswered_start",
+        day +
+            "45.900Z info  gate/gate: An entry is silent; stopping its runs. "
+            "id=10.0.0.1:7~a silent=710ms runs=0",
+        day +
+            "46.000Z info  coordinator/entry: Accepted a job. id=34b3 "
+            "attempt=1 earlier_runs=0",
+        day +
+            "46.100Z warn  gate/gate: The target lists a run that had ended "
+            "here. id=34b3/0.1#1 end=refused ended=800ms entry=10.0.0.1:7~a"};
+    const std::vector<std::string> others = {
+        day + "45.500Z info  gate/gate: Reserved room. id=10.0.0.1:7~a",
+        day +
+            "45.600Z info  gate/gate: An entry is silent; stopping its runs. "
+            "id=10.0.0.2:7~c silent=710ms runs=0"};
+    std::string text;
+    for (const std::string& line : others) text += line + "\n";
+    for (const std::string& line : lines) text += line + "\n";
+    CPPUNIT_ASSERT(lines == Read(text, "34b3").lines);
+  }
+
+  void SaysThatLinesMayBeMissing() {
+    for (const std::string gap :
+         {"warn  log: Dropped log lines. count=3",
+          "info  gate/gate: Left out lines of the same sentence. count=3 "
+          "sentence=\"A run ended.\""}) {
+      const LogStory story =
+          Read(std::string(kTaken) + "2026-03-18T15:57:46.200Z " + gap + "\n",
+               "34b3");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, story.lines.size());
+      CPPUNIT_ASSERT(story.conclusion.find("lines may be missing") !=
+                     std::string::npos);
+    }
+    CPPUNIT_ASSERT(Read(kTaken, "34b3").conclusion.find("missing") ==
+                   std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LogStoryTest);
