--- a/coordinator/tests/gate_log_test.cc
+++ b/coordinator/tests/gate_log_test.cc
@@ -128,6 +128,7 @@
         "Found a run that this gate did not order.", &board_.log_lines);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
     AssertField(found[0], "target", "t-1");
+    CPPUNIT_ASSERT(ReadMillis(found[0], "runs_known_for") > 0);
     Advance(milliseconds(400));
     AnswerNextPoll({MakeRun(1)}, {{1, MakeRun(0), RunEnd::kStopped}});
     const LogLine line = TakeEndLine(MakeRun(0));
