--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -90,6 +90,7 @@
   gate->notice_sent_at = now;
   EntryNotice notice;
   notice.echo = gate->acknowledged_report.clock;
+  gate->notified_clock = notice.echo;
   notice.operator_revision = board->operator_state.revision;
   notice.domains_digest = board->domains_digest;
   notice.config_version = board->operator_state.version;
@@ -105,6 +106,13 @@
 /// between the two, so whichever client was lost before the gate sent the
 /// report has been noticed, and its runs have been asked to stop.
 void AdvanceAcknowledgement(GateLink* gate) {
+  if (!gate->connected) {
+    // Orders to stop may have been lost with the connection. They are repeated
+    // on the next one before a notice acknowledges anything.
+    gate->received_report = ReportMark{};
+    gate->acknowledged_report = ReportMark{};
+    return;
+  }
   gate->acknowledged_report = gate->received_report;
   if (!gate->report.has_value()) return;
   gate->received_report = {gate->report->clock, gate->report->runs_known};
@@ -131,6 +139,15 @@
   }
 }
 
+/// A notice waits for the acknowledgement of a newer report, which keeps what
+/// the gate knows of this entry recent, but not for long.
+core::Duration NoticePause(const JobBoard& board, const GateLink& gate) {
+  if (!gate.connected) return board.policy.reconnect_interval;
+  const bool has_news = gate.acknowledged_report.clock > gate.notified_clock;
+  return has_news ? board.policy.notice_interval
+                  : board.policy.notice_interval * 3 / 2;
+}
+
 void TickGate(JobBoard* board, core::Time now, GateLink* gate) {
   AdvanceAcknowledgement(gate);
   ForgetStaleStarts(*board, now, gate);
@@ -143,14 +160,11 @@
     board->actions.push_back(DisconnectGate{gate->node});
     MarkDisconnected(gate);
   }
-  const core::Duration pause = gate->connected
-                                   ? board->policy.notice_interval
-                                   : board->policy.reconnect_interval;
   // This notice follows the claims of the gate's unclaimed runs and tells the
   // gate that this entry has no others.
   const bool echo_due = gate->echo_due && gate->acknowledged_report.runs_known;
   if (echo_due) gate->echo_due = false;
-  if (echo_due || now - gate->notice_sent_at >= pause) {
+  if (echo_due || now - gate->notice_sent_at >= NoticePause(*board, *gate)) {
     SendNotice(board, now, gate);
   }
   SendOperatorUpdate(board, now, gate);
@@ -374,10 +388,7 @@
   UpdateSuspicion(board, now, &gate);
   const bool knows_newer = SyncOperatorState(board, now, &gate);
   QueryUnconfirmedRuns(board, now, &gate);
-  if (knows_newer ||
-      now - gate.notice_sent_at >= board->policy.notice_interval) {
-    SendNotice(board, now, &gate);
-  }
+  if (knows_newer) SendNotice(board, now, &gate);
   const std::uint64_t starts = board->last_start_sequence;
   FinishGateEvent(board, now, &gate);
   if (!offered) return;
--- a/coordinator/entry_internal.h
+++ b/coordinator/entry_internal.h
@@ -61,6 +61,10 @@
 /// stalled.
 void RecordTick(JobBoard* board, core::Time now);
 
+/// How long a request that is read now may have waited unread in the entry;
+/// zero unless it is or was just stalled.
+core::Duration FindReadDelay(const JobBoard& board, core::Time now);
+
 /// False while the entry is stalled or may not have read yet what its
 /// connections have received during a stall.
 bool IsCaughtUp(const JobBoard& board, core::Time now);
--- a/coordinator/entry_stall.cc
+++ b/coordinator/entry_stall.cc
@@ -18,12 +18,19 @@
   }
   ++board->counts.stalls;
   board->stalled = true;
+  board->last_stall = now - last;
   board->caught_up_at = now + board->policy.stall_recovery;
   AddLogLine(board, "Stalled; starting nothing before having caught up.", "",
              {{"stalled", FormatMillis(now - last)},
               {"waiting", std::to_string(board->waiting_tasks.size())}});
 }
 
+core::Duration FindReadDelay(const JobBoard& board, core::Time now) {
+  const core::Duration gap = now - board.last_tick_at.value_or(now);
+  if (gap > board.policy.stall_limit) return gap;
+  return board.stalled ? board.last_stall + gap : core::Duration{0};
+}
+
 bool IsCaughtUp(const JobBoard& board, core::Time now) {
   if (!board.last_tick_at.has_value()) return true;
   return !board.stalled &&
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -44,6 +44,11 @@
   return at != board.runs.end() && at->first.task == task;
 }
 
+bool IsTimedOut(const GateBoard& board, const core::NodeId& entry) {
+  const auto found = board.homes.find(entry.address);
+  return found != board.homes.end() && found->second.timed_out;
+}
+
 /// True if the entry has asked to stop the run before its start was read.
 bool IsBeingSealed(const GateBoard& board, const core::NodeId& from,
                    const RunRef& run) {
@@ -54,7 +59,9 @@
 
 RefusalReason CheckStart(const GateBoard& board, core::Time now,
                          const core::NodeId& from, const StartRun& start) {
-  if (now > start.start_by) return RefusalReason::kStale;
+  if (now > start.start_by || IsTimedOut(board, from)) {
+    return RefusalReason::kStale;
+  }
   if (board.ended_runs.contains(start.run)) return RefusalReason::kSealed;
   if (IsBeingSealed(board, from, start.run)) return RefusalReason::kSealed;
   if (HasRunOfTask(board, start.run.task)) return RefusalReason::kDuplicate;
--- a/coordinator/gate_lease.cc
+++ b/coordinator/gate_lease.cc
@@ -24,9 +24,9 @@
                            const StartRun& start) {
   const core::Time sent_at =
       std::min(now, start.start_by - policy.start_window);
-  // An entry starts nothing once it has not read from its clients for this
-  // time.
-  return sent_at - policy.stall_limit;
+  // The last tick before a start is at most `stall_limit` old, and the event
+  // loop has polled the sockets at most as long before that tick.
+  return sent_at - 2 * policy.stall_limit;
 }
 
 core::Time FindLeaseLimit(const GateBoard& board) {
--- a/coordinator/gate_polls.cc
+++ b/coordinator/gate_polls.cc
@@ -234,6 +234,7 @@
 
 void OnPollAnswer(GateBoard* board, core::Time now, std::uint64_t number,
                   const std::optional<PollReply>& poll, PollFailure failure) {
+  RecordEvent(board, now);
   if (IsPollOfCandidate(*board, number)) {
     OnCandidateAnswer(board, now, poll, failure);
     return FinishEvent(board, now);
--- a/coordinator/gate_runs.cc
+++ b/coordinator/gate_runs.cc
@@ -158,6 +158,7 @@
 
 void OnStartAnswer(GateBoard* board, core::Time now, const RunRef& ref,
                    OrderAnswer answer, std::optional<TargetClock> clock) {
+  RecordEvent(board, now);
   const auto found = board->runs.find(ref);
   if (found == board->runs.end()) return;
   GateRun& run = found->second;
@@ -195,6 +196,7 @@
 
 void OnStopAnswer(GateBoard* board, core::Time now, const RunRef& ref,
                   OrderAnswer answer) {
+  RecordEvent(board, now);
   const auto found = board->runs.find(ref);
   if (found == board->runs.end()) return;
   GateRun& run = found->second;
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -169,6 +169,7 @@
 
 void OnAnnouncement(GateBoard* board, core::Time now,
                     const Announcement& announcement) {
+  RecordEvent(board, now);
   if (board->target.has_value() &&
       !IsSameIncarnation(board->target->announcement, announcement)) {
     ConsiderCandidate(board, now, announcement);
--- a/coordinator/include/tarragon/coordinator/gate_board.h
+++ b/coordinator/include/tarragon/coordinator/gate_board.h
@@ -403,8 +403,7 @@
   /// State of the pseudo-random generator that spreads updates over time.
   std::uint64_t random = 0x9e3779b97f4a7c15ULL;
   bool stopping = false;
-  /// When the gate last handled a tick or a message of an entry; empty until
-  /// then.
+  /// When the gate last handled an event; empty until then.
   std::optional<core::Time> last_event_at;
   /// Usability of the target as last logged.
   bool was_usable = false;
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -235,6 +235,8 @@
   /// one. Notices acknowledge the latter.
   ReportMark received_report;
   ReportMark acknowledged_report;
+  /// The gate's clock that the last notice acknowledged.
+  core::Time notified_clock;
   bool connected = false;
   /// The last report that named a target, also by an earlier process at the
   /// gate's address.
@@ -350,6 +352,7 @@
   /// `caught_up_at`.
   bool stalled = false;
   core::Time caught_up_at;
+  core::Duration last_stall{0};
   bool stopping = false;
   core::Time stop_requested;
   bool was_ready = false;
--- a/coordinator/tests/entry_stall_test.cc
+++ b/coordinator/tests/entry_stall_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(StartsNothingUntilConnectionsWereRead);
   CPPUNIT_TEST(DropsJobWhoseClientLeftDuringStall);
   CPPUNIT_TEST(DropsJobWhoseRequestAndCloseCameLate);
+  CPPUNIT_TEST(StallCountsAgainstDeadlineOfRequestReadAfterIt);
   CPPUNIT_TEST(StartsJobWhoseClientStillWaits);
   CPPUNIT_TEST(StartsNoTaskOfExpiredJobBetweenTicks);
   CPPUNIT_TEST(ShortPauseDelaysNothing);
@@ -42,6 +43,22 @@
     CPPUNIT_ASSERT(TakeStarts().empty());
   }
 
+  void StallCountsAgainstDeadlineOfRequestReadAfterIt() {
+    Report(GateId(1), 0);
+    Advance(milliseconds(40));
+    now_ = now_ + milliseconds(1400);
+    JobRequest request;
+    request.id = JobId("j1");
+    request.steps.resize(1);
+    request.steps[0].count = 1;
+    request.steps[0].declared_run_time = milliseconds(20);
+    OnSubmit(&board_, now_, CallId(99), board_.operator_state.queues.at(0),
+             request, now_ + milliseconds(1500));
+    const auto job = board_.jobs.find(request.id);
+    CPPUNIT_ASSERT(job == board_.jobs.end() ||
+                   job->second->answer_by <= now_ + milliseconds(100));
+  }
+
   void DropsJobWhoseRequestAndCloseCameLate() {
     Report(GateId(1), 16000);
     Advance(milliseconds(40));
--- a/coordinator/tests/gate_late_order_test.cc
+++ b/coordinator/tests/gate_late_order_test.cc
@@ -17,6 +17,7 @@
  public:
   // Guards against a run that goes on beside its client's second attempt.
   void RestartedGateDoesNotExtendRunThatStartsLate() {
+    OnMessage(&board_, now_, kEntry, MakeNotice(now_));
     Start(MakeRun(0));
     const TargetClock deadline = TakeActions<OrderStart>().at(0).start_deadline;
     const core::Time lost_at = now_;
