--- a/coordinator/gate_polls.cc
+++ b/coordinator/gate_polls.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "gate_internal.h"
+#include "gate_lease.h"
 #include "target_candidate.h"
 
 // Polls of the target, and what their answers tell of its runs.
@@ -40,9 +41,8 @@
     case RunPhase::kStarting:
       return false;
     case RunPhase::kRunning:
-      return run.started_at < poll_sent;
     case RunPhase::kUnclaimed:
-      return true;
+      return run.started_at < poll_sent;
     case RunPhase::kUnclear:
       // The deadline is on the clock of the incarnation that was ordered.
       return stopped ||
@@ -76,8 +76,10 @@
     listed.insert(each.run);
     const auto found = board->runs.find(each.run);
     if (found == board->runs.end()) {
+      const auto ended = board->ended_runs.find(each.run);
+      const bool was_ended = ended != board->ended_runs.end();
       // The list may be older than an end that was processed already.
-      if (board->ended_runs.contains(each.run)) continue;
+      if (was_ended && poll_sent <= ended->second.ended_at) continue;
       GateRun run;
       run.phase = RunPhase::kUnclaimed;
       run.ordered_at = now;
@@ -87,6 +89,8 @@
       board->runs[each.run] = run;
       AddLogLine(board, "Found a run that this gate did not order.",
                  ToString(each.run), {});
+      // Its entry may have placed the task again.
+      if (was_ended) StopRun(board, now, each.run, &board->runs[each.run]);
       continue;
     }
     // An order that was sent shortly before has reached a new incarnation.
@@ -188,11 +192,7 @@
   const bool renew =
       !target.silent_since.has_value() ||
       now - *target.silent_since < board->policy.lease_renewal_silence;
-  if (target.runs_known && renew) {
-    poll.lease_until = TargetClock(EstimateTargetClock(target, now).value() +
-                                   core::Millis(board->policy.requested_lease));
-    target.lease_until = std::max(target.lease_until, *poll.lease_until);
-  }
+  if (target.runs_known && renew) poll.lease_until = RenewLease(board, now);
   if (target.runs_known && !HasUnprovedRuns(*board) && !board->runs.empty()) {
     poll.wait = AwaitsProgress(*board, now) ? board->policy.progress_hold_wait
                                             : board->policy.hold_wait;
@@ -255,6 +255,10 @@
   if (!target.runs_known) {
     MarkAllReportsDue(board);
     target.runs_known_since = now;
+    // An earlier process may have renewed the lease shortly before.
+    target.lease_until = std::max(
+        target.lease_until, TargetClock(poll.clock.value() +
+                                        core::Millis(board->policy.max_lease)));
   }
   target.runs_known = true;
   target.has_answered = true;
--- a/coordinator/gate_target.cc
+++ b/coordinator/gate_target.cc
@@ -9,8 +9,9 @@
 namespace tarragon::coordinator {
 namespace {
 
-/// Entries may claim an unclaimed run within this time, which covers two
-/// notices.
+/// Entries may claim unclaimed runs within this time after the runs are known,
+/// which covers two notices. A run that is found later was ordered by an
+/// earlier process and delayed; its entry has claimed it before or is gone.
 constexpr core::Duration kClaimTime = std::chrono::milliseconds(300);
 /// Entries always have this time to claim a run. Within it a restarted gate
 /// reads the list of entries from the store.
@@ -44,7 +45,7 @@
 void RepeatStops(GateBoard* board, core::Time now) {
   for (auto& [ref, run] : board->runs) {
     if (run.phase == RunPhase::kUnclaimed && !run.stop_requested &&
-        (now - run.ordered_at > kClaimTime ||
+        (now - board->target->runs_known_since > kClaimTime ||
          HaveAllEntriesClaimedRuns(*board, now))) {
       StopRun(board, now, ref, &run);
     }
@@ -108,7 +109,9 @@
   }
   target.announcement = announcement;
   target.announced_at = received;
-  if (target.clock.value() == 0 || !target.runs_known) {
+  // A target without runs is not polled, so this keeps the estimate close.
+  if (target.clock.value() == 0 || !target.runs_known ||
+      announcement.clock > EstimateTargetClock(target, received)) {
     target.clock = announcement.clock;
     target.clock_read_at = received;
   }
@@ -253,20 +256,23 @@
 }
 
 void OnTick(GateBoard* board, core::Time now) {
+  RecordEvent(board, now);
   if (board->target.has_value()) {
     RepeatStops(board, now);
     EndLapsedRuns(board, now);
   }
   for (auto& [address, home] : board->homes) {
     if (now - home.confirmed_report_at <= board->policy.home_silence) continue;
-    if (home.timed_out) continue;
-    home.timed_out = true;
-    ++board->counts.timed_out_entries;
-    AddLogLine(board, "An entry is silent; stopping its runs.",
-               core::ToString(home.node),
-               {{"silent",
-                 std::to_string(core::Millis(now - home.confirmed_report_at)) +
-                     "ms"}});
+    if (!home.timed_out) {
+      home.timed_out = true;
+      ++board->counts.timed_out_entries;
+      AddLogLine(board, "An entry is silent; stopping its runs.",
+                 core::ToString(home.node),
+                 {{"silent", std::to_string(
+                                 core::Millis(now - home.confirmed_report_at)) +
+                                 "ms"}});
+    }
+    // A start of the entry may have been delayed until after it timed out.
     StopRunsOfEntry(board, now, home.node);
   }
   std::erase_if(board->homes, [board, now](const auto& entry) {
--- a/simulate/resend_links.cc
+++ b/simulate/resend_links.cc
@@ -59,7 +59,7 @@
 
 ConnectionPtr ResendWorld::Dial(ProcessIndex p, ProcessIndex q,
                                 const core::NodeId& to) {
-  const ConnectionPtr connection = std::make_shared<SimulatedConnection>();
+  ConnectionPtr connection = std::make_shared<SimulatedConnection>();
   connection->id = ++last_source_;
   connection->sides[0] = {p, processes_[p].life, to, false, false, {}, {}};
   connection->sides[1].process = q;
--- a/simulate/resend_targets.cc
+++ b/simulate/resend_targets.cc
@@ -33,7 +33,7 @@
 
 std::shared_ptr<ResendWorld::TargetCall> ResendWorld::MakeCall(
     ProcessIndex p, core::Duration timeout, std::function<void()> time_out) {
-  const std::shared_ptr<TargetCall> call = std::make_shared<TargetCall>();
+  std::shared_ptr<TargetCall> call = std::make_shared<TargetCall>();
   *call = {p, processes_[p].life, ++last_source_, false};
   After(timeout, [this, call, time_out = std::move(time_out)]() {
     // A timer is another source than the connection.
--- a/simulate/tests/resend_world_test.cc
+++ b/simulate/tests/resend_world_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(RunsNoTaskTwiceIfGateRestartsAfterEntryIsLost);
   CPPUNIT_TEST(RunsNoTaskTwiceIfStartFollowsTimeoutOfEntry);
   CPPUNIT_TEST(RunsNoTaskTwiceIfRestartedGateLosesPoll);
+  CPPUNIT_TEST(RunsNoTaskTwiceIfRequestIsReadAfterStall);
   CPPUNIT_TEST(RunsNoTaskTwiceInRandomSeries);
   CPPUNIT_TEST(CompletesJobsInSpiteOfFaults);
   CPPUNIT_TEST_SUITE_END();
@@ -68,6 +69,8 @@
     AssertNoOverlaps({118, 182});
   }
 
+  void RunsNoTaskTwiceIfRequestIsReadAfterStall() { AssertNoOverlaps({1159}); }
+
   void RunsNoTaskTwiceInRandomSeries() {
     std::vector<std::uint64_t> seeds;
     for (std::uint64_t i = 0; i < kSeeds; ++i) seeds.push_back(kFirstSeed + i);
