Soak: a target ends its runs by its own clock

A stand-in looked at its clock every 10 ms only. When the soak's process was held up, a run seemed to go on after its lease was over, and a renewal that was read late kept it: two runs at once that no real target would show. Now each request, and each start anywhere, ends what was over before, at the moment at which it was.

A program that was started again inherited the soak's sockets, so that a connection that the soak had closed stayed open for its peer. They are closed in the child.

New for plans of their own: a ledger of all runs that measures overlaps, orders that are carried out and then broken off, left unanswered, or carried out late, and relays that tell diallers apart. The draws of the existing seeds are as before.

--- a/tests/soak/fake_target.cc
+++ b/tests/soak/fake_target.cc
@@ -14,6 +14,9 @@
 
 constexpr std::int64_t kCapacityMillicores = 8000;
 constexpr std::int64_t kMaxLeaseMs = 1000;
+constexpr std::int64_t kFirstClockMs = 1000;
+constexpr milliseconds kUnansweredTime{300};
+constexpr int kMaxOrderDelayMs = 900;
 constexpr milliseconds kTickInterval{10};
 constexpr milliseconds kHeartbeatInterval{400};
 constexpr milliseconds kRestartDuration{700};
@@ -35,7 +38,8 @@
           }),
       client_(io, http::ClientLimits{}),
       timer_(io),
-      clock_origin_(Steady::now()) {
+      clock_origin_(Steady::now()),
+      order_fault_random_(config_.seed) {
   http::HttpError reason;
   const std::string address =
       server_.Listen(core::Address("127.0.0.1:0"), &reason)->value();
@@ -53,7 +57,7 @@
 }
 
 std::int64_t FakeTarget::ClockMs() const {
-  return 1000 +
+  return kFirstClockMs +
          std::chrono::duration_cast<milliseconds>(Steady::now() - clock_origin_)
              .count();
 }
@@ -97,18 +101,25 @@
   const Steady::time_point now = Steady::now();
   if (now < down_until_) return;
   if (now - last_heartbeat_at_ >= kHeartbeatInterval) SendHeartbeat();
-  std::vector<std::pair<std::string, std::string>> ended;
+  ExpireRuns();
+}
+
+void FakeTarget::ExpireRuns() {
+  const Steady::time_point now = Steady::now();
+  const Steady::time_point lapses_at =
+      clock_origin_ + milliseconds(lease_until_ms_ + 1 - kFirstClockMs);
+  std::vector<std::pair<std::string, Steady::time_point>> ended;
   for (const auto& [task, run] : runs_) {
-    if (now >= run.ends_at) {
-      ended.emplace_back(task, "done");
-    } else if (ClockMs() > lease_until_ms_) {
-      ended.emplace_back(task, "lapsed");
-    }
+    const Steady::time_point at = std::min(run.ends_at, lapses_at);
+    if (now >= at) ended.emplace_back(task, at);
+  }
+  for (const auto& [task, at] : ended) {
+    EndRun(task, at < runs_[task].ends_at ? "lapsed" : "done", at);
   }
-  for (const auto& [task, outcome] : ended) EndRun(task, outcome);
 }
 
-void FakeTarget::EndRun(const std::string& task, const std::string& outcome) {
+void FakeTarget::EndRun(const std::string& task, const std::string& outcome,
+                        Steady::time_point at) {
   const auto found = runs_.find(task);
   if (found == runs_.end()) return;
   finished_runs_.push_back(
@@ -116,13 +127,20 @@
   last_ended_run_by_task_[task] =
       std::max(last_ended_run_by_task_[task], found->second.run_number);
   runs_.erase(found);
+  if (config_.ledger != nullptr) {
+    config_.ledger->OnRunEnded(config_.name, task, outcome, at);
+  }
   invariants_->OnRunEnded(config_.name, task, outcome == "done");
 }
 
 void FakeTarget::Crash() {
+  ExpireRuns();
   while (!runs_.empty()) {
     const std::string task = runs_.begin()->first;
     runs_.erase(runs_.begin());
+    if (config_.ledger != nullptr) {
+      config_.ledger->OnRunEnded(config_.name, task, "crashed", Steady::now());
+    }
     invariants_->OnRunEnded(config_.name, task, false);
   }
   last_ended_run_by_task_.clear();
@@ -140,34 +158,72 @@
   http::Response no_answer;
   no_answer.status = 0;
   if (Steady::now() < down_until_) return answer(no_answer);
-  const bool start = request.path == "/v1/run-start";
-  if (!start && request.path != "/v1/run-stop") {
+  ExpireRuns();
+  if (request.path != "/v1/run-start" && request.path != "/v1/run-stop") {
     if (DrawWithProbability(order_loss_share_)) return answer(no_answer);
     return HandleHold(request, answer, 10);
   }
-  const auto execute = [this, start](const http::Request& order) {
-    return start ? HandleRunStart(order) : HandleRunStop(order);
-  };
-  if (!DrawWithProbability(order_loss_share_)) return answer(execute(request));
+  if (HandleFaultyOrder(request, answer)) return;
+  if (!DrawWithProbability(order_loss_share_)) return answer(Execute(request));
   // The order gets no answer, but half of such orders are executed later.
   if (DrawWithProbability(0.5)) {
-    auto timer = std::make_shared<boost::asio::steady_timer>(
-        io_,
-        milliseconds(std::uniform_int_distribution<int>(0, 2000)(random_)));
-    timer->async_wait([timer, execute, request, incarnation = incarnation_,
-                       this](const boost::system::error_code& error) {
-      if (!error && incarnation == incarnation_ &&
-          Steady::now() >= down_until_) {
-        execute(request);
-      }
-    });
+    ExecuteAfter(
+        milliseconds(std::uniform_int_distribution<int>(0, 2000)(random_)),
+        request);
+  }
+  LeaveUnanswered(answer);
+}
+
+bool FakeTarget::HandleFaultyOrder(const http::Request& request,
+                                   const http::Responder& answer) {
+  const OrderFaults& faults = order_faults_;
+  if (faults.broken + faults.silent + faults.late <= 0) return false;
+  const double drawn =
+      std::uniform_real_distribution<double>(0, 1)(order_fault_random_);
+  if (drawn < faults.broken) {
+    Execute(request);
+    http::Response broken;
+    broken.status = 0;
+    answer(broken);
+    return true;
+  }
+  if (drawn < faults.broken + faults.silent) {
+    Execute(request);
+  } else if (drawn < faults.broken + faults.silent + faults.late) {
+    ExecuteAfter(milliseconds(std::uniform_int_distribution<int>(
+                     0, kMaxOrderDelayMs)(order_fault_random_)),
+                 request);
+  } else {
+    return false;
   }
+  LeaveUnanswered(answer);
+  return true;
+}
+
+http::Response FakeTarget::Execute(const http::Request& order) {
+  ExpireRuns();
+  return order.path == "/v1/run-start" ? HandleRunStart(order)
+                                       : HandleRunStop(order);
+}
+
+void FakeTarget::ExecuteAfter(milliseconds delay, const http::Request& order) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
+  timer->async_wait([this, timer, order, incarnation = incarnation_](
+                        const boost::system::error_code& error) {
+    if (!error && incarnation == incarnation_ && Steady::now() >= down_until_) {
+      Execute(order);
+    }
+  });
+}
+
+void FakeTarget::LeaveUnanswered(const http::Responder& answer) {
   auto timeout =
-      std::make_shared<boost::asio::steady_timer>(io_, milliseconds(300));
-  timeout->async_wait(
-      [timeout, answer, no_answer](const boost::system::error_code&) {
-        answer(no_answer);
-      });
+      std::make_shared<boost::asio::steady_timer>(io_, kUnansweredTime);
+  timeout->async_wait([timeout, answer](const boost::system::error_code&) {
+    http::Response no_answer;
+    no_answer.status = 0;
+    answer(no_answer);
+  });
 }
 
 http::Response FakeTarget::HandleRunStart(const http::Request& request) {
@@ -191,12 +247,21 @@
   Run run;
   run.run_number = number;
   run.millicores = std::stoll(spec.substr(0, space));
+  run.started_at = Steady::now();
   run.ends_at =
-      Steady::now() + milliseconds(static_cast<int>(
-                          std::stoi(spec.substr(space)) * runtime_factor_));
+      run.started_at + milliseconds(static_cast<int>(
+                           std::stoi(spec.substr(space)) * runtime_factor_));
   lease_until_ms_ =
       std::max(lease_until_ms_, std::min(until, ClockMs() + kMaxLeaseMs));
+  if (config_.before_start) config_.before_start();
   runs_[task] = run;
+  if (config_.ledger != nullptr) {
+    const std::size_t label = spec.find(' ', space + 1);
+    config_.ledger->OnRunStarted(
+        config_.name, task, number,
+        label == std::string::npos ? "" : spec.substr(label + 1),
+        Steady::now());
+  }
   std::int64_t free = kCapacityMillicores;
   for (const auto& [name, each] : runs_) free -= each.millicores;
   invariants_->OnRunStarted(config_.name, task, free,
@@ -204,6 +269,13 @@
   return MakeResponse(200, "");
 }
 
+int FakeTarget::ComputePercent(const Run& run) const {
+  if (!config_.lists_progress) return 100;
+  const Steady::duration length = run.ends_at - run.started_at;
+  const Steady::duration done = Steady::now() - run.started_at;
+  return static_cast<int>(100 * done / std::max(length, Steady::duration(1)));
+}
+
 http::Response FakeTarget::HandleRunStop(const http::Request& request) {
   const json::value body = json::parse(request.body);
   const std::string task(body.at("task").as_string());
@@ -211,7 +283,7 @@
       static_cast<std::uint32_t>(body.at("run").as_int64());
   const auto known = runs_.find(task);
   if (known != runs_.end() && known->second.run_number <= number) {
-    EndRun(task, "stopped");
+    EndRun(task, "stopped", Steady::now());
   }
   last_ended_run_by_task_[task] =
       std::max(last_ended_run_by_task_[task], number);
@@ -220,6 +292,7 @@
 
 void FakeTarget::HandleHold(const http::Request& request,
                             const http::Responder& answer, int polls_left) {
+  ExpireRuns();
   const json::value body = json::parse(request.body);
   const json::object& order = body.as_object();
   const std::int64_t last = order.at("last_seen").as_int64();
@@ -243,7 +316,8 @@
   }
   json::array running;
   for (const auto& [task, run] : runs_) {
-    running.push_back(json::array{task, run.run_number, "", 100});
+    running.push_back(
+        json::array{task, run.run_number, "", ComputePercent(run)});
   }
   json::array finished;
   for (const FinishedRun& end : finished_runs_) {
--- a/tests/soak/fake_target.h
+++ b/tests/soak/fake_target.h
@@ -13,6 +13,7 @@
 
 #include "invariant_checker.h"
 #include "relay.h"
+#include "run_ledger.h"
 #include "tarragon/http/client.h"
 #include "tarragon/http/server.h"
 
@@ -31,6 +32,24 @@
     /// Address ("IP:port") of the gate that receives its heartbeats.
     std::string gate;
     std::uint64_t seed = 0;
+    /// Where each run is recorded, if anywhere.
+    RunLedger* ledger = nullptr;
+    /// Lists how far each run is. Otherwise all are listed with 100 percent
+    /// from their start on, so that runs over their expected time seem to
+    /// stand.
+    bool lists_progress = false;
+    /// Called before a start is checked against the runs of all targets.
+    std::function<void()> before_start;
+  };
+  /// Shares of the orders to start or stop a run that go wrong. They do not
+  /// draw from the generator of the other faults.
+  struct OrderFaults {
+    /// Carried out, and the connection breaks instead of the answer.
+    double broken = 0;
+    /// Carried out, but not answered.
+    double silent = 0;
+    /// Carried out 0 to 900 ms later, and not answered.
+    double late = 0;
   };
   /// True if a start in the failure domain breaks an invariant, because the
   /// domain has been drained for longer than a change may take.
@@ -42,6 +61,10 @@
   /// Share (0 to 1) of the requests that get no answer. Half of the start and
   /// stop orders among them are still executed, after a random delay.
   void SetOrderLossShare(double share) { order_loss_share_ = share; }
+  void SetOrderFaults(const OrderFaults& faults) { order_faults_ = faults; }
+  /// Ends the runs that were over by now by the target's clock, at the moments
+  /// at which they were.
+  void ExpireRuns();
   /// Multiplies the run time of tasks that start from now on.
   void SetRuntimeFactor(double factor) { runtime_factor_ = factor; }
   /// Ends all runs without reporting them and restarts, after a pause, as a new
@@ -53,6 +76,7 @@
   struct Run {
     std::uint32_t run_number = 0;
     std::int64_t millicores = 0;
+    std::chrono::steady_clock::time_point started_at;
     std::chrono::steady_clock::time_point ends_at;
   };
   struct FinishedRun {
@@ -72,7 +96,18 @@
   http::Response HandleRunStop(const http::Request& request);
   void HandleHold(const http::Request& request, const http::Responder& answer,
                   int polls_left);
-  void EndRun(const std::string& task, const std::string& outcome);
+  void EndRun(const std::string& task, const std::string& outcome,
+              std::chrono::steady_clock::time_point at);
+  /// Carries out an order that is to go wrong. False if it is a sound one.
+  bool HandleFaultyOrder(const http::Request& request,
+                         const http::Responder& answer);
+  int ComputePercent(const Run& run) const;
+  http::Response Execute(const http::Request& order);
+  /// Executes an order later, if the incarnation still runs then.
+  void ExecuteAfter(std::chrono::milliseconds delay,
+                    const http::Request& order);
+  /// Breaks the connection once the gate has given up waiting.
+  void LeaveUnanswered(const http::Responder& answer);
   http::Response MakeResponse(int status, const std::string& reason) const;
   bool DrawWithProbability(double share);
 
@@ -98,6 +133,9 @@
   std::vector<FinishedRun> finished_runs_;
   std::chrono::steady_clock::time_point down_until_;
   std::chrono::steady_clock::time_point last_heartbeat_at_;
+  OrderFaults order_faults_;
+  /// Of its own, so that a seed draws the same other faults as before.
+  std::mt19937_64 order_fault_random_;
   double order_loss_share_ = 0;
   double runtime_factor_ = 1;
 };
--- a/tests/soak/process.cc
+++ b/tests/soak/process.cc
@@ -30,6 +30,8 @@
   pid_ = fork();
   if (pid_ != 0) return;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // A connection stays open for its peer while any process has it.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   const int log = open(log_file_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(log, STDOUT_FILENO);
   dup2(log, STDERR_FILENO);
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -28,6 +28,8 @@
   bool UpdateIsRunning();
   /// How often the process ended without SIGKILL or SIGTERM from the soak.
   int unexpected_exits() const { return unexpected_exits_; }
+  /// 0 if the process does not run.
+  pid_t pid() const { return pid_; }
   const std::string& program() const { return program_; }
   const std::string& log_file() const { return log_file_; }
 
--- a/tests/soak/relay.cc
+++ b/tests/soak/relay.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <optional>
 #include <utility>
 
 namespace tarragon::soak {
@@ -22,10 +23,10 @@
 class Relay::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(asio::io_context& io, Tcp::socket client,
-             std::shared_ptr<RelayMode> mode)
+             std::shared_ptr<const Rules> rules)
       : client_(std::move(client)),
         server_(io),
-        mode_(std::move(mode)),
+        rules_(std::move(rules)),
         timers_{asio::steady_timer(io), asio::steady_timer(io)} {}
 
   void Connect(const Tcp::endpoint& server) {
@@ -38,7 +39,8 @@
   }
 
   void Silence() {
-    mode_ = std::make_shared<RelayMode>(RelayMode::kDropBothWays);
+    rules_ = std::make_shared<const Rules>(
+        Rules{RelayMode::kDropBothWays, {}, nullptr});
   }
 
   void Reset() {
@@ -50,6 +52,17 @@
   }
 
  private:
+  RelayMode FindMode() {
+    if (rules_->mode_by_origin.empty()) return rules_->mode;
+    if (!origin_.has_value() && rules_->find_origin) {
+      ErrorCode error;
+      const Tcp::endpoint dialler = client_.remote_endpoint(error);
+      origin_ = error ? "" : rules_->find_origin(dialler);
+    }
+    const auto found = rules_->mode_by_origin.find(origin_.value_or(""));
+    return found == rules_->mode_by_origin.end() ? rules_->mode : found->second;
+  }
+
   void Read(Tcp::socket* from, Tcp::socket* to, std::size_t direction) {
     from->async_read_some(asio::buffer(buffers_[direction]),
                           [self = shared_from_this(), from, to, direction](
@@ -61,7 +74,7 @@
 
   void Forward(Tcp::socket* from, Tcp::socket* to, std::size_t direction,
                std::size_t size) {
-    const RelayMode mode = *mode_;
+    const RelayMode mode = FindMode();
     const bool lost = mode == RelayMode::kDropBothWays ||
                       (mode == RelayMode::kDropToServer && direction == 0) ||
                       (mode == RelayMode::kDropToClient && direction == 1);
@@ -94,7 +107,8 @@
 
   Tcp::socket client_;
   Tcp::socket server_;
-  std::shared_ptr<RelayMode> mode_;
+  std::shared_ptr<const Rules> rules_;
+  std::optional<std::string> origin_;
   std::array<asio::steady_timer, 2> timers_;
   std::array<std::array<char, 16384>, 2> buffers_;
 };
@@ -114,11 +128,19 @@
   return front.address().to_string() + ":" + std::to_string(front.port());
 }
 
+void Relay::SetModeForOrigin(const std::string& origin, RelayMode mode) {
+  if (mode == RelayMode::kPass) {
+    rules_->mode_by_origin.erase(origin);
+  } else {
+    rules_->mode_by_origin[origin] = mode;
+  }
+}
+
 void Relay::Accept() {
   acceptor_.async_accept([this](const ErrorCode& error, Tcp::socket socket) {
     if (error) return;
     const std::shared_ptr<Connection> connection =
-        std::make_shared<Connection>(io_, std::move(socket), mode_);
+        std::make_shared<Connection>(io_, std::move(socket), rules_);
     connections_.push_back(connection);
     connection->Connect(server_);
     Accept();
--- a/tests/soak/relay.h
+++ b/tests/soak/relay.h
@@ -5,6 +5,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,7 +40,14 @@
 
   /// "IP:port" on which it listens.
   std::string address() const;
-  void SetMode(RelayMode mode) { *mode_ = mode; }
+  void SetMode(RelayMode mode) { rules_->mode = mode; }
+  /// Tells who has dialled, by the dialler's address of the connection.
+  using FindOrigin =
+      std::function<std::string(const boost::asio::ip::tcp::endpoint&)>;
+  void SetFindOrigin(FindOrigin find) { rules_->find_origin = std::move(find); }
+  /// The mode of the connections that `origin` has dialled, whatever the mode
+  /// of the others.
+  void SetModeForOrigin(const std::string& origin, RelayMode mode);
   /// Resets all connections.
   void Reset();
   /// Drops what the present connections carry from now on, without closing
@@ -47,14 +56,19 @@
 
  private:
   class Connection;
+  struct Rules {
+    RelayMode mode = RelayMode::kPass;
+    /// Without those that pass.
+    std::map<std::string, RelayMode> mode_by_origin;
+    FindOrigin find_origin;
+  };
 
   void Accept();
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint server_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::shared_ptr<RelayMode> mode_ =
-      std::make_shared<RelayMode>(RelayMode::kPass);
+  std::shared_ptr<Rules> rules_ = std::make_shared<Rules>();
   std::vector<std::weak_ptr<Connection>> connections_;
 };
 
