Soak: no process outlives a soak that dies as it starts it

A program under test was told to die with the soak only after its start. When the soak died in between, 22 gates and an entry of six aborted soaks lived on, held their ports and called the store of soaks that had got the port since: a target took such calls for polls and aborted the soak ("incomplete JSON", twice), and gates could not listen. A program whose soak is gone ends now, and a target answers 404 to a path that it does not know.

--- a/tests/soak/fake_target.cc
+++ b/tests/soak/fake_target.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cstdio>
 #include <memory>
 #include <utility>
 
@@ -159,7 +160,15 @@
   no_answer.status = 0;
   if (Steady::now() < down_until_) return answer(no_answer);
   ExpireRuns();
-  if (request.path != "/v1/run-start" && request.path != "/v1/run-stop") {
+  const bool is_order =
+      request.path == "/v1/run-start" || request.path == "/v1/run-stop";
+  if (!is_order && request.path != "/v1/hold") {
+    // From another program on this machine, which takes this port for another.
+    std::fprintf(stderr, "Target %s: odd request %s %s\n", config_.name.c_str(),
+                 request.method.c_str(), request.path.c_str());
+    return answer(MakeResponse(404, ""));
+  }
+  if (!is_order) {
     if (DrawWithProbability(order_loss_share_)) return answer(no_answer);
     return HandleHold(request, answer, 10);
   }
--- a/tests/soak/process.cc
+++ b/tests/soak/process.cc
@@ -27,9 +27,12 @@
       (std::filesystem::read_symlink("/proc/self/exe").parent_path() / program_)
           .string();
   exit_expected_ = false;
+  const pid_t soak = getpid();
   pid_ = fork();
   if (pid_ != 0) return;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // The soak may have died before it was asked for the signal.
+  if (getppid() != soak) _exit(127);
   // A connection stays open for its peer while any process has it.
   close_range(STDERR_FILENO + 1, ~0U, 0);
   const int log = open(log_file_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
