Soak: series of losses, and lost orders alone

The processes and stand-ins of both kinds of plan are now in cluster.cc; soaks that run beside each other reserve their ports. The default plan draws as before.

--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -11,17 +11,16 @@
 #include <string>
 #include <vector>
 
-#include "fake_store.h"
-#include "fake_target.h"
+#include "cluster.h"
 #include "invariant_checker.h"
+#include "loss_run.h"
 #include "options.h"
-#include "process.h"
 #include "tarragon/http/client.h"
 
 /// tarragon-soak [--seeds N] [--seed FIRST] [--seconds S] [--entries E]
-/// [--gates G]: runs each seed with real processes while it injects faults into
-/// them, their network, the store and the targets. Exits with 1 if a promise
-/// was broken.
+/// [--gates G] [--plan random|losses|orders] [--keep-logs 0|1]: runs each seed
+/// with real processes while it injects faults into them, their network, the
+/// store and the targets. Exits with 1 if a promise was broken.
 
 namespace tarragon::soak {
 namespace {
@@ -45,7 +44,7 @@
       : options_(options),
         random_(seed),
         silence_random_(seed),
-        store_(io_),
+        cluster_(io_),
         client_(io_, http::ClientLimits{}),
         run_folder_(std::filesystem::temp_directory_path() /
                     ("tarragon-soak-" + std::to_string(getpid()) + "-" +
@@ -60,18 +59,16 @@
   int DrawInt(int least, int most) {
     return std::uniform_int_distribution<int>(least, most)(random_);
   }
-  void RunAfter(milliseconds delay, std::function<void()> step);
-  boost::asio::ip::tcp::endpoint PeerEndpointAt(const std::string& ip) const;
+  void RunAfter(milliseconds delay, std::function<void()> step) {
+    soak::RunAfter(io_, delay, std::move(step));
+  }
   Relay* PickRelay();
-  std::string WriteNodeFile(const std::string& name, int index, bool entry);
   void SetUp();
-  void WriteConfiguration();
   void ScheduleFaults();
   /// Silences the connections of some processes from time to time.
   void ScheduleSilence();
   void InjectFault();
   void InjectStoreFault(milliseconds duration);
-  void ClearStoreFaults();
   void SubmitNext();
   void Submit(const std::string& job, const std::string& body, int attempt);
   /// Restarts processes that have ended; stops the run at its end or at the
@@ -86,144 +83,43 @@
   std::mt19937_64 silence_random_;
   boost::asio::io_context io_;
   InvariantChecker invariants_;
-  FakeStore store_;
+  Cluster cluster_;
   http::Client client_;
   std::filesystem::path run_folder_;
-  std::vector<std::unique_ptr<Relay>> store_relays_;
-  /// In front of each process's port for peers.
-  std::vector<std::unique_ptr<Relay>> peer_relays_;
-  std::vector<std::unique_ptr<Process>> processes_;
-  std::vector<std::unique_ptr<FakeTarget>> targets_;
-  /// The addresses where coordinators accept clients.
-  std::vector<std::string> front_addresses_;
   /// The drained failure domain, if any, and when its drain was written.
   std::map<std::string, Steady::time_point> drained_since_;
-  int base_port_ = 0;
-  int config_version_ = 0;
   std::uint64_t last_job_number_ = 0;
   bool injecting_faults_ = true;
   bool completed_after_faults_ = false;
   Steady::time_point faults_ended_at_;
 };
 
-void SoakRun::RunAfter(milliseconds delay, std::function<void()> step) {
-  auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
-  timer->async_wait(
-      [timer, step = std::move(step)](const boost::system::error_code& error) {
-        if (!error) step();
-      });
-}
-
-std::string SoakRun::WriteNodeFile(const std::string& name, int index,
-                                   bool entry) {
-  const std::string ip = "127." + std::to_string(entry ? 1 : 2) + ".0." +
-                         std::to_string(index + 1);
-  const auto at = [&ip, this](int offset) {
-    return ip + ":" + std::to_string(base_port_ + offset);
-  };
-  const std::string store = store_.address();
-  const int store_port = std::stoi(store.substr(store.find(':') + 1));
-  store_relays_.push_back(std::make_unique<Relay>(
-      io_,
-      boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
-                                     static_cast<std::uint16_t>(store_port))));
-  json::object listen;
-  if (entry) {
-    listen["front"] = at(1);
-    listen["ready"] = at(2);
-    front_addresses_.push_back(at(1));
-  } else {
-    listen["control"] = at(1);
-  }
-  const json::object node{
-      {"node_name", name},
-      {"zone", "d" + std::to_string(index % 2)},
-      {"ip", ip},
-      {"listen_addrs", listen},
-      {"internal_ports", json::array{base_port_, base_port_ + 9}},
-      {"platform", {{"address", store_relays_.back()->address()}}}};
-  std::string path = (run_folder_ / (name + ".json")).string();
-  std::ofstream(path) << json::serialize(node);
-  return path;
-}
-
-boost::asio::ip::tcp::endpoint SoakRun::PeerEndpointAt(
-    const std::string& ip) const {
-  return {boost::asio::ip::make_address(ip),
-          static_cast<std::uint16_t>(base_port_)};
-}
-
 Relay* SoakRun::PickRelay() {
   switch (DrawInt(0, 3)) {
     case 0:
-      return targets_[random_() % targets_.size()]->relay();
+      return cluster_.targets[random_() % cluster_.targets.size()]->relay();
     case 1:
-      return store_relays_[random_() % store_relays_.size()].get();
+      return cluster_.store_relays[random_() % cluster_.store_relays.size()]
+          .get();
     default:
-      return peer_relays_[random_() % peer_relays_.size()].get();
+      return cluster_.peer_relays[random_() % cluster_.peer_relays.size()]
+          .get();
   }
 }
 
-void SoakRun::WriteConfiguration() {
-  json::array routes;
-  for (const char* name : {"checks", "carvings"}) {
-    routes.push_back(
-        json::object{{"name", name},
-                     {"host", "q.example"},
-                     {"path_prefix", std::string("/") + name + "/"},
-                     {"service", "s"},
-                     {"priority", 0},
-                     {"max_attempts", 3},
-                     {"stretch", 1.6},
-                     {"target_latency_ms", 200},
-                     {"timeout_ms", 4000}});
-  }
-  store_.Put("op", "config",
-             json::serialize(json::object{{"version", ++config_version_},
-                                          {"routes", routes}}));
-}
-
 void SoakRun::SetUp() {
-  std::filesystem::create_directories(run_folder_);
-  // Assumes that a port that is free on one loopback address is free on all.
-  boost::asio::ip::tcp::acceptor probe(
-      io_, boost::asio::ip::tcp::endpoint(
-               boost::asio::ip::make_address("127.1.0.1"), 0));
-  base_port_ = probe.local_endpoint().port() % 50000 + 10000;
-  probe.close();
-  WriteConfiguration();
-  for (int i = 0; i < options_.entries + options_.gates; ++i) {
-    const bool entry = i < options_.entries;
-    const int index = entry ? i : i - options_.entries;
-    const std::string name =
-        (entry ? "entry-" : "gate-") + std::to_string(index);
-    const std::string node_file = WriteNodeFile(name, index, entry);
-    // Peers connect to the VM's address, where the relay listens; the process
-    // itself listens at `bind_ip`.
-    const std::string network = entry ? "127.3.0." : "127.4.0.";
-    const std::string bind_ip = network + std::to_string(index + 1);
-    peer_relays_.push_back(std::make_unique<Relay>(
-        io_, PeerEndpointAt(bind_ip),
-        PeerEndpointAt((entry ? "127.1.0." : "127.2.0.") +
-                       std::to_string(index + 1))));
-    processes_.push_back(std::make_unique<Process>(
-        entry ? "tarragon-coordinator" : "tarragon-gate", node_file,
-        (run_folder_ / (name + ".log")).string(), bind_ip));
-    processes_.back()->Start();
-    if (entry) continue;
-    FakeTarget::Config config;
-    config.name = "t" + std::to_string(index);
-    config.domain = "d" + std::to_string(index % 2);
-    config.gate = "127.2.0." + std::to_string(index + 1) + ":" +
-                  std::to_string(base_port_ + 1);
-    config.seed = random_();
-    targets_.push_back(std::make_unique<FakeTarget>(
-        io_, config, &invariants_, [this](const std::string& domain) {
-          const auto found = drained_since_.find(domain);
-          return found != drained_since_.end() &&
-                 Steady::now() - found->second > kMaxDrainDelay;
-        }));
-  }
+  Cluster::Config config;
+  config.entries = options_.entries;
+  config.gates = options_.gates;
+  config.run_folder = run_folder_;
+  config.invariants = &invariants_;
+  config.is_drained = [this](const std::string& domain) {
+    const auto found = drained_since_.find(domain);
+    return found != drained_since_.end() &&
+           Steady::now() - found->second > kMaxDrainDelay;
+  };
+  config.draw_seed = [this]() { return random_(); };
+  cluster_.Start(config);
 }
 
 void SoakRun::ScheduleFaults() {
@@ -235,7 +131,7 @@
 
 void SoakRun::ScheduleSilence() {
   if (!injecting_faults_) return;
-  for (const auto* group : {&store_relays_, &peer_relays_}) {
+  for (const auto* group : {&cluster_.store_relays, &cluster_.peer_relays}) {
     for (const std::unique_ptr<Relay>& relay : *group) {
       if (silence_random_() % 3 == 0) relay->Silence();
     }
@@ -245,8 +141,10 @@
 }
 
 void SoakRun::InjectFault() {
-  Process* process = processes_[random_() % processes_.size()].get();
-  FakeTarget* target = targets_[random_() % targets_.size()].get();
+  Process* process =
+      cluster_.processes[random_() % cluster_.processes.size()].get();
+  FakeTarget* target =
+      cluster_.targets[random_() % cluster_.targets.size()].get();
   Relay* relay = PickRelay();
   const milliseconds duration(DrawInt(100, 2500));
   switch (DrawInt(0, 10)) {
@@ -285,15 +183,16 @@
       InjectStoreFault(duration);
       break;
     default:
-      if (DrawInt(0, 1) == 0) store_.DiscardHistory();
+      if (DrawInt(0, 1) == 0) cluster_.store.DiscardHistory();
       if (drained_since_.empty()) {
         const std::string domain = "d" + std::to_string(DrawInt(0, 1));
-        store_.Put("op", "evacuate/" + domain, "{}");
+        cluster_.store.Put("op", "evacuate/" + domain, "{}");
         drained_since_[domain] = Steady::now();
       } else {
-        store_.Remove("op", "evacuate/" + drained_since_.begin()->first);
+        cluster_.store.Remove("op",
+                              "evacuate/" + drained_since_.begin()->first);
         drained_since_.clear();
-        WriteConfiguration();
+        cluster_.WriteConfiguration();
       }
   }
 }
@@ -301,21 +200,15 @@
 void SoakRun::InjectStoreFault(milliseconds duration) {
   switch (DrawInt(0, 2)) {
     case 0:
-      store_.SetRefusing(true);
+      cluster_.store.SetRefusing(true);
       break;
     case 1:
-      store_.SetDelay(milliseconds(DrawInt(20, 400)));
+      cluster_.store.SetDelay(milliseconds(DrawInt(20, 400)));
       break;
     default:
-      store_.SetDroppingAnswers(true);
+      cluster_.store.SetDroppingAnswers(true);
   }
-  RunAfter(duration, [this]() { ClearStoreFaults(); });
-}
-
-void SoakRun::ClearStoreFaults() {
-  store_.SetRefusing(false);
-  store_.SetDelay(milliseconds(0));
-  store_.SetDroppingAnswers(false);
+  RunAfter(duration, [this]() { cluster_.ClearStoreFaults(); });
 }
 
 void SoakRun::SubmitNext() {
@@ -347,7 +240,8 @@
   request.headers["x-deadline-ms"] = std::to_string(kClientTimeout.count());
   request.body = body;
   client_.Send(
-      core::Address(front_addresses_[random_() % front_addresses_.size()]),
+      core::Address(cluster_.front_addresses[random_() %
+                                             cluster_.front_addresses.size()]),
       request, kClientTimeout,
       [this, job, body, attempt](const std::optional<http::Response>& response,
                                  const http::HttpError& error) {
@@ -370,7 +264,7 @@
 }
 
 void SoakRun::PollProcesses() {
-  for (const std::unique_ptr<Process>& process : processes_) {
+  for (const std::unique_ptr<Process>& process : cluster_.processes) {
     if (!process->UpdateIsRunning()) process->Start();
   }
   const bool finished = !injecting_faults_ &&
@@ -384,23 +278,9 @@
   injecting_faults_ = false;
   completed_after_faults_ = false;
   faults_ended_at_ = Steady::now();
-  for (const std::unique_ptr<Process>& process : processes_) {
-    process->Signal(SIGCONT);
-  }
-  for (const std::unique_ptr<Relay>& relay : store_relays_) {
-    relay->SetMode(RelayMode::kPass);
-  }
-  for (const std::unique_ptr<Relay>& relay : peer_relays_) {
-    relay->SetMode(RelayMode::kPass);
-  }
-  for (const std::unique_ptr<FakeTarget>& target : targets_) {
-    target->relay()->SetMode(RelayMode::kPass);
-    target->SetOrderLossShare(0);
-    target->SetRuntimeFactor(1);
-  }
-  ClearStoreFaults();
+  cluster_.Repair();
   for (const auto& [domain, since] : drained_since_) {
-    store_.Remove("op", "evacuate/" + domain);
+    cluster_.store.Remove("op", "evacuate/" + domain);
   }
   drained_since_.clear();
 }
@@ -417,7 +297,7 @@
   if (violations.empty() && !completed_after_faults_) {
     violations.push_back("No job completed in time after the last fault.");
   }
-  for (const std::unique_ptr<Process>& process : processes_) {
+  for (const std::unique_ptr<Process>& process : cluster_.processes) {
     if (process->unexpected_exits() > 0) {
       violations.push_back(
           "A " + process->program() +
@@ -431,7 +311,7 @@
   for (const std::string& violation : violations) {
     std::printf("  BROKEN: %s\n", violation.c_str());
   }
-  processes_.clear();
+  cluster_.processes.clear();
   if (violations.empty()) {
     std::filesystem::remove_all(run_folder_);
   } else {
@@ -458,8 +338,12 @@
         options.first_seed + static_cast<std::uint64_t>(i);
     std::printf("seed %llu ", static_cast<unsigned long long>(seed));
     std::fflush(stdout);
-    tarragon::soak::SoakRun soak(seed, options);
-    if (!soak.Run()) ++failed_seeds;
+    if (options.plan != tarragon::soak::Plan::kRandom) {
+      if (!tarragon::soak::RunLosses(seed, options)) ++failed_seeds;
+    } else {
+      tarragon::soak::SoakRun soak(seed, options);
+      if (!soak.Run()) ++failed_seeds;
+    }
     std::fflush(stdout);
   }
   std::printf("%d seeds, %d with a promise broken\n", options.seeds,
--- a/tests/soak/options.cc
+++ b/tests/soak/options.cc
@@ -23,14 +23,28 @@
 std::optional<Options> ParseOptions(const std::vector<std::string>& arguments,
                                     std::string* reason) {
   Options options;
+  const std::map<std::string, Plan> plans = {{"random", Plan::kRandom},
+                                             {"losses", Plan::kLosses},
+                                             {"orders", Plan::kOrders}};
   std::map<std::string, Option> known = {
       {"--seeds", {1, kMaxCount, options.seeds}},
       {"--seed", {0, std::numeric_limits<std::int64_t>::max(), 1}},
       {"--seconds", {1, kMaxCount, options.seconds}},
       {"--entries", {1, kMaxProcesses, options.entries}},
       {"--gates", {1, kMaxProcesses, options.gates}},
+      {"--keep-logs", {0, 1, 0}},
   };
   for (std::size_t i = 0; i < arguments.size(); i += 2) {
+    if (arguments[i] == "--plan") {
+      const auto plan =
+          plans.find(i + 1 < arguments.size() ? arguments[i + 1] : "");
+      if (plan == plans.end()) {
+        *reason = "--plan needs random, losses or orders.";
+        return std::nullopt;
+      }
+      options.plan = plan->second;
+      continue;
+    }
     const auto found = known.find(arguments[i]);
     if (found == known.end()) {
       *reason = "Unknown option " + arguments[i] + ".";
@@ -55,6 +69,7 @@
   options.seconds = static_cast<int>(known["--seconds"].value);
   options.entries = static_cast<int>(known["--entries"].value);
   options.gates = static_cast<int>(known["--gates"].value);
+  options.keep_logs = known["--keep-logs"].value == 1;
   return options;
 }
 
--- a/tests/soak/options.h
+++ b/tests/soak/options.h
@@ -8,6 +8,16 @@
 
 namespace tarragon::soak {
 
+/// Which faults a soak injects.
+enum class Plan : std::uint8_t {
+  /// Independent faults of all kinds.
+  kRandom,
+  /// Series of losses: of an entry and, shortly after, of gates.
+  kLosses,
+  /// Orders to all targets get lost or are carried out late; nothing else.
+  kOrders,
+};
+
 /// What the command line of tarragon-soak asks for.
 struct Options {
   int seeds = 1;
@@ -15,6 +25,9 @@
   int seconds = 10;
   int entries = 3;
   int gates = 5;
+  Plan plan = Plan::kRandom;
+  /// Keeps the logs of seeds that held, too.
+  bool keep_logs = false;
 };
 
 /// Parses the arguments after the program's name. Nothing if an option is
--- a/tests/soak/tests/options_test.cc
+++ b/tests/soak/tests/options_test.cc
@@ -20,17 +20,22 @@
  public:
   void ReadsAllOptions() {
     std::string reason;
-    const std::optional<Options> options =
-        ParseOptions({"--seeds", "3", "--seed", "18", "--seconds", "6",
-                      "--entries", "2", "--gates", "4"},
-                     &reason);
+    const std::optional<Options> options = ParseOptions(
+        {"--seeds", "3", "--seed", "18", "--seconds", "6", "--entries", "2",
+         "--gates", "4", "--plan", "losses", "--keep-logs", "1"},
+        &reason);
     CPPUNIT_ASSERT_MESSAGE(reason, options.has_value());
     CPPUNIT_ASSERT_EQUAL(3, options->seeds);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{18}, options->first_seed);
     CPPUNIT_ASSERT_EQUAL(6, options->seconds);
     CPPUNIT_ASSERT_EQUAL(2, options->entries);
     CPPUNIT_ASSERT_EQUAL(4, options->gates);
+    CPPUNIT_ASSERT(options->plan == Plan::kLosses);
+    CPPUNIT_ASSERT(options->keep_logs);
     CPPUNIT_ASSERT_EQUAL(10, ParseOptions({}, &reason)->seconds);
+    CPPUNIT_ASSERT(ParseOptions({}, &reason)->plan == Plan::kRandom);
+    CPPUNIT_ASSERT(ParseOptions({"--plan", "orders"}, &reason)->plan ==
+                   Plan::kOrders);
   }
 
   void RefusesUnknownAndInvalidOptions() {
@@ -38,7 +43,7 @@
         {"--sede", "1"},   {"--seed"},          {"--seed", "-1"},
         {"--seeds", "0"},  {"--seconds", "x"},  {"--gates", "5 "},
         {"--entries", ""}, {"--gates", "1000"}, {"--seeds", "1", "7"},
-        {"--seed", "1e3"},
+        {"--seed", "1e3"}, {"--plan"},          {"--plan", "loss"},
     };
     for (const std::vector<std::string>& arguments : wrong) {
       std::string reason;
