Coordinator, Wire: a notice tells how far clients were read apart from its echo

Change: the echo is again that of the newest report and keeps an entry alive at its gates; clients_read limits leases. Zero, from an earlier version, means the echo. A seal that no start can follow any more does not limit the lease of other runs.

--- a/coordinator/entry_gates.cc
+++ b/coordinator/entry_gates.cc
@@ -27,8 +27,8 @@
     gate.hint_sent = false;
     gate.echo_due = true;
     gate.sent_want.reset();
-    gate.received_report = ReportMark{};
-    gate.acknowledged_report = ReportMark{};
+    gate.received_report = core::Time{};
+    gate.clients_read = core::Time{};
     gate.notice_sent_at = core::Time{};
     AddLogLine(board, "Connected to a gate.", core::ToString(from),
                {{"runs", std::to_string(gate.runs.size())}});
@@ -89,8 +89,8 @@
 void SendNotice(JobBoard* board, core::Time now, GateLink* gate) {
   gate->notice_sent_at = now;
   EntryNotice notice;
-  notice.echo = gate->acknowledged_report.clock;
-  gate->notified_clock = notice.echo;
+  if (gate->report.has_value()) notice.echo = gate->report->clock;
+  notice.clients_read = std::max(gate->clients_read, kNothingRead);
   notice.operator_revision = board->operator_state.revision;
   notice.domains_digest = board->domains_digest;
   notice.config_version = board->operator_state.version;
@@ -101,21 +101,20 @@
   board->actions.push_back(SendTo<EntryNotice>{to, notice});
 }
 
-/// Advances what notices acknowledge. A report acknowledged at a tick was
-/// received before the previous tick. The event loop has polled all sockets
-/// between the two, so whichever client was lost before the gate sent the
-/// report has been noticed, and its runs have been asked to stop.
-void AdvanceAcknowledgement(GateLink* gate) {
+/// Advances what notices tell of the clients. A report counts from the second
+/// tick after its arrival. The event loop has polled all sockets between the
+/// two ticks, so whichever client was lost before the gate sent the report has
+/// been noticed, and its runs have been asked to stop.
+void AdvanceClientsRead(GateLink* gate) {
   if (!gate->connected) {
     // Orders to stop may have been lost with the connection. They are repeated
-    // on the next one before a notice acknowledges anything.
-    gate->received_report = ReportMark{};
-    gate->acknowledged_report = ReportMark{};
+    // on the next one before a notice tells of a later report.
+    gate->received_report = core::Time{};
+    gate->clients_read = core::Time{};
     return;
   }
-  gate->acknowledged_report = gate->received_report;
-  if (!gate->report.has_value()) return;
-  gate->received_report = {gate->report->clock, gate->report->runs_known};
+  gate->clients_read = gate->received_report;
+  if (gate->report.has_value()) gate->received_report = gate->report->clock;
 }
 
 /// Sends the gate what it lacks of the operator state, once that is due.
@@ -139,17 +138,8 @@
   }
 }
 
-/// A notice waits for the acknowledgement of a newer report, which keeps what
-/// the gate knows of this entry recent, but not for long.
-core::Duration NoticePause(const JobBoard& board, const GateLink& gate) {
-  if (!gate.connected) return board.policy.reconnect_interval;
-  const bool has_news = gate.acknowledged_report.clock > gate.notified_clock;
-  return has_news ? board.policy.notice_interval
-                  : board.policy.notice_interval * 3 / 2;
-}
-
 void TickGate(JobBoard* board, core::Time now, GateLink* gate) {
-  AdvanceAcknowledgement(gate);
+  AdvanceClientsRead(gate);
   ForgetStaleStarts(*board, now, gate);
   if (gate->connected &&
       now - gate->last_heard_at > board->policy.redial_after) {
@@ -160,13 +150,10 @@
     board->actions.push_back(DisconnectGate{gate->node});
     MarkDisconnected(gate);
   }
-  // This notice follows the claims of the gate's unclaimed runs and tells the
-  // gate that this entry has no others.
-  const bool echo_due = gate->echo_due && gate->acknowledged_report.runs_known;
-  if (echo_due) gate->echo_due = false;
-  if (echo_due || now - gate->notice_sent_at >= NoticePause(*board, *gate)) {
-    SendNotice(board, now, gate);
-  }
+  const core::Duration pause = gate->connected
+                                   ? board->policy.notice_interval
+                                   : board->policy.reconnect_interval;
+  if (now - gate->notice_sent_at >= pause) SendNotice(board, now, gate);
   SendOperatorUpdate(board, now, gate);
   QueryUnconfirmedRuns(board, now, gate);
   StopStalledRuns(board, now, gate);
@@ -388,7 +375,14 @@
   UpdateSuspicion(board, now, &gate);
   const bool knows_newer = SyncOperatorState(board, now, &gate);
   QueryUnconfirmedRuns(board, now, &gate);
-  if (knows_newer) SendNotice(board, now, &gate);
+  // This notice follows the claims of the gate's unclaimed runs and tells the
+  // gate that this entry has no others.
+  const bool echo_due = gate.echo_due && gate.report->runs_known;
+  if (echo_due || knows_newer ||
+      now - gate.notice_sent_at >= board->policy.notice_interval) {
+    gate.echo_due = gate.echo_due && !echo_due;
+    SendNotice(board, now, &gate);
+  }
   const std::uint64_t starts = board->last_start_sequence;
   FinishGateEvent(board, now, &gate);
   if (!offered) return;
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -278,8 +278,10 @@
   if (notice.echo.since_start.count() > 0 && notice.echo <= now) {
     home.echoed_report_at =
         std::max(home.echoed_report_at.value_or(notice.echo), notice.echo);
-    home.clients_read_at = std::max(home.clients_read_at, notice.echo);
   }
+  const core::Time read =
+      notice.clients_read == core::Time{} ? notice.echo : notice.clients_read;
+  if (read <= now) home.clients_read_at = std::max(home.clients_read_at, read);
   if (notice.echo > home.confirmed_report_at && notice.echo <= now) {
     home.confirmed_report_at = notice.echo;
   }
--- a/coordinator/gate_lease.cc
+++ b/coordinator/gate_lease.cc
@@ -11,6 +11,14 @@
 /// lease every 100 ms.
 constexpr core::Duration kMinLease = std::chrono::milliseconds(250);
 
+/// True for a run of which this process knows only that an entry has asked
+/// about it, if a start by an earlier process would be too late by now.
+bool CannotStartAnyMore(const GateBoard& board, const GateRun& run) {
+  return run.phase == RunPhase::kSealing && board.target.has_value() &&
+         run.ordered_at - board.target->runs_known_since >
+             board.policy.max_lease;
+}
+
 }  // namespace
 
 core::Time FindConfirmation(const GateBoard& board, const GateRun& run) {
@@ -32,6 +40,7 @@
 core::Time FindLeaseLimit(const GateBoard& board) {
   core::Time limit = core::kNever;
   for (const auto& [ref, run] : board.runs) {
+    if (CannotStartAnyMore(board, run)) continue;
     limit = std::min(limit, FindConfirmation(board, run) +
                                 board.policy.confirmation_lifetime);
   }
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -217,13 +217,6 @@
   core::Time latest_start;
 };
 
-/// What an entry acknowledges of a gate's report.
-struct ReportMark {
-  /// The gate's clock in the report; zero for none.
-  core::Time clock;
-  bool runs_known = false;
-};
-
 /// A gate and its target as this entry sees them.
 struct GateLink {
   core::NodeId node;
@@ -231,18 +224,16 @@
   std::optional<TargetReport> report;
   core::Time last_heard_at;
   core::Time notice_sent_at;
-  /// The newest reports received before the last tick and before the last but
-  /// one. Notices acknowledge the latter.
-  ReportMark received_report;
-  ReportMark acknowledged_report;
-  /// The gate's clock that the last notice acknowledged.
-  core::Time notified_clock;
+  /// The gate's clock in the newest reports received before the last tick and
+  /// before the last but one; the latter goes into notices.
+  core::Time received_report;
+  core::Time clients_read;
   bool connected = false;
   /// The last report that named a target, also by an earlier process at the
   /// gate's address.
   std::optional<TargetReport> last_target_report;
-  /// No notice to this incarnation of the gate has acknowledged a report in
-  /// which the runs of its target were known.
+  /// No notice was sent to this incarnation of the gate since it knows the runs
+  /// of its target.
   bool echo_due = true;
   /// A TargetHint was sent to this incarnation of the gate.
   bool hint_sent = false;
--- a/coordinator/include/tarragon/coordinator/message.h
+++ b/coordinator/include/tarragon/coordinator/message.h
@@ -37,6 +37,9 @@
   bool operator==(const RoomRelease&) const = default;
 };
 
+/// `EntryNotice::clients_read` before the first report has been handled.
+inline constexpr core::Time kNothingRead{core::Duration{1}};
+
 /// Entry to gate, every few hundred milliseconds: a heartbeat. A gate stops the
 /// runs of an entry from which it receives none.
 struct EntryNotice {
@@ -50,6 +53,10 @@
   std::uint64_t config_version = 0;
   /// Demand of this entry, by priority.
   std::vector<PriorityDemand> demand = {};
+  /// Clock of the gate in the newest report before whose sending the entry has
+  /// certainly noticed every client that it had lost; kNothingRead for none,
+  /// zero from an earlier version, which means `echo`.
+  core::Time clients_read = {};
 
   bool operator==(const EntryNotice&) const = default;
 };
--- a/coordinator/tests/gate_sealing_lease_test.cc
+++ b/coordinator/tests/gate_sealing_lease_test.cc
@@ -14,6 +14,8 @@
  public:
   // Guards against refusing starts because a run that never started is sealed.
   void UnstartedRunDoesNotRefuseOtherEntrysStart() {
+    // No start of an earlier process can reach the target any more.
+    Advance(milliseconds(1100));
     StartAndAccept(MakeRun(0));
     const core::NodeId later{core::Address("10.0.0.3:7000"),
                              core::Incarnation(4)};
--- a/wire/proto_runs.cc
+++ b/wire/proto_runs.cc
@@ -206,10 +206,11 @@
 }  // namespace
 
 void ToProto(const coordinator::EntryNotice& message, Envelope* out) {
-  const auto& [echo, operator_revision, domains_digest, config_version,
-               demand] = message;
+  const auto& [echo, operator_revision, domains_digest, config_version, demand,
+               clients_read] = message;
   EntryNotice* notice = out->mutable_entry_notice();
   notice->set_echo_us(ClockMicros(echo));
+  notice->set_clients_read_us(ClockMicros(clients_read));
   notice->set_operator_revision(operator_revision);
   notice->set_domains_digest(domains_digest);
   notice->set_config_version(config_version);
@@ -226,7 +227,8 @@
   for (const PriorityDemand& each : in->demand()) {
     out->demand.push_back(ReadDemand(each));
   }
-  return ReadClock(in->echo_us(), &out->echo, reason);
+  return ReadClock(in->echo_us(), &out->echo, reason) &&
+         ReadClock(in->clients_read_us(), &out->clients_read, reason);
 }
 
 void ToProto(const coordinator::OperatorUpdate& message, Envelope* out) {
