--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,8 @@
 	.ci/test_program simulate_test
 	.ci/test_program system_test
 	build/bin/tarragon-soak --seed 1 --seeds 3 --seconds 6
+	for seed in 86 168 382; do \
+	  build/bin/tarragon-soak --plan losses --gates 8 --seconds 4 --seed $$seed || exit 1; done
 	grep -v '^#' tests/soak/REGRESSIONS.txt | while read -r seed seconds why; do \
 	  build/bin/tarragon-soak --seed $$seed --seconds $$seconds || exit 1; done
 
