--- a/coordinator/entry_jobs.cc
+++ b/coordinator/entry_jobs.cc
@@ -124,7 +124,7 @@
   if (!HasValidSteps(request)) {
     return RefuseCall(board, call, id, {.refusal = Refusal::kBadJob});
   }
-  // The client has waited since before the entry was stalled, perhaps.
+  // A request that is read after a stall may have waited through it.
   if (deadline.has_value()) deadline = *deadline - FindReadDelay(*board, now);
   Job new_job = MakeJob(board, now, queue, std::move(request), deadline);
   const AdmissionDecision verdict = DecideAdmission(*board, now, new_job);
--- a/coordinator/gate_entries.cc
+++ b/coordinator/gate_entries.cc
@@ -116,6 +116,7 @@
   run.ordered_at = now;
   run.ordered_born = target.announcement.born;
   run.expected_run_time = start.expected_run;
+  // The run itself limits the lease, too.
   board->runs[start.run] = run;
   run.start_deadline = LimitStartDeadline(
       *board, now, start, MakeLeaseEnd(*board, now, FindLeaseLimit(*board)));
