--- a/coordinator/tests/gate_lease_test.cc
+++ b/coordinator/tests/gate_lease_test.cc
@@ -87,7 +87,7 @@
   void StartBeforeAcknowledgementCountsEntryAsStalled() {
     Start(MakeRun(0));
     CPPUNIT_ASSERT_EQUAL(
-        CurrentTargetClock().value() + 1100 - 2 * 300,
+        CurrentTargetClock().value() + 1100 - 600,
         TakeActions<OrderStart>().at(0).start_deadline.value());
   }
 
