--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -66,8 +66,8 @@
   /// forget such a gate.
   core::Duration forget_peer_after{std::chrono::seconds(60)};
   /// Runs at a silent gate have certainly ended after this time: it covers
-  /// `home_silence`, a lost stop and a lease of 1 s on a clock that is 2 %
-  /// slow.
+  /// `gate_silence`, in which a start may still be sent there, and
+  /// `confirmation_lifetime` on a clock that is 2 % slow.
   core::Duration runs_surely_over{std::chrono::milliseconds(1900)};
   /// A gate refuses a start that it reads later than this after the entry sent
   /// it. Covers queueing on the link, but not a suspended VM.
@@ -160,9 +160,9 @@
   /// An entry whose last tick is older than this was stalled: paused, or busy
   /// for so long that it has not looked at its connections. Clients may have
   /// left meanwhile and resubmitted elsewhere, so it starts nothing before it
-  /// has caught up. Ending the runs of a client that leaves takes up to
-  /// `home_silence` and a stop, so this leaves 500 ms of the 1.3 s until the
-  /// resubmission.
+  /// has caught up. A start that it sends before tells its gate that it has
+  /// read its clients within two such limits, which leaves 500 ms of
+  /// `confirmation_lifetime`.
   core::Duration stall_limit{std::chrono::milliseconds(300)};
   /// Time after a stall within which the entry reads what has arrived on its
   /// connections meanwhile, such as their end.
