--- a/review/standins-2/lab.cc
+++ b/review/standins-2/lab.cc
@@ -939,6 +939,7 @@
   return {{"spec", spec}, {"best_effort", true}, {"steps", steps}};
 }
 
+// Called from one thread only.
 std::string NewId() {
   static std::mt19937_64 random{std::random_device{}()};
   char id[17];
