Review: a heartbeat of another writer with fields missing puts a target out of service

A gate takes absent fields of a heartbeat as zero or none and takes the heartbeat as the newest one, so that it ignores the runner's own, whose "sequence" is lower.

--- a/review/standins-3/runner.cc
+++ b/review/standins-3/runner.cc
@@ -19,6 +19,12 @@
 constexpr std::size_t kMaxEnds = 500;
 constexpr std::int64_t kFirstClockMs = 5000;
 
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace
 
 Runner::Runner(boost::asio::io_context& io, Record* record, std::string id,
@@ -37,9 +43,7 @@
       timer_(io),
       origin_(Steady::now()),
       last_beat_(Steady::now() - kBeatInterval) {
-  born_ = std::chrono::duration_cast<milliseconds>(
-              std::chrono::system_clock::now().time_since_epoch())
-              .count();
+  born_ = UnixMs();
   http::HttpError reason;
   address_ = server_.Listen(core::Address(ip + ":0"), &reason)->value();
   Tick();
@@ -68,27 +72,35 @@
   if (Steady::now() - last_beat_ >= kBeatInterval) Beat();
 }
 
-void Runner::Beat() {
-  last_beat_ = Steady::now();
+http::Request Runner::MakeBeat(bool foreign) const {
+  json::object body{{"service", "svc"},      {"address", address_},
+                    {"zone", zone_},         {"state", "ready"},
+                    {"clock_ms", ClockMs()}, {"born", born_}};
+  if (foreign) {
+    body["capacity"] = json::object{{"cpu", 16000}};
+    body["sequence"] = UnixMs();
+  } else {
+    body["capacity"] =
+        json::object{{"cpu", 16000}, {"mem_mb", 65536}, {"gpu", 0}};
+    body["sequence"] = sequence_;
+    body["version"] = "v1";
+    body["slots"] = 8;
+    body["cold_remaining_ms"] = 0;
+    body["labels"] = json::array{"a", "r1-1"};
+  }
   http::Request request;
   request.method = "POST";
   request.path = "/v1/instances/" + id_ + "/heartbeat";
   request.headers["content-type"] = "application/json";
-  request.body = json::serialize(json::object{
-      {"service", "svc"},
-      {"address", address_},
-      {"zone", zone_},
-      {"version", "v1"},
-      {"slots", 8},
-      {"state", "ready"},
-      {"cold_remaining_ms", 0},
-      {"capacity", {{"cpu", 16000}, {"mem_mb", 65536}, {"gpu", 0}}},
-      {"labels", json::array{"a", "r1-1"}},
-      {"clock_ms", ClockMs()},
-      {"born", born_},
-      {"sequence", ++sequence_}});
+  request.body = json::serialize(body);
+  return request;
+}
+
+void Runner::Beat() {
+  last_beat_ = Steady::now();
+  ++sequence_;
   client_.Send(
-      core::Address(control_), request, std::chrono::seconds(1),
+      core::Address(control_), MakeBeat(false), std::chrono::seconds(1),
       [this, number = sequence_](const std::optional<http::Response>& response,
                                  const http::HttpError&) {
         record_->Line("heartbeat " + std::to_string(number) + " of " + id_ +
@@ -97,6 +109,19 @@
       });
 }
 
+void Runner::SendForeignBeat() {
+  const http::Request request = MakeBeat(true);
+  record_->Line("heartbeat of another writer about " + id_ + ": " +
+                request.body);
+  client_.Send(core::Address(control_), request, std::chrono::seconds(1),
+               [this](const std::optional<http::Response>& response,
+                      const http::HttpError&) {
+                 record_->Say("heartbeat of another writer about " + id_ +
+                              " answered " +
+                              std::to_string(response ? response->status : 0));
+               });
+}
+
 void Runner::Advance() {
   const Steady::time_point now = Steady::now();
   std::vector<std::pair<std::string, std::string>> over;
--- a/review/standins-3/runner.h
+++ b/review/standins-3/runner.h
@@ -23,6 +23,11 @@
   Runner(boost::asio::io_context& io, Record* record, std::string id,
          const std::string& ip, std::string control, std::string zone);
 
+  /// Sends a heartbeat of another writer about this runner. Fields are missing
+  /// in it: "version", "slots", "cold_remaining_ms", "labels", and "mem_mb" and
+  /// "gpu" of the capacity. Its "sequence" is the other writer's.
+  void SendForeignBeat();
+
   /// While true, it is unhealthy: it answers 503 to all calls and does nothing
   /// for them. Its heartbeats go on.
   void SetUnhealthy(bool unhealthy);
@@ -48,6 +53,7 @@
   std::int64_t ClockMs() const;
   void Tick();
   void Beat();
+  http::Request MakeBeat(bool foreign) const;
   /// Ends what is over by now.
   void Advance();
   void EndRun(const std::string& task, const std::string& how);
--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -39,20 +39,17 @@
           {"fencing_enforced", false}, {"retransmit_ms", 1300}};
 }
 
-json::object Configuration() {
-  json::object route{{"name", "r-1"},        {"host", "q.example"},
-                     {"path_prefix", "/q/"}, {"type", "non_idempotent"},
-                     {"timeout_ms", 1500},   {"target_latency_ms", 60},
-                     {"priority", 0},        {"service", "svc"},
-                     {"max_attempts", 3},    {"stretch", 1.6}};
-  json::object service{{"name", "svc"},
-                       {"max_conns", 64},
-                       {"admission_check", false},
-                       {"standby", false}};
-  return {{"version", 3},
-          {"routes", json::array{route}},
-          {"services", json::array{service}},
-          {"limits", json::object{{"max_body_bytes", 262144}}}};
+json::object MakeRoute(const char* name, const char* path_prefix) {
+  return {{"name", name},
+          {"host", "q.example"},
+          {"path_prefix", path_prefix},
+          {"type", "non_idempotent"},
+          {"timeout_ms", 1500},
+          {"target_latency_ms", 60},
+          {"priority", 0},
+          {"service", "svc"},
+          {"max_attempts", 3},
+          {"stretch", 1.6}};
 }
 
 }  // namespace
@@ -103,7 +100,19 @@
   tcp::acceptor probe(io_, tcp::endpoint(make_address(net_ + "0.1"), 0));
   port_ = probe.local_endpoint().port() % 20000 + 10000;
   store_ = std::make_unique<Store>(io_, net_ + "0.250");
-  store_->Put("op", "config", json::serialize(Configuration()));
+  store_->Put("op", "config", MakeConfiguration(3, false));
+  entries_store_ = store_->address();
+  if (config.movable_store) {
+    const std::string& own = store_->address();
+    const std::size_t colon = own.find(':');
+    former_store_ = std::make_unique<soak::Relay>(
+        io_,
+        tcp::endpoint(
+            make_address(own.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoi(own.substr(colon + 1)))),
+        tcp::endpoint(make_address(net_ + "0.251"), 0));
+    entries_store_ = former_store_->address();
+  }
   for (int i = 0; i < config.entries; ++i) {
     StartProcess("entry-" + std::to_string(i), "1." + std::to_string(i + 1),
                  config.apart || i % 2 == 0 ? "z1" : "z2", true);
@@ -129,46 +138,54 @@
   std::filesystem::remove_all(work_, ignored);
 }
 
-std::string World::WriteNodeFile(const std::string& name, const std::string& ip,
-                                 const std::string& zone, bool entry) {
+std::string World::NodeSettings(const std::string& name, const std::string& ip,
+                                const std::string& zone, bool entry) const {
   const auto at = [this, &ip](int offset) {
     return ip + ":" + std::to_string(port_ + offset);
   };
   json::object listen;
   if (entry) {
     listen = {{"front", at(kFront)}, {"ready", at(kReady)}};
-    fronts_.push_back(at(kFront));
-    readies_.push_back(at(kReady));
   } else {
     listen = {{"control", at(kControl)}};
   }
   const std::string far_region = config_.apart ? "r2" : "r1";
-  const json::object node{
-      {"node_name", name},
-      {"role", entry ? "coordinator" : "gate"},
-      {"machine_class", entry ? "edge" : "side"},
-      {"serves", json::array{entry ? "edge" : "side"}},
-      {"ip", ip},
-      {"zone", zone},
-      {"region", zone == "z2" ? far_region : "r1"},
-      {"zones", {{"z1", "r1"}, {"z2", far_region}}},
-      {"listen_addrs", listen},
-      {"internal_ports", json::array{port_, port_ + 9}},
-      {"seeds", json::array()},
-      {"bootstrap", true},
-      {"data_dir", nullptr},
-      {"heartbeat_ms", 1500},
-      {"bounds", Bounds()},
-      {"orders", "rpc"},
-      {"platform", {{"address", store_->address()}, {"form", "table"}}}};
+  const std::string& store = entry ? entries_store_ : store_->address();
+  return json::serialize(
+      json::object{{"node_name", name},
+                   {"role", entry ? "coordinator" : "gate"},
+                   {"machine_class", entry ? "edge" : "side"},
+                   {"serves", json::array{entry ? "edge" : "side"}},
+                   {"ip", ip},
+                   {"zone", zone},
+                   {"region", zone == "z2" ? far_region : "r1"},
+                   {"zones", {{"z1", "r1"}, {"z2", far_region}}},
+                   {"listen_addrs", listen},
+                   {"internal_ports", json::array{port_, port_ + 9}},
+                   {"seeds", json::array()},
+                   {"bootstrap", true},
+                   {"data_dir", nullptr},
+                   {"heartbeat_ms", 1500},
+                   {"bounds", Bounds()},
+                   {"orders", "rpc"},
+                   {"platform", {{"address", store}, {"form", "table"}}}});
+}
+
+std::string World::WriteNodeFile(const std::string& name, const std::string& ip,
+                                 const std::string& zone, bool entry) {
   std::string path = work_ + "/" + name + ".json";
-  std::ofstream(path) << json::serialize(node);
+  std::ofstream(path + ".new") << NodeSettings(name, ip, zone, entry);
+  std::filesystem::rename(path + ".new", path);
   return path;
 }
 
 void World::StartProcess(const std::string& name, const std::string& ip,
                          const std::string& zone, bool entry) {
   const std::string node_file = WriteNodeFile(name, net_ + ip, zone, entry);
+  if (entry) {
+    fronts_.push_back(net_ + ip + ":" + std::to_string(port_ + kFront));
+    readies_.push_back(net_ + ip + ":" + std::to_string(port_ + kReady));
+  }
   std::vector<std::string> arguments;
   if (config_.apart) {
     // Peers connect to the machine's address, where the relay listens.
@@ -184,6 +201,58 @@
       node_file, work_ + "/" + name + ".log", arguments));
 }
 
+void World::MoveStore() {
+  record_.Say("the store has another address for the entries, " +
+              store_->address() + " instead of " + entries_store_ +
+              "; no signal is sent");
+  entries_store_ = store_->address();
+  for (int i = 0; i < config_.entries; ++i) {
+    WriteNodeFile("entry-" + std::to_string(i),
+                  net_ + "1." + std::to_string(i + 1), i % 2 == 0 ? "z1" : "z2",
+                  true);
+  }
+  former_store_->Reset();
+  former_store_->SetMode(soak::RelayMode::kDropBothWays);
+}
+
+std::string World::MakeConfiguration(int version, bool wider) {
+  json::array routes{MakeRoute("r-1", "/q/")};
+  if (wider) routes.push_back(MakeRoute("r-2", "/new/"));
+  const json::object service{{"name", "svc"},
+                             {"max_conns", 64},
+                             {"admission_check", false},
+                             {"standby", false}};
+  return json::serialize(
+      json::object{{"version", version},
+                   {"routes", routes},
+                   {"services", json::array{service}},
+                   {"limits", json::object{{"max_body_bytes", 262144}}}});
+}
+
+void World::Operate(const std::string& key, const std::string& value) {
+  store_->Put("op", key, value);
+  record_.Say("the store has acknowledged op/" + key);
+}
+
+std::vector<int> World::AskCounts(const std::string& path) {
+  auto statuses = std::make_shared<std::vector<int>>(fronts_.size(), 0);
+  for (std::size_t i = 0; i < fronts_.size(); ++i) {
+    http::Request request;
+    request.path = path;
+    request.headers["host"] = "q.example";
+    client_.Send(
+        core::Address(fronts_[i]), request, kDeadline,
+        [this, statuses, i, path](const std::optional<http::Response>& response,
+                                  const http::HttpError&) {
+          (*statuses)[i] = response.has_value() ? response->status : 0;
+          record_.Say("GET " + path + " at entry " + std::to_string(i) +
+                      " answered " + std::to_string((*statuses)[i]));
+        });
+  }
+  Run(1);
+  return *statuses;
+}
+
 void World::SetCut(bool cut) {
   record_.Say(cut ? "the entries and the gates are cut off from each other"
                   : "the cut has ended");
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -54,6 +54,9 @@
     /// connections between the processes pass through relays. Else there is one
     /// region, in whose two zones both stand, and there are no relays.
     bool apart = false;
+    /// The entries reach the store at an address of their own, which
+    /// MoveStore() replaces.
+    bool movable_store = false;
   };
 
   World(const std::string& folder, const Config& config);
@@ -66,6 +69,18 @@
   /// open during the cut has timed out by its end.
   void SetCut(bool cut);
 
+  /// Gives the entries another address of the store in their settings files,
+  /// without a signal. The former one does not answer any more.
+  void MoveStore();
+  /// The operator writes a row; the store's answer acknowledges it.
+  void Operate(const std::string& key, const std::string& value);
+  /// The operator's configuration, with a second route to the same service
+  /// under "/new/" if `wider`.
+  static std::string MakeConfiguration(int version, bool wider);
+  /// Asks each entry for the number of waiting jobs under `path`; returns the
+  /// statuses.
+  std::vector<int> AskCounts(const std::string& path);
+
   /// Runs the events of this time.
   void Run(double seconds);
   /// Waits until all entries say that they are ready. False after `seconds`.
@@ -92,6 +107,8 @@
 
   std::string WriteNodeFile(const std::string& name, const std::string& ip,
                             const std::string& zone, bool entry);
+  std::string NodeSettings(const std::string& name, const std::string& ip,
+                           const std::string& zone, bool entry) const;
   void StartProcess(const std::string& name, const std::string& ip,
                     const std::string& zone, bool entry);
   void Submit(Job job, const std::shared_ptr<Tally>& tally);
@@ -109,6 +126,9 @@
   http::Client client_;
   std::unique_ptr<Store> store_;
   std::vector<std::unique_ptr<soak::Relay>> relays_;
+  std::unique_ptr<soak::Relay> former_store_;
+  /// Where the entries reach the store.
+  std::string entries_store_;
   std::vector<std::unique_ptr<Runner>> runners_;
   std::vector<std::unique_ptr<Child>> children_;
   std::vector<std::string> fronts_;
