Review: a settings file that changes without a signal is not read again

The settings files of the entries name another address of the store; the former one answers no more. The entries go on asking it and keep the former configuration.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -12,7 +12,7 @@
   g++ "${flags[@]}" -Ireview/standins-3 -c "$source" -o "$object" &
   objects+=("$object")
 done
-programs=(unhealthy_runners long_cut foreign_beat)
+programs=(unhealthy_runners long_cut foreign_beat moved_store)
 for program in "${programs[@]}"; do
   g++ "${flags[@]}" -Ireview/standins-3 -c "review/standins-3/$program.cc" -o "$out/$program.o" &
 done
