--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 out=target/review-3
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -Wall -Wextra -Ihttp/include -Icore/include -Itests/soak)
+flags=(-std=c++20 -O1 -Wall -Wextra -Ihttp/include -Icore/include)
 objects=()
 for source in review/standins-3/{store,runner,world}.cc tests/soak/relay.cc; do
   object="$out/$(basename "$source" .cc).o"
--- a/review/standins-3/world.cc
+++ b/review/standins-3/world.cc
@@ -299,9 +299,9 @@
 
 World::Job World::MakeJob(int tasks, int task_ms) {
   Job job;
+  const unsigned long long number = salt_ + ++jobs_;
   char id[17];
-  std::snprintf(id, sizeof id, "%016llx",
-                static_cast<unsigned long long>(salt_ + ++jobs_));
+  std::snprintf(id, sizeof id, "%016llx", number);
   job.id = id;
   json::object step{{"count", tasks},
                     {"cpu", 1600},
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -11,8 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "../../tests/soak/relay.h"
 #include "record.h"
-#include "relay.h"
 #include "runner.h"
 #include "store.h"
 #include "tarragon/http/client.h"
