Http: bound what all connections of a process hold together

What callers saw: many clients that each sent most of a request and kept its connection open ended the process for want of memory, or took all places, so that ordinary callers were refused.

Cause: the limits of the HTTP server were for each connection, and the number of connections was fixed, whatever the VM has. 3,000 bodies of 256 KiB, a listener of 1,024 bodies of 1 MiB for the readiness check, and sockets beyond the descriptors of the VM were within the limits.

Change: the node file's memory and descriptors are divided among all that a process listens on (daemons/machine_limits). The connections of all its HTTP servers hold memory of one quota, a quarter of the VM's memory: buffers, header fields and body, counted by their capacity after each read. The server reads and parses step by step itself, so that no form of a body is held uncounted; a buffer grows with what has come, not with what was announced. When the quota is used up, the connections that hold the most lose theirs, so an ordinary request of a few kilobytes is not touched. A new connection takes the place of the one that has been longest without a whole request. A client that loses its connection in the middle of a request is told 503, not run; the handler has not seen it. Receive buffers in the kernel are bounded by the listener. Settings [limits], a counter, two gauges and a log line a second at most.

Evidence: tests/crowd, real processes on VMs of 64 MB and 700 descriptors, crowds of 600 clients, the bounds set before the change. A single request of 256 KiB is served in calm.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	.ci/test_program http_test
 	.ci/test_program simulate_test
 	.ci/test_program system_test
+	.ci/test_program crowd_test
 	build/bin/tarragon-soak --seed 1 --seeds 3 --seconds 6
 	for seed in 86 168 382; do \
 	  build/bin/tarragon-soak --plan losses --gates 8 --seconds 4 --seed $$seed || exit 1; done
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "decision_log.h"
+#include "machine_limits.h"
 #include "membership.h"
 #include "metrics_page_server.h"
 #include "node_settings_reload.h"
@@ -13,6 +14,7 @@
 #include "platform_daemon_limits.h"
 #include "platform_daemon_settings.h"
 #include "process_runner.h"
+#include "shed_report.h"
 #include "tarragon/coordinator/entry.h"
 #include "tarragon/core/exit_code.h"
 #include "tarragon/core/log.h"
@@ -31,10 +33,10 @@
 using coordinator::Queue;
 using coordinator::Refusal;
 
-/// Client connections of one entry. Each needs a few kilobytes of memory.
-constexpr std::size_t kMaxClientConnections = 3000;
 /// Enough for a payload of 4,000 bytes and some hundred steps.
 constexpr std::size_t kMaxBodyBytes = std::size_t{256} * 1024;
+/// No request to the other addresses of an entry has a body.
+constexpr std::size_t kMaxOtherBodyBytes = std::size_t{16} * 1024;
 /// Closes connections whose peer disappeared without closing them.
 constexpr core::Duration kClientIdleTimeout = std::chrono::seconds(30);
 /// Time after the stop signal at which all jobs that are still open are ended,
@@ -49,10 +51,9 @@
   return log;
 }
 
-http::ServerLimits MakeClientServerLimits() {
-  http::ServerLimits limits;
-  limits.max_connections = kMaxClientConnections;
-  limits.max_body_bytes = kMaxBodyBytes;
+http::ServerLimits MakeClientServerLimits(const MachineLimits& machine) {
+  http::ServerLimits limits =
+      MakeServerLimits(machine, machine.client_connections, kMaxBodyBytes);
   limits.idle_timeout = kClientIdleTimeout;
   limits.half_close_is_gone = true;
   return limits;
@@ -66,21 +67,7 @@
        std::function<std::optional<core::Settings>()> reload)
       : io_(io),
         settings_(std::move(settings)),
-        load_settings_(std::move(reload)),
-        transport_(io, core::RandomIncarnation(), MakePeerLimits(),
-                   MakeTransportEvents()),
-        client_server_(
-            io, MakeClientServerLimits(),
-            [this](http::Request request, http::Responder answer) {
-              HandleClientRequest(std::move(request), std::move(answer));
-            },
-            [this](std::uint64_t id) { HandleClientDisconnect(CallId(id)); }),
-        readiness_server_(
-            io, http::ServerLimits{},
-            [this](const http::Request&, const http::Responder& answer) {
-              HandleReadinessCheck(answer);
-            }),
-        metrics_page_(io, &registry_, [this]() { UpdateMetrics(); }) {
+        load_settings_(std::move(reload)) {
     board_.policy = ReadCoordinationPolicy(settings_);
   }
 
@@ -93,19 +80,21 @@
     ApplySpreadFactor();
     board_.started_at = clock_.Now();
     board_.random ^= core::RandomIncarnation().value();
+    MakeServers();
     wire::WireError wire_error;
-    if (!transport_.Listen(ReadPeerListenAddress(settings_, node_.peer_address),
-                           node_.peer_address, &wire_error)) {
+    if (!transport_->Listen(
+            ReadPeerListenAddress(settings_, node_.peer_address),
+            node_.peer_address, &wire_error)) {
       *reason = wire_error.detail;
       return false;
     }
     http::HttpError http_error;
-    if (!client_server_.Listen(node_.client_address, &http_error) ||
-        !readiness_server_.Listen(node_.readiness_address, &http_error)) {
+    if (!client_server_->Listen(node_.client_address, &http_error) ||
+        !readiness_server_->Listen(node_.readiness_address, &http_error)) {
       *reason = http_error.text;
       return false;
     }
-    metrics_page_.Listen(node_.peer_address, ReadMetricsPort(settings_));
+    metrics_page_->Listen(node_.peer_address, ReadMetricsPort(settings_));
     store_.emplace(io_, node_.store_address);
     store_->SetWatchTimes(platform::MakeWatchTimes(node_.recovery_grace));
     operator_watch_.emplace(io_, &clock_, &*store_,
@@ -138,6 +127,41 @@
   }
 
  private:
+  /// Makes all that listens, within what the VM has.
+  void MakeServers() {
+    const MachineLimits machine = ComputeMachineLimits(node_, settings_);
+    const http::ServerLimits other_limits = MakeServerLimits(
+        machine, machine.other_connections, kMaxOtherBodyBytes);
+    connection_memory_ =
+        std::make_shared<core::MemoryQuota>(machine.connection_bytes);
+    transport_.emplace(io_, core::RandomIncarnation(), MakePeerLimits(),
+                       MakeTransportEvents());
+    client_server_.emplace(
+        io_, MakeClientServerLimits(machine),
+        [this](http::Request request, http::Responder answer) {
+          HandleClientRequest(std::move(request), std::move(answer));
+        },
+        [this](std::uint64_t id) { HandleClientDisconnect(CallId(id)); },
+        connection_memory_);
+    readiness_server_.emplace(
+        io_, other_limits,
+        [this](const http::Request&, const http::Responder& answer) {
+          HandleReadinessCheck(answer);
+        },
+        http::GoneHandler(), connection_memory_);
+    metrics_page_.emplace(
+        io_, other_limits, &registry_, [this]() { UpdateMetrics(); },
+        connection_memory_);
+  }
+
+  ShedCounts CountShedConnections() const {
+    ShedCounts counts;
+    AddCounts(client_server_->counters(), &counts);
+    AddCounts(readiness_server_->counters(), &counts);
+    AddCounts(metrics_page_->counters(), &counts);
+    return counts;
+  }
+
   wire::TransportEvents MakeTransportEvents() {
     wire::TransportEvents events;
     events.message = [this](const core::NodeId& from,
@@ -294,10 +318,10 @@
 
   template <typename Message>
   void Execute(coordinator::SendTo<Message>& send) {
-    transport_.Send(send.to, std::move(send.message));
+    transport_->Send(send.to, std::move(send.message));
   }
   void Execute(const coordinator::DisconnectGate& drop) {
-    transport_.Drop(drop.node);
+    transport_->Drop(drop.node);
   }
   void Execute(const coordinator::AnswerCall& answer) {
     AnswerClient(answer.call, answer.answer);
@@ -311,6 +335,10 @@
       last_log_flush_ = now;
       core::FlushLog();
     }
+    if (shed_log_.IsDue(now)) {
+      shed_log_.Report(EntryLog(), now, CountShedConnections(),
+                       *connection_memory_);
+    }
     core::SendLog();
     if (board_.stopping && !shutting_down_) AdvanceStop(now);
   }
@@ -318,7 +346,7 @@
   void RequestStop() {
     EntryLog().Info("Received a stop signal; stopping.",
                     {{"jobs", board_.jobs.size()},
-                     {"clients", client_server_.connections()}});
+                     {"clients", client_server_->connections()}});
     coordinator::RequestStop(&board_, clock_.Now());
     ExecuteActions();
   }
@@ -327,22 +355,23 @@
     const core::Duration since = now - board_.stop_requested;
     if (!stopped_accepting_ && since > board_.policy.stop_accepting_after) {
       stopped_accepting_ = true;
-      client_server_.StopAccepting();
+      client_server_->StopAccepting();
     }
     if (since > kEndJobsAfterStop) {
       coordinator::EndAllJobs(&board_, now, "the entry stops");
       ExecuteActions();
     }
-    const bool done = stopped_accepting_ && client_server_.open_requests() == 0;
+    const bool done =
+        stopped_accepting_ && client_server_->open_requests() == 0;
     if (!done && since < kMaxStopDuration) return;
     EntryLog().Info("Stopped.",
-                    {{"open_requests", client_server_.open_requests()}});
+                    {{"open_requests", client_server_->open_requests()}});
     Shutdown();
   }
 
   void Shutdown() {
     shutting_down_ = true;
-    transport_.Shutdown([this]() { io_.stop(); });
+    transport_->Shutdown([this]() { io_.stop(); });
   }
 
   void ApplySpreadFactor() {
@@ -421,6 +450,7 @@
                   static_cast<double>(operator_watch_->answer_age().count()));
     SetCounterTotal(&registry_, "operator_reads_failed_total", {},
                     operator_watch_->failed_reads());
+    UpdateShedMetrics(&registry_, CountShedConnections(), *connection_memory_);
   }
 
   /// A client request that has not been answered yet.
@@ -436,11 +466,13 @@
   platform::NodeSettings node_;
   JobBoard board_;
   metrics::Registry registry_;
-  wire::Transport transport_;
+  std::shared_ptr<core::MemoryQuota> connection_memory_;
+  std::optional<wire::Transport> transport_;
   std::map<CallId, OpenCall> open_calls_;
-  http::Server client_server_;
-  http::Server readiness_server_;
-  MetricsPageServer metrics_page_;
+  std::optional<http::Server> client_server_;
+  std::optional<http::Server> readiness_server_;
+  std::optional<MetricsPageServer> metrics_page_;
+  ShedLog shed_log_;
   std::optional<platform::StoreClient> store_;
   std::optional<OperatorWatch> operator_watch_;
   std::optional<Membership> membership_;
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -1,15 +1,18 @@
 #include "gate_daemon.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
 #include "decision_log.h"
+#include "machine_limits.h"
 #include "membership.h"
 #include "metrics_page_server.h"
 #include "node_settings_reload.h"
 #include "platform_daemon_limits.h"
 #include "platform_daemon_settings.h"
 #include "process_runner.h"
+#include "shed_report.h"
 #include "target_report_store.h"
 #include "tarragon/coordinator/gate.h"
 #include "tarragon/core/exit_code.h"
@@ -26,18 +29,18 @@
 
 using coordinator::GateBoard;
 
-/// The target on the gate's VM is the only client.
-constexpr std::size_t kMaxTargetConnections = 16;
+constexpr std::size_t kMaxAnnouncementBytes = std::size_t{256} * 1024;
+/// No request for the metrics page has a body.
+constexpr std::size_t kMaxMetricsBodyBytes = std::size_t{16} * 1024;
 
 const core::Log& GateLog() {
   static const core::Log log("gate");
   return log;
 }
 
-http::ServerLimits MakeTargetServerLimits() {
-  http::ServerLimits limits;
-  limits.max_connections = kMaxTargetConnections;
-  return limits;
+http::ServerLimits MakeTargetServerLimits(const MachineLimits& machine) {
+  return MakeServerLimits(machine, machine.target_connections,
+                          kMaxAnnouncementBytes);
 }
 
 }  // namespace
@@ -48,16 +51,7 @@
        std::function<std::optional<core::Settings>()> reload)
       : io_(io),
         settings_(std::move(settings)),
-        load_settings_(std::move(reload)),
-        transport_(io, core::RandomIncarnation(), MakePeerLimits(),
-                   MakeTransportEvents()),
-        target_client_(io),
-        target_server_(io, MakeTargetServerLimits(),
-                       [this](const http::Request& request,
-                              const http::Responder& answer) {
-                         HandleTargetRequest(request, answer);
-                       }),
-        metrics_page_(io, &registry_, [this]() { UpdateMetrics(); }) {
+        load_settings_(std::move(reload)) {
     board_.policy = ReadCoordinationPolicy(settings_);
   }
 
@@ -69,18 +63,20 @@
     board_.domain = node_.domain;
     board_.policy.drain_bound = node_.drain_bound;
     board_.random ^= core::RandomIncarnation().value();
+    MakeServers();
     wire::WireError wire_error;
-    if (!transport_.Listen(ReadPeerListenAddress(settings_, node_.peer_address),
-                           node_.peer_address, &wire_error)) {
+    if (!transport_->Listen(
+            ReadPeerListenAddress(settings_, node_.peer_address),
+            node_.peer_address, &wire_error)) {
       *reason = wire_error.detail;
       return false;
     }
     http::HttpError http_error;
-    if (!target_server_.Listen(node_.announcement_address, &http_error)) {
+    if (!target_server_->Listen(node_.announcement_address, &http_error)) {
       *reason = http_error.text;
       return false;
     }
-    metrics_page_.Listen(node_.peer_address, ReadMetricsPort(settings_));
+    metrics_page_->Listen(node_.peer_address, ReadMetricsPort(settings_));
     store_.emplace(io_, node_.store_address);
     membership_.emplace(io_, &*store_, MemberKind::kGate, node_.peer_address,
                         [this](MemberKind kind, const core::Address& address) {
@@ -112,6 +108,34 @@
   }
 
  private:
+  /// Makes all that listens, within what the VM has.
+  void MakeServers() {
+    const MachineLimits machine = ComputeMachineLimits(node_, settings_);
+    connection_memory_ =
+        std::make_shared<core::MemoryQuota>(machine.connection_bytes);
+    transport_.emplace(io_, core::RandomIncarnation(), MakePeerLimits(),
+                       MakeTransportEvents());
+    target_client_.emplace(io_);
+    target_server_.emplace(
+        io_, MakeTargetServerLimits(machine),
+        [this](const http::Request& request, const http::Responder& answer) {
+          HandleTargetRequest(request, answer);
+        },
+        http::GoneHandler(), connection_memory_);
+    metrics_page_.emplace(
+        io_,
+        MakeServerLimits(machine, machine.other_connections,
+                         kMaxMetricsBodyBytes),
+        &registry_, [this]() { UpdateMetrics(); }, connection_memory_);
+  }
+
+  ShedCounts CountShedConnections() const {
+    ShedCounts counts;
+    AddCounts(target_server_->counters(), &counts);
+    AddCounts(metrics_page_->counters(), &counts);
+    return counts;
+  }
+
   wire::TransportEvents MakeTransportEvents() {
     wire::TransportEvents events;
     events.message = [this](const core::NodeId& from,
@@ -193,7 +217,7 @@
 
   template <typename Message>
   void Execute(coordinator::SendTo<Message>& send) {
-    transport_.Send(send.to, std::move(send.message));
+    transport_->Send(send.to, std::move(send.message));
   }
 
   void Execute(const coordinator::StoreTarget& keep) {
@@ -201,7 +225,7 @@
   }
 
   void Execute(const coordinator::OrderStart& order) {
-    target_client_.StartRun(
+    target_client_->StartRun(
         order, board_.policy.order_timeout,
         [this, run = order.run](coordinator::OrderAnswer answer,
                                 std::optional<coordinator::TargetClock> clock) {
@@ -211,7 +235,7 @@
   }
 
   void Execute(const coordinator::OrderStop& order) {
-    target_client_.StopRun(
+    target_client_->StopRun(
         order, board_.policy.order_timeout,
         [this, run = order.run](
             coordinator::OrderAnswer answer,
@@ -222,7 +246,7 @@
   }
 
   void Execute(const coordinator::OrderPoll& order) {
-    target_client_.PollRuns(
+    target_client_->PollRuns(
         order, board_.policy.hold_margin,
         [this, number = order.number](
             const std::optional<coordinator::PollReply>& poll,
@@ -241,6 +265,10 @@
       last_log_flush_ = now;
       core::FlushLog();
     }
+    if (shed_log_.IsDue(now)) {
+      shed_log_.Report(GateLog(), now, CountShedConnections(),
+                       *connection_memory_);
+    }
     core::SendLog();
     if (!board_.stopping || shutting_down_) return;
     const bool done = coordinator::CountOpenRuns(board_) == 0;
@@ -259,7 +287,7 @@
 
   void Shutdown() {
     shutting_down_ = true;
-    transport_.Shutdown([this]() { io_.stop(); });
+    transport_->Shutdown([this]() { io_.stop(); });
   }
 
   void ReloadSettings() {
@@ -336,6 +364,7 @@
     }
     registry_.Set("runs_open", {}, static_cast<double>(board_.runs.size()));
     registry_.Set("entries", {}, static_cast<double>(board_.homes.size()));
+    UpdateShedMetrics(&registry_, CountShedConnections(), *connection_memory_);
   }
 
   boost::asio::io_context& io_;
@@ -345,10 +374,12 @@
   platform::NodeSettings node_;
   GateBoard board_;
   metrics::Registry registry_;
-  wire::Transport transport_;
-  platform::TargetClient target_client_;
-  http::Server target_server_;
-  MetricsPageServer metrics_page_;
+  std::shared_ptr<core::MemoryQuota> connection_memory_;
+  std::optional<wire::Transport> transport_;
+  std::optional<platform::TargetClient> target_client_;
+  std::optional<http::Server> target_server_;
+  std::optional<MetricsPageServer> metrics_page_;
+  ShedLog shed_log_;
   std::optional<platform::StoreClient> store_;
   std::optional<Membership> membership_;
   std::optional<TargetReportStore> report_store_;
--- a/daemons/metrics_page_server.cc
+++ b/daemons/metrics_page_server.cc
@@ -7,28 +7,19 @@
 #include "tarragon/http/status.h"
 
 namespace tarragon::daemons {
-namespace {
-
-constexpr std::size_t kMaxConnections = 16;
-
-http::ServerLimits MakeServerLimits() {
-  http::ServerLimits limits;
-  limits.max_connections = kMaxConnections;
-  return limits;
-}
-
-}  // namespace
-
 MetricsPageServer::MetricsPageServer(boost::asio::io_context& io,
+                                     http::ServerLimits limits,
                                      metrics::Registry* registry,
-                                     std::function<void()> refresh)
+                                     std::function<void()> refresh,
+                                     std::shared_ptr<core::MemoryQuota> quota)
     : registry_(registry),
       refresh_registry_(std::move(refresh)),
       server_(
-          io, MakeServerLimits(),
+          io, limits,
           [this](const http::Request& request, const http::Responder& answer) {
             Handle(request, answer);
-          }) {}
+          },
+          {}, std::move(quota)) {}
 
 void MetricsPageServer::Listen(const core::Address& peers, std::uint16_t port) {
   if (port == 0) return;
--- a/daemons/metrics_page_server.h
+++ b/daemons/metrics_page_server.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 
 #include "tarragon/core/ids.h"
@@ -13,11 +14,12 @@
 namespace tarragon::daemons {
 
 /// HTTP server for GET /metrics. Calls `refresh` before each answer, to update
-/// the registry.
+/// the registry. The connections take memory of `quota`.
 class MetricsPageServer {
  public:
-  MetricsPageServer(boost::asio::io_context& io, metrics::Registry* registry,
-                    std::function<void()> refresh);
+  MetricsPageServer(boost::asio::io_context& io, http::ServerLimits limits,
+                    metrics::Registry* registry, std::function<void()> refresh,
+                    std::shared_ptr<core::MemoryQuota> quota);
 
   /// Listens on `port` at the IP address of `peers`. Does nothing if `port` is
   /// 0. If the port is in use, logs a warning, and the process runs without a
@@ -25,6 +27,8 @@
   void Listen(const core::Address& peers, std::uint16_t port);
   void Close();
 
+  http::ServerCounters counters() const { return server_.counters(); }
+
  private:
   void Handle(const http::Request& request, const http::Responder& answer);
 
--- a/daemons/platform_daemon_settings.cc
+++ b/daemons/platform_daemon_settings.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "machine_limits.h"
 #include "tarragon/core/log.h"
 
 namespace tarragon::daemons {
@@ -117,6 +118,7 @@
       "IP address to listen on for peers, if a forwarder passes on connections "
       "to the VM's address; empty to listen on the VM's address.";
   specs.push_back(bind);
+  for (core::SettingSpec& each : MachineLimitSpecs()) specs.push_back(each);
   const Policy defaults;
   for (const DurationSetting& each : kDurations) {
     core::SettingSpec spec;
--- a/http/server.cc
+++ b/http/server.cc
@@ -10,9 +10,6 @@
 namespace tarragon::http {
 namespace {
 
-/// Connections over the limit that are told so at one time; more are closed
-/// without an answer.
-constexpr std::size_t kMaxRefusing = 64;
 /// Pause after an accept that failed, such as for want of descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{100};
 
@@ -27,7 +24,7 @@
 class Server::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(asio::io_context& io, ServerLimits limits, Handler handler,
-       GoneHandler gone)
+       GoneHandler gone, std::shared_ptr<core::MemoryQuota> quota)
       : state_(std::make_shared<ServerState>()),
         acceptor_(io.get_executor()),
         pause_(io.get_executor()) {
@@ -35,6 +32,9 @@
     state_->limits = limits;
     state_->handler = std::move(handler);
     state_->gone = std::move(gone);
+    state_->quota =
+        quota ? std::move(quota)
+              : std::make_shared<core::MemoryQuota>(limits.max_held_bytes);
   }
 
   std::optional<core::Address> Listen(const core::Address& address,
@@ -71,6 +71,15 @@
   acceptor_.open(endpoint->protocol(), error);
   if (error) return Fail("Open: " + error.message() + ".", reason);
   acceptor_.set_option(Acceptor::reuse_address(true), error);
+  if (!error && state_->limits.receive_buffer_bytes > 0) {
+    // Accepted sockets inherit it. It must be set before the handshake, which
+    // tells the peer how much it may send.
+    ErrorCode ignored;
+    acceptor_.set_option(
+        asio::socket_base::receive_buffer_size(
+            static_cast<int>(state_->limits.receive_buffer_bytes)),
+        ignored);
+  }
   if (!error) acceptor_.bind(*endpoint, error);
   if (!error) acceptor_.listen(Acceptor::max_listen_connections, error);
   const Tcp::endpoint bound =
@@ -103,13 +112,21 @@
 }
 
 void Server::Impl::Admit(Socket socket) {
-  const std::size_t served = state_->sessions.size() - state_->refusing;
-  const bool full = served >= state_->limits.max_connections;
-  if (full && state_->refusing >= kMaxRefusing) return;
+  const ServerLimits& limits = state_->limits;
+  const bool full =
+      state_->sessions.size() - state_->refusing >= limits.max_connections;
+  const bool refuse = full && state_->replaceable.empty();
+  if (refuse) {
+    ++state_->counters.refused;
+    if (state_->refusing >= limits.max_refused_connections) return;
+  } else if (full) {
+    ++state_->counters.closed_for_place;
+    state_->replaceable.front()->Shed();
+  }
   const std::shared_ptr<Session> session =
       std::make_shared<Session>(state_, std::move(socket));
   state_->sessions.insert(session);
-  if (full) return session->Refuse();
+  if (refuse) return session->Refuse();
   session->Start();
 }
 
@@ -146,9 +163,10 @@
 }
 
 Server::Server(boost::asio::io_context& io, ServerLimits limits,
-               Handler handler, GoneHandler gone)
+               Handler handler, GoneHandler gone,
+               std::shared_ptr<core::MemoryQuota> quota)
     : impl_(std::make_shared<Impl>(io, limits, std::move(handler),
-                                   std::move(gone))) {}
+                                   std::move(gone), std::move(quota))) {}
 
 Server::~Server() { Close(); }
 
@@ -169,4 +187,6 @@
   return impl_->state().open_requests;
 }
 
+ServerCounters Server::counters() const { return impl_->state().counters; }
+
 }  // namespace tarragon::http
--- a/http/server_state.h
+++ b/http/server_state.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <unordered_set>
 
@@ -28,6 +29,12 @@
   /// How many of the sessions only refuse their connection.
   std::size_t refusing = 0;
   std::size_t open_requests = 0;
+  /// Sessions that may be closed to make place for a new connection, as the
+  /// handler has no request of theirs. The one without a whole request for the
+  /// longest is first.
+  std::list<Session*> replaceable;
+  std::shared_ptr<core::MemoryQuota> quota;
+  ServerCounters counters;
 };
 
 }  // namespace tarragon::http
--- a/http/session.cc
+++ b/http/session.cc
@@ -1,10 +1,12 @@
 #include "session.h"
 
 #include <algorithm>
+#include <sstream>
 #include <string_view>
 #include <utility>
 
 #include "responder.h"
+#include "tarragon/http/status.h"
 
 namespace tarragon::http {
 namespace {
@@ -14,6 +16,14 @@
 constexpr core::Duration kLingerTime = std::chrono::seconds(2);
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr unsigned kHttp11 = 11;
+
+/// What a session holds besides its buffers.
+constexpr std::size_t kSessionBytes = 2048;
+/// What one header field takes besides its name and value.
+constexpr std::size_t kFieldBytes = 64;
+/// Least room for one read.
+constexpr std::size_t kMinReadBytes = 512;
 
 struct Refusal {
   int status;
@@ -40,11 +50,43 @@
          error != beast_http::error::partial_message;
 }
 
+Response MakeOverloadResponse(const char* detail) {
+  Response response;
+  response.status = kStatusUnavailable;
+  response.headers["Retry-After"] = "1";
+  response.body =
+      std::string(
+          R"({"outcome":"not_run","reason":"overload","retry_after_ms":1000,)"
+          R"("detail":")") +
+      detail + "\"}";
+  return response;
+}
+
+/// The bytes of the answer to a client that must make place.
+const std::string& ShedAnswer() {
+  static const std::string text = [] {
+    std::ostringstream out;
+    out << ToBeast(MakeOverloadResponse("The clients hold too much."), kHttp11,
+                   false);
+    return out.str();
+  }();
+  return text;
+}
+
+std::size_t BytesOf(const beast_http::fields& fields) {
+  std::size_t bytes = 0;
+  for (const beast_http::fields::value_type& field : fields) {
+    bytes += kFieldBytes + field.name_string().size() + field.value().size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 Session::Session(std::shared_ptr<ServerState> server, Socket socket)
     : server_(std::move(server)),
       socket_(std::move(socket)),
+      account_(server_->quota, [this] { FreeForMemory(); }),
       buffer_(std::max(server_->limits.max_header_bytes, kMaxReadBytes)) {}
 
 void Session::InitWatchdog() {
@@ -64,6 +106,7 @@
   const Tcp::endpoint peer = socket_.remote_endpoint(error);
   if (error) return Close();
   peer_ = ToAddress(peer).value();
+  MakeReplaceable(Turn::kLast);
   WaitForRequest();
 }
 
@@ -71,13 +114,55 @@
   InitWatchdog();
   refusing_ = true;
   ++server_->refusing;
-  Response response;
-  response.status = 503;
-  response.headers["Retry-After"] = "1";
-  response.body =
-      R"({"outcome":"not_run","reason":"overload","retry_after_ms":1000,)"
-      R"("detail":"Too many connections."})";
-  Write(std::move(response));
+  Write(MakeOverloadResponse("Too many connections."));
+}
+
+void Session::Shed() {
+  const bool sends_request =
+      phase_ == Phase::kReading ||
+      (phase_ == Phase::kWaiting && (request_ == 0 || HasInput()));
+  if (sends_request) {
+    ErrorCode ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.write_some(asio::buffer(ShedAnswer()), ignored);
+  }
+  Close();
+}
+
+void Session::FreeForMemory() {
+  const std::shared_ptr<Session> self = shared_from_this();
+  ++server_->counters.closed_for_memory;
+  Shed();
+  // Handlers that are under way keep the session for a while.
+  buffer_.clear();
+  buffer_.shrink_to_fit();
+  parser_.reset();
+}
+
+bool Session::UpdateAccount() {
+  if (!closed_) account_.Set(HeldBytes());
+  return !closed_;
+}
+
+std::size_t Session::HeldBytes() const {
+  std::size_t bytes = kSessionBytes + buffer_.capacity();
+  if (parser_.has_value()) {
+    bytes += parser_->get().body().capacity() + field_bytes_;
+  }
+  if (response_.has_value()) bytes += response_->body().capacity();
+  return bytes;
+}
+
+void Session::MakeReplaceable(Turn turn) {
+  KeepPlace();
+  std::list<Session*>& all = server_->replaceable;
+  place_ = all.insert(turn == Turn::kFirst ? all.begin() : all.end(), this);
+}
+
+void Session::KeepPlace() {
+  if (!place_.has_value()) return;
+  server_->replaceable.erase(*place_);
+  place_.reset();
 }
 
 void Session::CloseIfIdle() {
@@ -97,6 +182,8 @@
   if (closed_) return;
   closed_ = true;
   EndRequest();
+  KeepPlace();
+  account_.Set(0);
   if (refusing_) --server_->refusing;
   if (watchdog_) watchdog_->Stop();
   ErrorCode ignored;
@@ -120,6 +207,7 @@
   phase_ = Phase::kWaiting;
   if (buffer_.size() > 0) return ReadHeader();
   buffer_.shrink_to_fit();
+  if (!UpdateAccount()) return;
   const ServerLimits& limits = server_->limits;
   watchdog_->SetAfter(request_ == 0 ? limits.header_timeout
                                     : limits.idle_timeout);
@@ -140,29 +228,27 @@
   phase_ = Phase::kReading;
   read_timed_out_ = false;
   head_ = false;
+  field_bytes_ = 0;
   parser_.emplace();
   parser_->header_limit(
       static_cast<std::uint32_t>(server_->limits.max_header_bytes));
   parser_->body_limit(server_->limits.max_body_bytes);
   buffer_.reserve(std::min(kFirstReadBytes, buffer_.max_size()));
   watchdog_->SetAfter(server_->limits.header_timeout);
-  beast_http::async_read_header(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](ErrorCode error, std::size_t) {
-        self->OnHeader(error);
-      });
+  Parse();
 }
 
-void Session::OnHeader(ErrorCode error) {
-  if (closed_) return;
-  if (error) return OnReadError(error);
+void Session::OnHeader() {
   if (parser_->is_done()) return Dispatch();
+  field_bytes_ = BytesOf(parser_->get());
+  parser_->eager(true);
   const beast::string_view expect = parser_->get()[beast_http::field::expect];
   if (beast::iequals(expect, "100-continue")) return Continue();
   ReadBody();
 }
 
 void Session::Continue() {
+  if (!UpdateAccount()) return;
   watchdog_->SetAfter(server_->limits.body_timeout);
   asio::async_write(socket_, asio::buffer(kContinue),
                     [self = shared_from_this()](ErrorCode error, std::size_t) {
@@ -174,22 +260,45 @@
 
 void Session::ReadBody() {
   read_timed_out_ = false;
-  const std::size_t expected = static_cast<std::size_t>(
-      parser_->content_length().value_or(kMaxReadBytes));
-  buffer_.reserve(std::min({std::max(expected, kFirstReadBytes), kMaxReadBytes,
-                            buffer_.max_size()}));
   watchdog_->SetAfter(server_->limits.body_timeout);
-  beast_http::async_read(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](ErrorCode error, std::size_t) {
-        self->OnBody(error);
+  Parse();
+}
+
+void Session::Parse() {
+  while (buffer_.size() > 0) {
+    const bool had_header = parser_->is_header_done();
+    ErrorCode error;
+    buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error == beast_http::error::need_more) break;
+    if (error) return OnReadError(error);
+    if (!had_header && parser_->is_header_done()) return OnHeader();
+    if (parser_->is_done()) return Dispatch();
+  }
+  ReadMore();
+}
+
+void Session::ReadMore() {
+  const std::size_t room = buffer_.max_size() - buffer_.size();
+  if (room == 0) return OnReadError(beast_http::error::buffer_overflow);
+  // A long body gets a larger buffer as it comes, not as it is announced.
+  const std::size_t wanted = std::min(
+      kMaxReadBytes, std::max(kFirstReadBytes, parser_->get().body().size()));
+  buffer_.reserve(std::min(wanted, buffer_.max_size()));
+  const std::size_t free = buffer_.capacity() - buffer_.size();
+  const auto space =
+      buffer_.prepare(std::min(room, std::max(kMinReadBytes, free)));
+  if (!UpdateAccount()) return;
+  socket_.async_read_some(
+      space, [self = shared_from_this()](ErrorCode error, std::size_t size) {
+        self->OnRead(error, size);
       });
 }
 
-void Session::OnBody(ErrorCode error) {
+void Session::OnRead(ErrorCode error, std::size_t size) {
   if (closed_) return;
   if (error) return OnReadError(error);
-  Dispatch();
+  buffer_.commit(size);
+  Parse();
 }
 
 void Session::OnReadError(ErrorCode error) {
@@ -207,8 +316,11 @@
   // client may have sent it again elsewhere by now.
   if (server_->limits.half_close_is_gone && PeerHasLeft()) return Close();
   ++request_;
+  KeepPlace();
   BeastRequest message = parser_->release();
   parser_.reset();
+  buffer_.shrink_to_fit();
+  if (!UpdateAccount()) return;
   keep_alive_ = message.keep_alive();
   version_ = message.version();
   head_ = message.method() == beast_http::verb::head;
@@ -266,6 +378,7 @@
 
 void Session::AnswerError(int status, const char* reason, const char* detail) {
   keep_alive_ = false;
+  parser_.reset();
   Response response;
   response.status = status;
   response.body = std::string(R"({"outcome":"not_run","reason":")") + reason +
@@ -279,6 +392,8 @@
   response_.emplace(ToBeast(std::move(response), version_, keep_alive_));
   if (!LengthMatches(*response_)) keep_alive_ = false;
   serializer_.emplace(*response_);
+  if (!UpdateAccount()) return;
+  if (!refusing_) MakeReplaceable(Turn::kLast);
   watchdog_->SetAfter(server_->limits.write_timeout);
   const auto written = [self = shared_from_this()](ErrorCode error,
                                                    std::size_t) {
@@ -302,10 +417,13 @@
 
 void Session::Linger() {
   phase_ = Phase::kLingering;
+  if (!refusing_) MakeReplaceable(Turn::kFirst);
   ErrorCode error;
   socket_.shutdown(Socket::shutdown_send, error);
   if (error) return Close();
   buffer_.clear();
+  buffer_.shrink_to_fit();
+  if (!UpdateAccount()) return;
   watchdog_->SetAfter(kLingerTime);
   DropInput();
 }
--- a/http/session.h
+++ b/http/session.h
@@ -1,7 +1,9 @@
 #ifndef TARRAGON_HTTP_SESSION_H_
 #define TARRAGON_HTTP_SESSION_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +25,9 @@
   void Start();
   /// Answers 503 without reading and closes.
   void Refuse();
+  /// Closes the connection now. A client that is sending a request is told that
+  /// it has not run, unless that would need waiting.
+  void Shed();
   /// Closes the connection now if no request has begun to arrive.
   void CloseIfIdle();
   /// Closes the connection now.
@@ -38,6 +43,8 @@
     kWriting,   // The response is written.
     kLingering  // The sending side is closed; the peer's bytes are dropped.
   };
+  /// Among the sessions that are replaceable.
+  enum class Turn : std::uint8_t { kFirst, kLast };
   using Parser = beast_http::request_parser<beast_http::string_body>;
   using Serializer = beast_http::response_serializer<beast_http::string_body>;
 
@@ -45,11 +52,23 @@
   void WaitForRequest();
   void OnReadable(ErrorCode error);
   void ReadHeader();
-  void OnHeader(ErrorCode error);
+  void OnHeader();
   void Continue();
   void ReadBody();
-  void OnBody(ErrorCode error);
+  /// Reads into the buffer and parses what comes, until the header or the whole
+  /// request is there.
+  void ReadMore();
+  void OnRead(ErrorCode error, std::size_t size);
+  void Parse();
   void OnReadError(ErrorCode error);
+  /// Tells the quota what the session holds. False if the session was closed
+  /// for it.
+  bool UpdateAccount();
+  std::size_t HeldBytes() const;
+  void FreeForMemory();
+  /// Lets a new connection take the place of this one.
+  void MakeReplaceable(Turn turn);
+  void KeepPlace();
   void Dispatch();
   void WatchForLeave();
   bool PeerHasLeft();
@@ -66,10 +85,15 @@
 
   std::shared_ptr<ServerState> server_;
   Socket socket_;
+  core::MemoryAccount account_;
+  /// Where this session stands in ServerState::replaceable, if it is there.
+  std::optional<std::list<Session*>::iterator> place_;
   std::string peer_;
   std::shared_ptr<Watchdog> watchdog_;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
+  /// What the fields of the parsed header take.
+  std::size_t field_bytes_ = 0;
   std::optional<BeastResponse> response_;
   std::optional<Serializer> serializer_;
   Phase phase_ = Phase::kWaiting;
--- /dev/null
+++ b/tests/crowd/client_crowd_test.cc
@@ -0,0 +1,182 @@
+#include <string>
+
+#include "crowd_fixture.h"
+
+namespace tarragon::crowd {
+namespace {
+
+constexpr std::size_t kMaxBodyBytes = std::size_t{256} * 1024;
+/// One chunk that leaves a body just short of the limit.
+constexpr std::size_t kLargeChunkBytes = kMaxBodyBytes - 64;
+constexpr int kTinyChunks = 200000;
+constexpr std::size_t kMaxHeaderBytes = std::size_t{16} * 1024;
+constexpr int kPipelinedRequests = 500;
+
+std::string Repeat(const std::string& text, int count) {
+  std::string all;
+  for (int i = 0; i < count; ++i) all += text;
+  return all;
+}
+
+std::string MakeChunk(std::size_t bytes) {
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", bytes);
+  return size + std::string(bytes, 'x') + "\r\n";
+}
+
+/// The request line and host of a submission by a client of a crowd. Each
+/// client has a job of its own.
+std::string MakePostLine(int client) {
+  char line[80];
+  std::snprintf(line, sizeof line,
+                "POST /checks/c%015x HTTP/1.1\r\nHost: q.example\r\n", client);
+  return line;
+}
+
+std::function<std::string(int)> MakeHead(const std::string& fields) {
+  return
+      [fields](int client) { return MakePostLine(client) + fields + "\r\n"; };
+}
+
+/// A whole submission of a body.
+CrowdPlan MakeJobPlan(const std::string& body) {
+  CrowdPlan plan;
+  plan.head =
+      MakeHead("Content-Length: " + std::to_string(body.size()) + "\r\n");
+  plan.rest = body;
+  return plan;
+}
+
+/// Crowds at the address of the clients.
+class ClientCrowdTest : public CrowdFixture {
+  CPPUNIT_TEST_SUITE(ClientCrowdTest);
+  CPPUNIT_TEST(WithstandsSilence);
+  CPPUNIT_TEST(WithstandsLargeChunks);
+  CPPUNIT_TEST(WithstandsTinyChunks);
+  CPPUNIT_TEST(WithstandsChunksThatNeverEnd);
+  CPPUNIT_TEST(WithstandsBodiesWithLength);
+  CPPUNIT_TEST(WithstandsExpectedBodies);
+  CPPUNIT_TEST(WithstandsLongHeaders);
+  CPPUNIT_TEST(WithstandsHeadersThatNeverEnd);
+  CPPUNIT_TEST(WithstandsUnreadAnswers);
+  CPPUNIT_TEST(WithstandsBodyAfterWholeRequest);
+  CPPUNIT_TEST(WithstandsClientsThatConnectAnew);
+  CPPUNIT_TEST(WithstandsSilentClientsThatConnectAnew);
+  CPPUNIT_TEST(WithstandsBodiesOfManyValues);
+  CPPUNIT_TEST(ServesLargestJobInCalm);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void WithstandsSilence() { Withstand(ClientAddress(), CrowdPlan{}); }
+
+  void WithstandsLargeChunks() {
+    CrowdPlan plan;
+    plan.head = MakeHead("Transfer-Encoding: chunked\r\n");
+    plan.rest = MakeChunk(kLargeChunkBytes);
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsTinyChunks() {
+    CrowdPlan plan;
+    plan.head = MakeHead("Transfer-Encoding: chunked\r\n");
+    plan.rest = Repeat(MakeChunk(1), kTinyChunks);
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsChunksThatNeverEnd() {
+    CrowdPlan plan;
+    plan.head = MakeHead("Transfer-Encoding: chunked\r\n");
+    plan.rest = Repeat(MakeChunk(100), 100);
+    plan.endless = true;
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsBodiesWithLength() {
+    CrowdPlan plan;
+    plan.head =
+        MakeHead("Content-Length: " + std::to_string(kMaxBodyBytes) + "\r\n");
+    plan.rest = std::string(kMaxBodyBytes - 1, 'x');
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsExpectedBodies() {
+    CrowdPlan plan;
+    plan.head = MakeHead(
+        "Expect: 100-continue\r\n"
+        "Content-Length: " +
+        std::to_string(kMaxBodyBytes) + "\r\n");
+    plan.rest = std::string(kMaxBodyBytes - 1, 'x');
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsLongHeaders() {
+    CrowdPlan plan;
+    plan.head = MakePostLine;
+    plan.rest = Repeat("X: 12345678\r\n", kMaxHeaderBytes / 14);
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsHeadersThatNeverEnd() {
+    CrowdPlan plan;
+    plan.head = MakePostLine;
+    plan.rest = Repeat("X: 12345678\r\n", 1000);
+    plan.endless = true;
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsUnreadAnswers() {
+    CrowdPlan plan;
+    plan.rest = Repeat("GET /checks/ HTTP/1.1\r\nHost: q.example\r\n\r\n",
+                       kPipelinedRequests);
+    plan.reads = false;
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsBodyAfterWholeRequest() {
+    CrowdPlan plan;
+    plan.head = [](int client) {
+      return "GET /checks/ HTTP/1.1\r\nHost: q.example\r\n\r\n" +
+             MakePostLine(client) + "Transfer-Encoding: chunked\r\n\r\n";
+    };
+    plan.rest = MakeChunk(kLargeChunkBytes);
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsClientsThatConnectAnew() {
+    CrowdPlan plan;
+    plan.connections = 20;
+    plan.head = MakeHead("Transfer-Encoding: chunked\r\n");
+    plan.rest = MakeChunk(kLargeChunkBytes);
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsSilentClientsThatConnectAnew() {
+    CrowdPlan plan;
+    plan.connections = 20;
+    Withstand(ClientAddress(), plan);
+  }
+
+  void WithstandsBodiesOfManyValues() {
+    const std::string object = R"({"a":{},"b":[]},)";
+    std::string body = R"({"spec":"","steps":[)";
+    while (body.size() + object.size() < kMaxBodyBytes - 10) body += object;
+    Withstand(ClientAddress(), MakeJobPlan(body + "{}]}"));
+  }
+
+  void ServesLargestJobInCalm() {
+    const std::string tail = R"(","best_effort":true,"steps":[{"count":1,)"
+                             R"("cpu":125,"est_runtime_ms":20}]})";
+    std::string body = R"({"spec":"125 20 )";
+    body.append(kMaxBodyBytes - body.size() - tail.size(), 'x');
+    const std::optional<http::Response> response =
+        SendOnce(ClientAddressText(), MakeJob(body + tail));
+    CPPUNIT_ASSERT(response.has_value());
+    CPPUNIT_ASSERT_EQUAL(200, response->status);
+    CheckProcesses();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClientCrowdTest);
+
+}  // namespace
+}  // namespace tarragon::crowd
--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -26,7 +26,7 @@
       });
 }
 
-std::string Cluster::WriteNodeFile(const std::filesystem::path& folder,
+std::string Cluster::WriteNodeFile(const Config& config,
                                    const std::string& name, int index,
                                    bool entry) {
   const std::string ip = "127." + std::to_string(entry ? 1 : 2) + ".0." +
@@ -48,14 +48,18 @@
   } else {
     listen["control"] = at(1);
   }
-  const json::object node{
+  json::object node{
       {"node_name", name},
       {"zone", "d" + std::to_string(index % 2)},
       {"ip", ip},
       {"listen_addrs", listen},
       {"internal_ports", json::array{base_port, base_port + 9}},
       {"platform", {{"address", store_relays.back()->address()}}}};
-  std::string path = (folder / (name + ".json")).string();
+  if (config.memory_mb > 0) {
+    node["limits"] = json::object{{"memory_mb", config.memory_mb},
+                                  {"max_fds", config.max_descriptors}};
+  }
+  std::string path = (config.run_folder / (name + ".json")).string();
   std::ofstream(path) << json::serialize(node);
   return path;
 }
@@ -88,7 +92,7 @@
 void Cluster::StartProcess(const Config& config, int index, bool entry) {
   const std::string name = (entry ? "entry-" : "gate-") + std::to_string(index);
   const std::string node_file =
-      WriteNodeFile(config.run_folder, name, index, entry);
+      WriteNodeFile(config, name, index, entry);
   // Peers connect to the VM's address, where the relay listens; the process
   // itself listens at `bind_ip`.
   const std::string last_byte = std::to_string(index + 1);
@@ -107,7 +111,8 @@
   names.push_back(name);
   processes.push_back(std::make_unique<Process>(
       entry ? "tarragon-coordinator" : "tarragon-gate", node_file,
-      (config.run_folder / (name + ".log")).string(), bind_ip));
+      (config.run_folder / (name + ".log")).string(), bind_ip,
+      config.metrics_pages ? base_port + kMetricsPortOffset : 0));
   processes.back()->Start();
 }
 
--- a/tests/soak/cluster.h
+++ b/tests/soak/cluster.h
@@ -19,6 +19,9 @@
 
 namespace tarragon::soak {
 
+/// Position of the port of a process's metrics page after `base_port`.
+inline constexpr int kMetricsPortOffset = 3;
+
 /// The processes of one soak with their stand-ins and the relays between them.
 struct Cluster {
   struct Config {
@@ -28,6 +31,11 @@
     InvariantChecker* invariants = nullptr;
     RunLedger* ledger = nullptr;
     bool targets_list_progress = false;
+    /// Limits of each process as its node file states them; zero for none.
+    int memory_mb = 0;
+    int max_descriptors = 0;
+    /// Each process has a metrics page, at kMetricsPortOffset.
+    bool metrics_pages = false;
     FakeTarget::IsDrained is_drained;
     /// Draws the seed of a target.
     std::function<std::uint64_t()> draw_seed;
@@ -70,8 +78,8 @@
   void ReservePorts();
   void StartProcess(const Config& config, int index, bool entry);
   void StartTarget(const Config& config, int index);
-  std::string WriteNodeFile(const std::filesystem::path& folder,
-                            const std::string& name, int index, bool entry);
+  std::string WriteNodeFile(const Config& config, const std::string& name,
+                            int index, bool entry);
   boost::asio::ip::tcp::endpoint EndpointAt(const std::string& ip,
                                             int offset) const;
 };
--- a/tests/soak/process.cc
+++ b/tests/soak/process.cc
@@ -14,11 +14,12 @@
 namespace tarragon::soak {
 
 Process::Process(std::string program, std::string node_file,
-                 std::string log_file, std::string bind_ip)
+                 std::string log_file, std::string bind_ip, int metrics_port)
     : program_(std::move(program)),
       node_file_(std::move(node_file)),
       log_file_(std::move(log_file)),
-      bind_ip_(std::move(bind_ip)) {}
+      bind_ip_(std::move(bind_ip)),
+      metrics_port_(metrics_port) {}
 
 Process::~Process() { Kill(); }
 
@@ -40,7 +41,8 @@
   dup2(log, STDERR_FILENO);
   setenv(platform::kNodeFileEnvVariable, node_file_.c_str(), 1);
   const std::string bind = "peers.bind_ip=" + bind_ip_;
-  execl(path.c_str(), program_.c_str(), "--set", "metrics.port=0", "--set",
+  const std::string metrics = "metrics.port=" + std::to_string(metrics_port_);
+  execl(path.c_str(), program_.c_str(), "--set", metrics.c_str(), "--set",
         bind.c_str(), nullptr);
   _exit(127);
 }
--- a/tests/soak/process.h
+++ b/tests/soak/process.h
@@ -12,9 +12,10 @@
 class Process {
  public:
   /// `program` is a file in the directory of the soak's own executable. Its
-  /// output is appended to `log_file`. It listens for peers at `bind_ip`.
+  /// output is appended to `log_file`. It listens for peers at `bind_ip`, and
+  /// has a metrics page unless `metrics_port` is 0.
   Process(std::string program, std::string node_file, std::string log_file,
-          std::string bind_ip);
+          std::string bind_ip, int metrics_port);
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -38,6 +39,7 @@
   std::string node_file_;
   std::string log_file_;
   std::string bind_ip_;
+  int metrics_port_;
   pid_t pid_ = 0;
   mutable bool exit_expected_ = false;
   int unexpected_exits_ = 0;
