Http: refuse headers of very many fields

What callers saw: the same end for want of memory, from clients that sent a header of 16 KiB in fields of four bytes and then an unfinished body.

Cause: a header within its limit of bytes became some 4,000 objects, about 80 bytes each, kept as long as the body took. Counting them against the quota was not enough: the blocks of shed connections lay between those of others, so the heap grew to four times what was held (64 MB resident with 16 MB held).

Change: max_header_fields, 128; more are answered 431, not run, before the parser makes an object of them. Ordinary requests have some ten.

--- a/http/include/tarragon/http/server.h
+++ b/http/include/tarragon/http/server.h
@@ -41,6 +41,9 @@
   std::size_t max_body_bytes = std::size_t{1024} * 1024;
   /// A longer request line and header are answered 431.
   std::size_t max_header_bytes = std::size_t{16} * 1024;
+  /// More header fields are answered 431. Parsed, a short field takes many
+  /// times its bytes.
+  std::size_t max_header_fields = 128;
   /// What all connections hold together, if the server is given no quota.
   std::size_t max_held_bytes = std::size_t{256} * 1024 * 1024;
   /// Receive buffer of each connection in the kernel; zero for the system's
--- a/http/session.cc
+++ b/http/session.cc
@@ -73,6 +73,25 @@
   return text;
 }
 
+std::string_view BufferedText(const beast::flat_buffer& buffer) {
+  return {static_cast<const char*>(buffer.data().data()), buffer.size()};
+}
+
+/// Whether a header that begins with `text` has more fields than `most`.
+bool HasMoreFields(std::string_view text, std::size_t most) {
+  // The request line comes first.
+  std::size_t lines = 0;
+  std::size_t begin = 0;
+  for (std::size_t end = text.find('\n'); end != std::string_view::npos;
+       end = text.find('\n', begin)) {
+    const bool empty = end - begin <= 1;
+    if (empty && lines > 0) return false;
+    if (++lines > most + 1) return true;
+    begin = end + 1;
+  }
+  return false;
+}
+
 std::size_t BytesOf(const beast_http::fields& fields) {
   std::size_t bytes = 0;
   for (const beast_http::fields::value_type& field : fields) {
@@ -267,6 +286,11 @@
 void Session::Parse() {
   while (buffer_.size() > 0) {
     const bool had_header = parser_->is_header_done();
+    // Found before the parser makes an object of each field.
+    if (!had_header && HasMoreFields(BufferedText(buffer_),
+                                     server_->limits.max_header_fields)) {
+      return OnReadError(beast_http::error::header_limit);
+    }
     ErrorCode error;
     buffer_.consume(parser_->put(buffer_.data(), error));
     if (error == beast_http::error::need_more) break;
--- a/http/tests/server_limits_test.cc
+++ b/http/tests/server_limits_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(RefusesLongChunkedBody);
   CPPUNIT_TEST(TakesBodyOfExactlyTheLimit);
   CPPUNIT_TEST(RefusesLongHeader);
+  CPPUNIT_TEST(RefusesManyHeaderFields);
   CPPUNIT_TEST(RefusesLongRequestLine);
   CPPUNIT_TEST(RefusesMalformedRequests);
   CPPUNIT_TEST(AnswersWhatCameBeforeGarbage);
@@ -94,6 +95,20 @@
     ExpectRefusal(other, "431");
   }
 
+  void RefusesManyHeaderFields() {
+    ServerLimits limits = Patient();
+    limits.max_header_fields = 3;
+    Listen(limits);
+    const std::string head = "POST / HTTP/1.1\r\nContent-Length: 6\r\n";
+    const auto peer = Connect();
+    // Lines of the body are no fields.
+    peer->Write(head + "a: 1\r\nb:\r\n\r\n\n\n\n\n\n\n");
+    AwaitOpen(1);
+    const auto other = Connect();
+    other->Write(head + "a:\r\nb:\r\nc:\r\n");
+    ExpectRefusal(other, "431");
+  }
+
   void RefusesLongRequestLine() {
     ServerLimits limits = Patient();
     limits.max_header_bytes = 1000;
--- a/tests/crowd/client_crowd_test.cc
+++ b/tests/crowd/client_crowd_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(WithstandsExpectedBodies);
   CPPUNIT_TEST(WithstandsLongHeaders);
   CPPUNIT_TEST(WithstandsHeadersThatNeverEnd);
+  CPPUNIT_TEST(WithstandsManyFields);
   CPPUNIT_TEST(WithstandsUnreadAnswers);
   CPPUNIT_TEST(WithstandsBodyAfterWholeRequest);
   CPPUNIT_TEST(WithstandsClientsThatConnectAnew);
@@ -124,6 +125,14 @@
     Withstand(ClientAddress(), plan);
   }
 
+  void WithstandsManyFields() {
+    CrowdPlan plan;
+    plan.head = MakeHead("Transfer-Encoding: chunked\r\n" +
+                         Repeat("a:\r\n", (kMaxHeaderBytes - 200) / 4));
+    plan.rest = MakeChunk(100);
+    Withstand(ClientAddress(), plan);
+  }
+
   void WithstandsUnreadAnswers() {
     CrowdPlan plan;
     plan.rest = Repeat("GET /checks/ HTTP/1.1\r\nHost: q.example\r\n\r\n",
--- a/tests/crowd/crowd_fixture.cc
+++ b/tests/crowd/crowd_fixture.cc
@@ -194,6 +194,11 @@
   }
 }
 
+void CrowdFixture::AwaitFreedMemory() {
+  const pid_t entry = cluster_->processes[kEntry]->pid();
+  RunUntil([entry] { return ResidentBytes(entry) <= kMemoryBytes / 4; });
+}
+
 void CrowdFixture::Withstand(const tcp::endpoint& server,
                              const CrowdPlan& plan) {
   http::Request pending;
--- a/tests/crowd/crowd_fixture.h
+++ b/tests/crowd/crowd_fixture.h
@@ -47,6 +47,9 @@
   void Withstand(const boost::asio::ip::tcp::endpoint& server,
                  const CrowdPlan& plan, const http::Request& also);
 
+  /// Runs until the entry has given back all but a quarter of its machine's
+  /// memory.
+  void AwaitFreedMemory();
   /// Submits a job of one small task until it has completed, as callers do.
   void CompleteOrdinaryJob();
   /// Sends the request to `server`, anew if it is refused or its connection is
--- a/tests/crowd/process_usage.cc
+++ b/tests/crowd/process_usage.cc
@@ -30,18 +30,27 @@
   return text.data();
 }
 
-}  // namespace
-
-std::size_t PeakResidentBytes(pid_t process) {
+/// A size in the status of the process, such as "VmHWM:".
+std::size_t ReadStatus(pid_t process, const std::string& name) {
   std::ifstream file(FolderOf(process) / "status");
   std::string line;
   while (std::getline(file, line)) {
-    if (line.rfind("VmHWM:", 0) != 0) continue;
+    if (line.rfind(name, 0) != 0) continue;
     return std::stoul(line.substr(line.find_first_of("0123456789"))) * 1024;
   }
   return 0;
 }
 
+}  // namespace
+
+std::size_t PeakResidentBytes(pid_t process) {
+  return ReadStatus(process, "VmHWM:");
+}
+
+std::size_t ResidentBytes(pid_t process) {
+  return ReadStatus(process, "VmRSS:");
+}
+
 std::size_t CountSocketsAndPipes(pid_t process) {
   std::size_t count = 0;
   std::error_code error;
--- a/tests/crowd/process_usage.h
+++ b/tests/crowd/process_usage.h
@@ -15,6 +15,9 @@
 /// The most memory that the process has had resident.
 std::size_t PeakResidentBytes(pid_t process);
 
+/// The memory that the process has resident now.
+std::size_t ResidentBytes(pid_t process);
+
 /// Open sockets and pipes of the process.
 std::size_t CountSocketsAndPipes(pid_t process);
 
