Daemons: give large blocks back to the system

Cause: once some large blocks were freed, the allocator serves blocks of their size from the heap, and small ones settle between them.

Change: a fixed threshold for blocks that are mapped on their own, and a fixed size of free memory that is kept at the end of the heap. Ordinary requests stay below it.

--- a/daemons/platform_daemon_main.h
+++ b/daemons/platform_daemon_main.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "allocator_settings.h"
 #include "event_loop.h"
 #include "platform_daemon_settings.h"
 #include "tarragon/core/command_line.h"
@@ -18,6 +19,7 @@
 template <typename Daemon>
 int RunPlatformDaemon(int argc, char* argv[],
                       const core::ProgramInfo& program) {
+  ReturnLargeBlocks();
   int exit_code = core::kExitOk;
   const std::optional<core::CommandLine> command =
       core::ParseCommandLine(argc, argv, program, &exit_code);
--- a/tests/crowd/client_crowd_test.cc
+++ b/tests/crowd/client_crowd_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(WithstandsClientsThatConnectAnew);
   CPPUNIT_TEST(WithstandsSilentClientsThatConnectAnew);
   CPPUNIT_TEST(WithstandsBodiesOfManyValues);
+  CPPUNIT_TEST(GivesMemoryBackAfterCrowd);
   CPPUNIT_TEST(ServesLargestJobInCalm);
   CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +173,14 @@
     Withstand(ClientAddress(), MakeJobPlan(body + "{}]}"));
   }
 
+  void GivesMemoryBackAfterCrowd() {
+    CrowdPlan plan;
+    plan.head = MakeHead("Transfer-Encoding: chunked\r\n");
+    plan.rest = MakeChunk(kLargeChunkBytes);
+    Withstand(ClientAddress(), plan);
+    AwaitFreedMemory();
+  }
+
   void ServesLargestJobInCalm() {
     const std::string tail = R"(","best_effort":true,"steps":[{"count":1,)"
                              R"("cpu":125,"est_runtime_ms":20}]})";
