Wire: bound what connections to the peers' address hold

What callers saw: clients at the address on which entries and gates speak to each other took all descriptors of a process, or its memory with messages that never ended.

Cause: bounds for each connection only (two unfinished messages of 4 MiB, each), 8,192 connections whatever the descriptors of the VM, and a full table refused a new peer.

Change: the connections and what has come of unfinished messages count against the process's quota. At most a quarter of the VM's sockets are for peers. A new connection, accepted or dialled, takes the place of the accepted one that has been longest without a message; a peer that has delivered one keeps its place. The receive buffer of the listener is bounded.

--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -134,8 +134,8 @@
         machine, machine.other_connections, kMaxOtherBodyBytes);
     connection_memory_ =
         std::make_shared<core::MemoryQuota>(machine.connection_bytes);
-    transport_.emplace(io_, core::RandomIncarnation(), MakePeerLimits(),
-                       MakeTransportEvents());
+    transport_.emplace(io_, core::RandomIncarnation(), MakePeerLimits(machine),
+                       MakeTransportEvents(), connection_memory_);
     client_server_.emplace(
         io_, MakeClientServerLimits(machine),
         [this](http::Request request, http::Responder answer) {
@@ -159,6 +159,7 @@
     AddCounts(client_server_->counters(), &counts);
     AddCounts(readiness_server_->counters(), &counts);
     AddCounts(metrics_page_->counters(), &counts);
+    AddCounts(transport_->counters(), &counts);
     return counts;
   }
 
--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -113,8 +113,8 @@
     const MachineLimits machine = ComputeMachineLimits(node_, settings_);
     connection_memory_ =
         std::make_shared<core::MemoryQuota>(machine.connection_bytes);
-    transport_.emplace(io_, core::RandomIncarnation(), MakePeerLimits(),
-                       MakeTransportEvents());
+    transport_.emplace(io_, core::RandomIncarnation(), MakePeerLimits(machine),
+                       MakeTransportEvents(), connection_memory_);
     target_client_.emplace(io_);
     target_server_.emplace(
         io_, MakeTargetServerLimits(machine),
@@ -133,6 +133,7 @@
     ShedCounts counts;
     AddCounts(target_server_->counters(), &counts);
     AddCounts(metrics_page_->counters(), &counts);
+    AddCounts(transport_->counters(), &counts);
     return counts;
   }
 
--- a/daemons/machine_limits.cc
+++ b/daemons/machine_limits.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdint>
 
+#include "platform_daemon_limits.h"
+
 namespace tarragon::daemons {
 namespace {
 
@@ -22,6 +24,7 @@
 constexpr std::size_t kClientParts = 20;
 /// A gate has no clients and uses their part for orders to its target.
 constexpr std::size_t kTargetParts = 8;
+constexpr std::size_t kPeerParts = 8;
 /// Far more than a target takes at one time.
 constexpr std::size_t kMaxTargetConnections = 256;
 constexpr std::size_t kMinOtherConnections = 4;
@@ -40,6 +43,7 @@
 constexpr std::size_t kReceivePart = 8;
 constexpr std::size_t kMinReceiveBytes = std::size_t{4} * 1024;
 constexpr std::size_t kMaxReceiveBytes = std::size_t{64} * 1024;
+constexpr std::size_t kPeerReceiveBytes = std::size_t{32} * 1024;
 
 core::SettingSpec MakeShareSpec(const char* key, const char* help) {
   core::SettingSpec spec;
@@ -93,6 +97,7 @@
                    limits.connection_bytes / kOrdinaryBytes}));
   limits.target_connections =
       std::min(sockets / kParts * kTargetParts, kMaxTargetConnections);
+  limits.peer_connections = sockets / kParts * kPeerParts;
   limits.other_connections =
       std::clamp(sockets / kParts, kMinOtherConnections, kMaxOtherConnections);
   limits.receive_buffer_bytes =
@@ -113,4 +118,11 @@
   return limits;
 }
 
+wire::TransportLimits MakePeerLimits(const MachineLimits& machine) {
+  wire::TransportLimits limits = MakePeerLimits();
+  limits.max_connections = machine.peer_connections;
+  limits.receive_buffer_bytes = kPeerReceiveBytes;
+  return limits;
+}
+
 }  // namespace tarragon::daemons
--- a/daemons/shed_report.cc
+++ b/daemons/shed_report.cc
@@ -15,6 +15,12 @@
   counts->refused += counters.refused;
 }
 
+void AddCounts(const wire::TransportCounters& counters, ShedCounts* counts) {
+  counts->for_memory += counters.closed_for_memory;
+  counts->for_place += counters.closed_for_place;
+  counts->refused += counters.refused_connections;
+}
+
 void UpdateShedMetrics(metrics::Registry* registry, const ShedCounts& counts,
                        const core::MemoryQuota& quota) {
   constexpr char kName[] = "connections_shed_total";
--- a/daemons/shed_report.h
+++ b/daemons/shed_report.h
@@ -8,6 +8,7 @@
 #include "tarragon/core/memory_quota.h"
 #include "tarragon/http/server.h"
 #include "tarragon/metrics/registry.h"
+#include "tarragon/wire/transport.h"
 
 namespace tarragon::daemons {
 
@@ -25,6 +26,7 @@
 };
 
 void AddCounts(const http::ServerCounters& counters, ShedCounts* counts);
+void AddCounts(const wire::TransportCounters& counters, ShedCounts* counts);
 
 /// Sets the counters "connections_shed_total" and the gauges
 /// "connection_bytes" and "connection_bytes_max".
--- a/daemons/tests/machine_limits_test.cc
+++ b/daemons/tests/machine_limits_test.cc
@@ -69,7 +69,8 @@
           MakeServerLimits(limits, limits.client_connections, 1)
               .max_refused_connections;
       const std::size_t targets = limits.target_connections;
-      CPPUNIT_ASSERT(2 * limits.other_connections + std::max(clients, targets) <
+      CPPUNIT_ASSERT(limits.peer_connections + 2 * limits.other_connections +
+                         std::max(clients, targets) <
                      sockets);
     }
   }
@@ -95,6 +96,7 @@
     const MachineLimits limits = Compute({1, 1});
     CPPUNIT_ASSERT(limits.client_connections > 0);
     CPPUNIT_ASSERT(limits.target_connections > 0);
+    CPPUNIT_ASSERT(limits.peer_connections > 0);
     CPPUNIT_ASSERT(limits.other_connections > 0);
   }
 
--- a/wire/connection.cc
+++ b/wire/connection.cc
@@ -24,6 +24,8 @@
 /// Bytes that the kernel takes beyond those under way. A small number keeps
 /// control messages from waiting there behind payloads.
 constexpr int kMaxUnsentBytes = 128 << 10;
+/// What a connection holds besides unfinished messages, most of it for HTTP/2.
+constexpr std::size_t kConnectionBytes = std::size_t{20} << 10;
 
 using UnsentLimit =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
@@ -43,6 +45,7 @@
       timer_(io),
       session_(role, shared->self, expects_.incarnation,
                shared->limits.max_frame_bytes),
+      account_(shared->quota, [this] { EndForMemory(); }),
       last_sent_(SteadyClock::now()),
       last_used_(last_sent_) {}
 
@@ -105,6 +108,7 @@
 
 void Connection::Start() {
   connected_ = true;
+  UpdateAccount();
   if (!draining_) ArmTimer(shared_->limits.handshake_timeout);
   AwaitReadable();
   ScheduleFlush();
@@ -138,11 +142,24 @@
 void Connection::Close() {
   if (closed_) return;
   closed_ = true;
+  account_.Set(0);
   boost::system::error_code ignored;
   socket_.close(ignored);
   timer_.cancel();
 }
 
+void Connection::UpdateAccount() {
+  if (!closed_) account_.Set(kConnectionBytes + session_.unfinished_bytes());
+}
+
+void Connection::EndForMemory() {
+  ++shared_->counters.closed_for_memory;
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->End(ConnectionEnd::kLost,
+              {WireErrorCode::kNone, "All connections hold too much."});
+  });
+}
+
 void Connection::ArmTimer(core::Duration after) {
   timer_.expires_after(after);
   timer_.async_wait(
@@ -216,6 +233,7 @@
     End(ConnectionEnd::kViolation, std::move(reason));
     return false;
   }
+  UpdateAccount();
   // The peer closes in good order; so do we.
   if (session_.remote_ending()) Drain();
   return true;
@@ -247,6 +265,7 @@
     // The owner may close this connection at any message.
     if (closed_) return;
     owner_->OnMessage(this, std::move(inbound));
+    has_delivered_ = true;
   }
 }
 
--- a/wire/connection.h
+++ b/wire/connection.h
@@ -14,6 +14,7 @@
 
 #include "http2_session.h"
 #include "tarragon/core/ids.h"
+#include "tarragon/core/memory_quota.h"
 #include "tarragon/wire/error.h"
 #include "tarragon/wire/transport.h"
 
@@ -51,6 +52,8 @@
   /// during a call, so that a quiet connection needs none of its own.
   std::vector<char> input;
   std::string output;
+  /// What the connections hold together.
+  std::shared_ptr<core::MemoryQuota> quota;
 };
 
 /// One TCP connection with its HTTP/2 session. Calls its owner only from
@@ -85,6 +88,8 @@
   const core::NodeId& expects() const { return expects_; }
   Role role() const { return role_; }
   bool open() const { return open_; }
+  /// A message has arrived and was passed on to the owner.
+  bool has_delivered() const { return has_delivered_; }
   /// New messages may be queued.
   bool usable() const { return !closed_ && !draining_; }
   /// Nothing waits and nothing was sent within `time`.
@@ -105,6 +110,10 @@
   bool Receive(std::size_t size);
   bool Greet();
   void Deliver(std::vector<Inbound>* inbox);
+  /// Tells the quota what the connection holds.
+  void UpdateAccount();
+  /// Ends the connection in a later turn of the io_context.
+  void EndForMemory();
   void ScheduleFlush();
   void Flush();
   /// Writes from `bytes`; keeps the rest. False if none can be taken now or
@@ -122,6 +131,7 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   Http2Session session_;
+  core::MemoryAccount account_;
   /// The last report that was encoded.
   std::optional<coordinator::TargetReport> last_report_;
   /// Bytes of the session that the socket has not yet taken.
@@ -130,6 +140,7 @@
   std::chrono::steady_clock::time_point last_used_;
   bool connected_ = false;
   bool open_ = false;
+  bool has_delivered_ = false;
   bool draining_ = false;
   bool shut_down_ = false;
   bool flush_posted_ = false;
--- a/wire/frame.h
+++ b/wire/frame.h
@@ -38,6 +38,11 @@
   /// True between two frames.
   bool empty() const { return partial_.empty(); }
 
+  /// Memory of a frame that has arrived in part.
+  std::size_t held_bytes() const {
+    return partial_.empty() ? 0 : partial_.capacity();
+  }
+
  private:
   std::size_t max_frame_bytes_;
   /// The start of a frame, its length included.
--- a/wire/http2_session.cc
+++ b/wire/http2_session.cc
@@ -180,6 +180,12 @@
   return frames;
 }
 
+std::size_t Http2Session::unfinished_bytes() const {
+  std::size_t bytes = 0;
+  for (const Stream& stream : streams_) bytes += stream.reader.held_bytes();
+  return bytes;
+}
+
 Http2Session::Stream& Http2Session::At(Channel channel) {
   return streams_[static_cast<std::size_t>(channel)];
 }
--- a/wire/http2_session.h
+++ b/wire/http2_session.h
@@ -76,6 +76,8 @@
   bool finished() const;
   std::size_t queued_bytes() const;
   std::size_t queued_frames() const;
+  /// Memory of the messages that have arrived in part.
+  std::size_t unfinished_bytes() const;
 
  private:
   /// One of the two streams.
--- a/wire/include/tarragon/wire/transport.h
+++ b/wire/include/tarragon/wire/transport.h
@@ -13,6 +13,7 @@
 
 #include "tarragon/core/clock.h"
 #include "tarragon/core/ids.h"
+#include "tarragon/core/memory_quota.h"
 #include "tarragon/dispatch/message.h"
 #include "tarragon/wire/error.h"
 
@@ -24,8 +25,13 @@
 
 /// Bounds of one transport.
 struct TransportLimits {
-  /// Connections at once, dialled and accepted.
+  /// Connections at once, dialled and accepted. One more takes the place of the
+  /// accepted connection that has been without a message for the longest; if
+  /// all have had one, it is not opened.
   std::size_t max_connections = 8192;
+  /// Receive buffer of an accepted connection in the kernel; zero for the
+  /// system's choice.
+  std::size_t receive_buffer_bytes = 0;
   /// Longest message in either direction.
   std::size_t max_frame_bytes = std::size_t{4} << 20;
   /// Most bytes that wait for one peer.
@@ -79,6 +85,10 @@
   std::uint64_t accepted = 0;
   /// Not opened because of `max_connections`.
   std::uint64_t refused_connections = 0;
+  /// Closed to make place for another connection.
+  std::uint64_t closed_for_place = 0;
+  /// Closed because all connections held too much.
+  std::uint64_t closed_for_memory = 0;
   /// Closed because the peer broke the protocol or sent a refused frame.
   std::uint64_t violations = 0;
   /// Closed because the peer did not say in time who it is.
@@ -98,9 +108,11 @@
 /// Sends and receives messages. To be used by the io_context's thread only.
 class Transport {
  public:
-  /// `self` is the incarnation of this process.
+  /// `self` is the incarnation of this process. The connections and what has
+  /// arrived of unfinished messages take memory of `quota`, if there is one.
   Transport(boost::asio::io_context& io, core::Incarnation self,
-            TransportLimits limits, TransportEvents events);
+            TransportLimits limits, TransportEvents events,
+            std::shared_ptr<core::MemoryQuota> quota = nullptr);
   /// Closes.
   ~Transport();
   Transport(const Transport&) = delete;
--- a/wire/transport.cc
+++ b/wire/transport.cc
@@ -7,9 +7,10 @@
 namespace tarragon::wire {
 
 Transport::Transport(boost::asio::io_context& io, core::Incarnation self,
-                     TransportLimits limits, TransportEvents events)
-    : state_(std::make_shared<TransportState>(io, self, limits,
-                                              std::move(events))) {}
+                     TransportLimits limits, TransportEvents events,
+                     std::shared_ptr<core::MemoryQuota> quota)
+    : state_(std::make_shared<TransportState>(
+          io, self, limits, std::move(events), std::move(quota))) {}
 
 Transport::~Transport() { state_->Close(); }
 
--- a/wire/transport_listen.cc
+++ b/wire/transport_listen.cc
@@ -40,6 +40,14 @@
   boost::system::error_code error;
   acceptor_.open(endpoint->protocol(), error);
   if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error && shared_.limits.receive_buffer_bytes > 0) {
+    // Accepted sockets inherit it. It must be set before the handshake, which
+    // tells the peer how much it may send.
+    boost::system::error_code ignored;
+    acceptor_.set_option(tcp::socket::receive_buffer_size(static_cast<int>(
+                             shared_.limits.receive_buffer_bytes)),
+                         ignored);
+  }
   if (!error) acceptor_.bind(*endpoint, error);
   if (!error) {
     acceptor_.listen(tcp::acceptor::max_listen_connections, error);
@@ -96,7 +104,7 @@
     return AcceptLater();
   }
   AcceptNext();
-  if (connections_.size() >= shared_.limits.max_connections) {
+  if (!MakePlace()) {
     // The socket closes as it goes out of scope.
     ++shared_.counters.refused_connections;
     return;
@@ -105,6 +113,7 @@
   const std::shared_ptr<Connection> connection = std::make_shared<Connection>(
       io_, Role::kListener, core::NodeId(), &shared_, this);
   connections_.insert(connection);
+  newcomers_.push_back(connection.get());
   connection->Accept(std::move(socket));
 }
 
--- a/wire/transport_state.cc
+++ b/wire/transport_state.cc
@@ -1,6 +1,7 @@
 #include "transport_state.h"
 
 #include <boost/asio/post.hpp>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -24,15 +25,19 @@
 
 TransportState::TransportState(boost::asio::io_context& io,
                                core::Incarnation self, TransportLimits limits,
-                               TransportEvents events)
+                               TransportEvents events,
+                               std::shared_ptr<core::MemoryQuota> quota)
     : io_(io),
       events_(std::move(events)),
-      shared_{limits, {core::Address(), self}, {}, {}, {}},
+      shared_{limits, {core::Address(), self}, {}, {}, {}, std::move(quota)},
       log_("wire"),
       acceptor_(io),
       accept_timer_(io),
       peers_(shared_.self) {
   shared_.input.resize(kReadBytes);
+  if (shared_.quota) return;
+  shared_.quota = std::make_shared<core::MemoryQuota>(
+      std::numeric_limits<std::size_t>::max());
 }
 
 void TransportState::Send(const core::NodeId& to,
@@ -71,13 +76,27 @@
   connection->Send(ChannelOf(message), std::move(frame));
 }
 
+bool TransportState::MakePlace() {
+  if (connections_.size() < shared_.limits.max_connections) return true;
+  if (newcomers_.empty()) return false;
+  ++shared_.counters.closed_for_place;
+  Connection* newcomer = newcomers_.front();
+  const core::NodeId peer = newcomer->peer();
+  const bool known = newcomer->open();
+  shared_.counters.dropped_messages += newcomer->queued_frames();
+  newcomer->Close();
+  Forget(newcomer);
+  if (known) RaiseLost(peer);
+  return true;
+}
+
 Connection* TransportState::Dial(const core::NodeId& to) {
   // A process that does not listen has no address to introduce itself with.
   if (shared_.self.address == core::Address()) return nullptr;
   const std::optional<boost::asio::ip::tcp::endpoint> endpoint =
       ParseEndpoint(to.address, nullptr);
   if (!endpoint) return nullptr;
-  if (connections_.size() >= shared_.limits.max_connections) {
+  if (!MakePlace()) {
     ++shared_.counters.refused_connections;
     return nullptr;
   }
@@ -110,6 +129,7 @@
   const bool unanswered =
       connection->role() == Role::kDialler && !connection->open();
   if (unanswered) verifying_.erase(connection->expects());
+  newcomers_.remove(connection);
   connections_.erase(connection->shared_from_this());
   CheckDone();
 }
@@ -144,6 +164,7 @@
 
 void TransportState::OnMessage(Connection* connection, Inbound inbound) {
   Count(inbound.message, inbound.bytes, &received_);
+  if (!connection->has_delivered()) newcomers_.remove(connection);
   if (!events_.message) return;
   events_.message(connection->peer(), std::move(inbound.message));
 }
--- a/wire/transport_state.h
+++ b/wire/transport_state.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <set>
@@ -25,7 +26,8 @@
                        public std::enable_shared_from_this<TransportState> {
  public:
   TransportState(boost::asio::io_context& io, core::Incarnation self,
-                 TransportLimits limits, TransportEvents events);
+                 TransportLimits limits, TransportEvents events,
+                 std::shared_ptr<core::MemoryQuota> quota);
 
   std::optional<core::NodeId> Listen(
       const core::Address& bind, const std::optional<core::Address>& advertise,
@@ -64,6 +66,9 @@
   void OnAccept(const boost::system::error_code& error,
                 boost::asio::ip::tcp::socket socket);
 
+  /// True if one more connection may be opened. Closes another one for it if
+  /// there are as many as there may be.
+  bool MakePlace();
   /// Null if no connection can be made now.
   Connection* Dial(const core::NodeId& to);
   /// If other incarnations are connected under the address of `node`, dials
@@ -87,6 +92,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_timer_;
   std::set<std::shared_ptr<Connection>> connections_;
+  /// Accepted connections on which no message has arrived, the oldest first.
+  std::list<Connection*> newcomers_;
   PeerTable peers_;
   /// Nodes that VerifyAddress has dialled and that have not answered yet.
   std::set<core::NodeId> verifying_;
