Coordinator: bound the memory of the accepted jobs

What callers saw: an entry that ended for want of memory, from whole submissions of some 140 bytes.

Cause: a job of one task and 9,999 more that wait for it becomes 2 MB. Its tasks need no room yet, so neither the targets nor the predicted wait limited the number of such jobs.

Change: an entry estimates the memory of a job before it makes it, and refuses it with 503 (overload, with a Retry-After) if it takes more than half of what the accepted jobs leave of a quarter of the VM's memory. So large jobs leave room for ordinary ones, and one job as large as the limits allow is accepted in calm. Setting limits.job_memory, counter jobs_refused_for_memory_total, gauge job_bytes.

--- a/coordinator/entry_jobs.cc
+++ b/coordinator/entry_jobs.cc
@@ -4,6 +4,7 @@
 
 #include "admission.h"
 #include "entry_internal.h"
+#include "job_memory.h"
 #include "precedence.h"
 
 namespace tarragon::coordinator {
@@ -124,6 +125,19 @@
   if (!HasValidSteps(request)) {
     return RefuseCall(board, call, id, {.refusal = Refusal::kBadJob});
   }
+  const std::size_t bytes = EstimateMemory(request);
+  if (!HasMemoryFor(*board, bytes)) {
+    ++board->counts.refused_for_memory;
+    AddLogLine(board, "The accepted jobs leave no memory for a job.",
+               id.value(),
+               {{"bytes", std::to_string(bytes)},
+                {"held", std::to_string(board->job_bytes)},
+                {"most", std::to_string(board->policy.max_job_bytes)}});
+    return RefuseCall(
+        board, call, id,
+        {.refusal = Refusal::kOverload,
+         .retry_after = ComputeRetryAfter(*board, core::Duration(0))});
+  }
   // A request that is read after a stall may have waited through it.
   if (deadline.has_value()) deadline = *deadline - FindReadDelay(*board, now);
   Job new_job = MakeJob(board, now, queue, std::move(request), deadline);
@@ -134,6 +148,8 @@
     return RefuseCall(board, call, id, verdict);
   }
   new_job.calls.push_back(call);
+  new_job.bytes = bytes;
+  board->job_bytes += bytes;
   Job* job =
       (board->jobs[id] = std::make_unique<Job>(std::move(new_job))).get();
   ++board->counts.accepted;
--- a/coordinator/include/tarragon/coordinator/job_board.h
+++ b/coordinator/include/tarragon/coordinator/job_board.h
@@ -1,6 +1,7 @@
 #ifndef TARRAGON_COORDINATOR_JOB_BOARD_H_
 #define TARRAGON_COORDINATOR_JOB_BOARD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -137,6 +138,8 @@
   /// Runs that were ordered at gates, minus those that were refused. While this
   /// is zero, it is certain that no task has run.
   std::uint32_t ordered_runs = 0;
+  /// Memory that the job takes, as estimated at its submission.
+  std::size_t bytes = 0;
   /// Unique among the jobs of this process, unlike the id.
   std::uint64_t serial = 0;
   /// Highest run number of an earlier attempt at the job; zero for none.
@@ -293,6 +296,8 @@
   /// Times at which room became short, and at which a priority was raised.
   std::uint64_t shortages = 0;
   std::uint64_t raised_priorities = 0;
+  /// Jobs that were refused because the accepted ones take too much memory.
+  std::uint64_t refused_for_memory = 0;
   /// Jobs that were accepted in spite of their predicted wait, because a target
   /// had room for them.
   std::uint64_t accepted_for_free_room = 0;
@@ -319,6 +324,8 @@
   std::uint64_t domains_digest = DomainsDigest({});
   std::map<core::Address, GateLink> gates;
   std::map<JobId, std::unique_ptr<Job>> jobs;
+  /// Sum of `Job::bytes`.
+  std::size_t job_bytes = 0;
   std::set<WaitingTask> waiting_tasks;
   /// Tasks were queued since all gates were last considered for placement.
   bool queue_grew = false;
--- a/coordinator/include/tarragon/coordinator/policy.h
+++ b/coordinator/include/tarragon/coordinator/policy.h
@@ -170,6 +170,8 @@
   /// How many waiting tasks that fit nowhere are skipped in search of one that
   /// fits.
   std::size_t place_lookahead = 12;
+  /// Memory that the accepted jobs of an entry take together.
+  std::size_t max_job_bytes = std::size_t{32} * 1024 * 1024;
   /// Number of ended jobs whose state is kept for later queries.
   std::size_t max_ended_states = 512;
   /// Least time without a rise of the listed percent after which a run stands.
--- a/coordinator/job_end.cc
+++ b/coordinator/job_end.cc
@@ -50,6 +50,7 @@
   }
   if (job->tasks_left > 0) RememberLastRun(board, *job);
   StopRunsOfJob(board, now, id);
+  board->job_bytes -= job->bytes;
   board->jobs.erase(id);
 }
 
--- a/daemons/coordinator_daemon.cc
+++ b/daemons/coordinator_daemon.cc
@@ -130,6 +130,8 @@
   /// Makes all that listens, within what the VM has.
   void MakeServers() {
     const MachineLimits machine = ComputeMachineLimits(node_, settings_);
+    max_job_bytes_ = machine.job_bytes;
+    board_.policy.max_job_bytes = max_job_bytes_;
     const http::ServerLimits other_limits = MakeServerLimits(
         machine, machine.other_connections, kMaxOtherBodyBytes);
     connection_memory_ =
@@ -402,6 +404,7 @@
     }
     settings_ = *next;
     board_.policy = ReadCoordinationPolicy(settings_);
+    board_.policy.max_job_bytes = max_job_bytes_;
     ApplySpreadFactor();
     ApplyLogSettings(settings_);
     EntryLog().Info("Reloaded the settings.");
@@ -439,6 +442,9 @@
       SetCounterTotal(&registry_, "jobs_ended_total",
                       {{"state", coordinator::Name(state)}}, count);
     }
+    SetCounterTotal(&registry_, "jobs_refused_for_memory_total", {},
+                    counts.refused_for_memory);
+    registry_.Set("job_bytes", {}, static_cast<double>(board_.job_bytes));
     registry_.Set("jobs_open", {}, static_cast<double>(board_.jobs.size()));
     registry_.Set("tasks_waiting", {},
                   static_cast<double>(board_.waiting_tasks.size()));
@@ -468,6 +474,7 @@
   JobBoard board_;
   metrics::Registry registry_;
   std::shared_ptr<core::MemoryQuota> connection_memory_;
+  std::size_t max_job_bytes_ = 0;
   std::optional<wire::Transport> transport_;
   std::map<CallId, OpenCall> open_calls_;
   std::optional<http::Server> client_server_;
--- a/daemons/machine_limits.cc
+++ b/daemons/machine_limits.cc
@@ -75,6 +75,9 @@
       MakeShareSpec("connection_memory",
                     "Share of the VM's memory, in thousandths, that all "
                     "connections together may hold."),
+      MakeShareSpec("job_memory",
+                    "Share of the VM's memory, in thousandths, that all "
+                    "accepted jobs together may hold."),
   };
 }
 
@@ -90,6 +93,7 @@
       std::max(node.max_descriptors - kFileDescriptors, kMinSockets));
   MachineLimits limits;
   limits.connection_bytes = share("connection_memory");
+  limits.job_bytes = share("job_memory");
   limits.client_connections = std::max<std::size_t>(
       1, std::min({static_cast<std::size_t>(
                        settings.Integer(kSection, "client_connections")),
--- a/daemons/machine_limits.h
+++ b/daemons/machine_limits.h
@@ -16,6 +16,8 @@
 struct MachineLimits {
   /// Bytes that all connections hold together, of clients and of peers.
   std::size_t connection_bytes = 0;
+  /// Bytes that the accepted jobs hold together.
+  std::size_t job_bytes = 0;
   /// Connections of clients to an entry.
   std::size_t client_connections = 0;
   /// Connections to the address of a gate where its target announces itself.
--- a/daemons/tests/machine_limits_test.cc
+++ b/daemons/tests/machine_limits_test.cc
@@ -55,7 +55,8 @@
           static_cast<std::size_t>(each.memory_mb) * kBytesPerMb;
       const std::size_t unread =
           limits.client_connections * limits.receive_buffer_bytes;
-      CPPUNIT_ASSERT(limits.connection_bytes + unread <= memory / 4 * 3);
+      CPPUNIT_ASSERT(limits.connection_bytes + limits.job_bytes + unread <=
+                     memory / 4 * 3);
     }
   }
 
@@ -87,8 +88,10 @@
   void SettingsChangeTheShares() {
     const MachineLimits limits = ComputeMachineLimits(
         MakeNode(100, 4096),
-        Parse({"limits.connection_memory=300", "limits.client_connections=7"}));
+        Parse({"limits.connection_memory=300", "limits.job_memory=100",
+               "limits.client_connections=7"}));
     CPPUNIT_ASSERT_EQUAL(30 * kBytesPerMb, limits.connection_bytes);
+    CPPUNIT_ASSERT_EQUAL(10 * kBytesPerMb, limits.job_bytes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{7}, limits.client_connections);
   }
 
@@ -103,7 +106,7 @@
   void RefusesSharesThatLeaveTooLittle() {
     for (const char* text :
          {"limits.connection_memory=401", "limits.connection_memory=0",
-          "limits.client_connections=0"}) {
+          "limits.job_memory=1000", "limits.client_connections=0"}) {
       std::vector<core::SettingError> errors;
       CPPUNIT_ASSERT_MESSAGE(
           text,
--- a/tests/crowd/client_crowd_test.cc
+++ b/tests/crowd/client_crowd_test.cc
@@ -47,6 +47,15 @@
   return plan;
 }
 
+/// A job of many steps, each of which waits for the first one many times over.
+std::string MakeManySteps() {
+  const std::string room = R"({"count":1,"cpu":1)";
+  const std::string step = room + R"(,"after":[0)" + Repeat(",0", 100) + "]}";
+  std::string steps = room + "}";
+  while (steps.size() + step.size() < kMaxBodyBytes - 100) steps += "," + step;
+  return R"({"spec":"1 20000","best_effort":true,"steps":[)" + steps + "]}";
+}
+
 /// Crowds at the address of the clients.
 class ClientCrowdTest : public CrowdFixture {
   CPPUNIT_TEST_SUITE(ClientCrowdTest);
@@ -63,7 +72,10 @@
   CPPUNIT_TEST(WithstandsBodyAfterWholeRequest);
   CPPUNIT_TEST(WithstandsClientsThatConnectAnew);
   CPPUNIT_TEST(WithstandsSilentClientsThatConnectAnew);
+  CPPUNIT_TEST(WithstandsJobsOfManySteps);
+  CPPUNIT_TEST(WithstandsJobsWhoseTasksWait);
   CPPUNIT_TEST(WithstandsBodiesOfManyValues);
+  CPPUNIT_TEST(WithstandsAllKindsAtOnce);
   CPPUNIT_TEST(GivesMemoryBackAfterCrowd);
   CPPUNIT_TEST(ServesLargestJobInCalm);
   CPPUNIT_TEST_SUITE_END();
@@ -166,6 +178,21 @@
     Withstand(ClientAddress(), plan);
   }
 
+  void WithstandsJobsOfManySteps() {
+    Withstand(ClientAddress(), MakeJobPlan(MakeManySteps()));
+  }
+
+  void WithstandsJobsWhoseTasksWait() {
+    // They wait for the first task and need no room, so that neither a target
+    // nor the predicted wait limits their number.
+    Withstand(ClientAddress(),
+              MakeJobPlan(MakeJobBody(
+                  "1 20000", R"({"count":1,"est_runtime_ms":1},)"
+                             R"({"count":)" +
+                                 std::to_string(kMaxTasks - 1) +
+                                 R"(,"est_runtime_ms":1,"after":[0]})")));
+  }
+
   void WithstandsBodiesOfManyValues() {
     const std::string object = R"({"a":{},"b":[]},)";
     std::string body = R"({"spec":"","steps":[)";
@@ -173,6 +200,22 @@
     Withstand(ClientAddress(), MakeJobPlan(body + "{}]}"));
   }
 
+  void WithstandsAllKindsAtOnce() {
+    const std::string job = MakeManySteps();
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    CrowdPlan plan;
+    plan.connections = 3;
+    plan.head = MakePostLine;
+    plan.rests = {
+        chunked + MakeChunk(kLargeChunkBytes),
+        chunked + Repeat(MakeChunk(1), kTinyChunks),
+        "Content-Length: " + std::to_string(job.size()) + "\r\n\r\n" + job,
+        Repeat("X: 12345678\r\n", kMaxHeaderBytes / 14),
+        "Expect: 100-continue\r\nContent-Length: 200000\r\n\r\n" +
+            std::string(100000, 'x')};
+    Withstand(ClientAddress(), plan);
+  }
+
   void GivesMemoryBackAfterCrowd() {
     CrowdPlan plan;
     plan.head = MakeHead("Transfer-Encoding: chunked\r\n");
