Platform: bound the orders that a gate has open at its target

What callers saw: after one job of thousands of tasks that need little room, the gate had 5,568 sockets, more than its VM's descriptors; further connections fail from then on.

Cause: each open order has a connection of its own, and all tasks that fit a target are started at the same moment.

Counter orders_unsent_total.

--- a/daemons/gate_daemon.cc
+++ b/daemons/gate_daemon.cc
@@ -115,7 +115,7 @@
         std::make_shared<core::MemoryQuota>(machine.connection_bytes);
     transport_.emplace(io_, core::RandomIncarnation(), MakePeerLimits(machine),
                        MakeTransportEvents(), connection_memory_);
-    target_client_.emplace(io_);
+    target_client_.emplace(io_, machine.open_orders);
     target_server_.emplace(
         io_, MakeTargetServerLimits(machine),
         [this](const http::Request& request, const http::Responder& answer) {
@@ -363,6 +363,8 @@
       SetCounterTotal(&registry_, "runs_ended_total",
                       {{"end", coordinator::Name(end)}}, count);
     }
+    SetCounterTotal(&registry_, "orders_unsent_total", {},
+                    target_client_->unsent_orders());
     registry_.Set("runs_open", {}, static_cast<double>(board_.runs.size()));
     registry_.Set("entries", {}, static_cast<double>(board_.homes.size()));
     UpdateShedMetrics(&registry_, CountShedConnections(), *connection_memory_);
--- a/daemons/machine_limits.cc
+++ b/daemons/machine_limits.cc
@@ -24,9 +24,11 @@
 constexpr std::size_t kClientParts = 20;
 /// A gate has no clients and uses their part for orders to its target.
 constexpr std::size_t kTargetParts = 8;
+constexpr std::size_t kOrderParts = 12;
 constexpr std::size_t kPeerParts = 8;
 /// Far more than a target takes at one time.
 constexpr std::size_t kMaxTargetConnections = 256;
+constexpr std::size_t kMaxOpenOrders = 256;
 constexpr std::size_t kMinOtherConnections = 4;
 constexpr std::size_t kMaxOtherConnections = 64;
 /// Connections that are told that there is no place for them, as a part of the
@@ -101,6 +103,7 @@
                    limits.connection_bytes / kOrdinaryBytes}));
   limits.target_connections =
       std::min(sockets / kParts * kTargetParts, kMaxTargetConnections);
+  limits.open_orders = std::min(sockets / kParts * kOrderParts, kMaxOpenOrders);
   limits.peer_connections = sockets / kParts * kPeerParts;
   limits.other_connections =
       std::clamp(sockets / kParts, kMinOtherConnections, kMaxOtherConnections);
--- a/daemons/machine_limits.h
+++ b/daemons/machine_limits.h
@@ -26,6 +26,8 @@
   std::size_t other_connections = 0;
   /// Connections to other entries and gates.
   std::size_t peer_connections = 0;
+  /// Orders that a gate has open at its target.
+  std::size_t open_orders = 0;
   /// Receive buffer in the kernel of a client's connection.
   std::size_t receive_buffer_bytes = 0;
 };
--- a/daemons/tests/machine_limits_test.cc
+++ b/daemons/tests/machine_limits_test.cc
@@ -69,7 +69,8 @@
           limits.client_connections +
           MakeServerLimits(limits, limits.client_connections, 1)
               .max_refused_connections;
-      const std::size_t targets = limits.target_connections;
+      const std::size_t targets =
+          limits.target_connections + limits.open_orders;
       CPPUNIT_ASSERT(limits.peer_connections + 2 * limits.other_connections +
                          std::max(clients, targets) <
                      sockets);
@@ -101,6 +102,7 @@
     CPPUNIT_ASSERT(limits.target_connections > 0);
     CPPUNIT_ASSERT(limits.peer_connections > 0);
     CPPUNIT_ASSERT(limits.other_connections > 0);
+    CPPUNIT_ASSERT(limits.open_orders > 0);
   }
 
   void RefusesSharesThatLeaveTooLittle() {
--- a/tests/crowd/client_crowd_test.cc
+++ b/tests/crowd/client_crowd_test.cc
@@ -11,6 +11,8 @@
 constexpr int kTinyChunks = 200000;
 constexpr std::size_t kMaxHeaderBytes = std::size_t{16} * 1024;
 constexpr int kPipelinedRequests = 500;
+/// Steps and tasks of a job that are as many as a job may have.
+constexpr int kMaxTasks = 10000;
 
 std::string Repeat(const std::string& text, int count) {
   std::string all;
@@ -72,6 +74,7 @@
   CPPUNIT_TEST(WithstandsBodyAfterWholeRequest);
   CPPUNIT_TEST(WithstandsClientsThatConnectAnew);
   CPPUNIT_TEST(WithstandsSilentClientsThatConnectAnew);
+  CPPUNIT_TEST(WithstandsJobsOfManyTasks);
   CPPUNIT_TEST(WithstandsJobsOfManySteps);
   CPPUNIT_TEST(WithstandsJobsWhoseTasksWait);
   CPPUNIT_TEST(WithstandsBodiesOfManyValues);
@@ -178,6 +181,13 @@
     Withstand(ClientAddress(), plan);
   }
 
+  void WithstandsJobsOfManyTasks() {
+    Withstand(ClientAddress(),
+              MakeJobPlan(MakeJobBody(
+                  "1 20000", R"({"count":)" + std::to_string(kMaxTasks) +
+                                 R"(,"cpu":1,"est_runtime_ms":1})")));
+  }
+
   void WithstandsJobsOfManySteps() {
     Withstand(ClientAddress(), MakeJobPlan(MakeManySteps()));
   }
