Http: tell that the client is gone when a handled request is shed

What callers would see: a job at work for a connection that was shed for memory goes on although its client has been cut off; the client submits it again elsewhere, and its tasks run twice.

Cause: shedding closed the connection without the event that a client's own close raises.

Change: the event is raised, in a turn of its own.

Found by reading; no run of the programs has shown it.

--- a/http/session.cc
+++ b/http/session.cc
@@ -151,6 +151,11 @@
 void Session::FreeForMemory() {
   const std::shared_ptr<Session> self = shared_from_this();
   ++server_->counters.closed_for_memory;
+  if (phase_ == Phase::kHandling && server_->gone) {
+    // Not from within the event of another session.
+    asio::post(*server_->io,
+               [server = server_, id = request_id_] { server->gone(id); });
+  }
   Shed();
   // Handlers that are under way keep the session for a while.
   buffer_.clear();
--- a/http/tests/server_crowd_test.cc
+++ b/http/tests/server_crowd_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(ServersShareOneQuota);
   CPPUNIT_TEST(AnswersThatNobodyReadsCount);
   CPPUNIT_TEST(MemoryIsFreeAgainOnceRequestsAreHandled);
+  CPPUNIT_TEST(TellsThatTheClientOfAHandledRequestIsGone);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -159,6 +160,22 @@
                          server_->counters().closed_for_memory);
   }
 
+  void TellsThatTheClientOfAHandledRequestIsGone() {
+    ServerLimits limits = Places(10);
+    // Enough for one request that is being read, or three quiet connections.
+    limits.max_held_bytes = std::size_t{7} * 1024;
+    Listen(limits);
+    const auto handled = Connect();
+    handled->Write("GET / HTTP/1.1\r\n\r\n");
+    AwaitOpen(1);
+    std::vector<std::shared_ptr<RawConnection>> silent;
+    for (int i = 0; i < 3; ++i) silent.push_back(Connect());
+    RunUntil(io_, [this] { return !gone_.empty(); });
+    CPPUNIT_ASSERT_EQUAL(open_[0].request.id, gone_[0]);
+    AwaitEnd(handled);
+    CPPUNIT_ASSERT_EQUAL(std::string(), handled->received);
+  }
+
  private:
   /// Limits under which nothing times out.
   static ServerLimits Places(std::size_t connections) {
