--- a/tests/soak/cluster.cc
+++ b/tests/soak/cluster.cc
@@ -91,8 +91,7 @@
 
 void Cluster::StartProcess(const Config& config, int index, bool entry) {
   const std::string name = (entry ? "entry-" : "gate-") + std::to_string(index);
-  const std::string node_file =
-      WriteNodeFile(config, name, index, entry);
+  const std::string node_file = WriteNodeFile(config, name, index, entry);
   // Peers connect to the VM's address, where the relay listens; the process
   // itself listens at `bind_ip`.
   const std::string last_byte = std::to_string(index + 1);
