--- a/daemons/machine_limits.cc
+++ b/daemons/machine_limits.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr char kSection[] = "limits";
-constexpr std::size_t kBytesPerMb = 1000 * 1000;
+constexpr std::size_t kBytesPerMb = std::size_t{1000} * 1000;
 constexpr std::size_t kPermille = 1000;
 
 /// Descriptors that the platform reserves for files; all others are for
--- a/daemons/tests/machine_limits_test.cc
+++ b/daemons/tests/machine_limits_test.cc
@@ -9,7 +9,7 @@
 namespace tarragon::daemons {
 namespace {
 
-constexpr std::size_t kBytesPerMb = 1000 * 1000;
+constexpr std::size_t kBytesPerMb = std::size_t{1000} * 1000;
 constexpr std::size_t kFileDescriptors = 200;
 
 core::Settings Parse(const std::vector<std::string>& overrides) {
@@ -78,7 +78,7 @@
   }
 
   void OrdinaryRequestsOfAllClientsFit() {
-    constexpr std::size_t kOrdinaryBytes = 8 * 1024;
+    constexpr std::size_t kOrdinaryBytes = std::size_t{8} * 1024;
     for (const Machine& each : kMachines) {
       const MachineLimits limits = Compute(each);
       CPPUNIT_ASSERT(limits.client_connections * kOrdinaryBytes <=
--- a/http/tests/server_crowd_test.cc
+++ b/http/tests/server_crowd_test.cc
@@ -168,8 +168,8 @@
     const auto handled = Connect();
     handled->Write("GET / HTTP/1.1\r\n\r\n");
     AwaitOpen(1);
-    std::vector<std::shared_ptr<RawConnection>> silent;
-    for (int i = 0; i < 3; ++i) silent.push_back(Connect());
+    const std::vector<std::shared_ptr<RawConnection>> silent = {
+        Connect(), Connect(), Connect()};
     RunUntil(io_, [this] { return !gone_.empty(); });
     CPPUNIT_ASSERT_EQUAL(open_[0].request.id, gone_[0]);
     AwaitEnd(handled);
