--- a/tests/crowd/crowd_fixture.cc
+++ b/tests/crowd/crowd_fixture.cc
@@ -95,6 +95,12 @@
   return ToText(ClientAddress());
 }
 
+std::string CrowdFixture::ReadMetrics(Role role) {
+  http::Request request;
+  request.path = "/metrics";
+  return SendUntilAnswered(ToText(MetricsAddress(role)), request).body;
+}
+
 std::vector<std::string> CrowdFixture::IpsOf(Role role) const {
   if (role == kEntry) return {"127.1.0.1", "127.3.0.1"};
   return {"127.2.0.1", "127.4.0.1"};
--- a/tests/crowd/crowd_fixture.h
+++ b/tests/crowd/crowd_fixture.h
@@ -64,6 +64,8 @@
   static std::string MakeJobBody(const std::string& spec,
                                  const std::string& steps);
   core::Address ClientAddressText() const;
+  /// The text of the process's metrics page.
+  std::string ReadMetrics(Role role);
   /// Fails the test if a process has ended or holds too much.
   void CheckProcesses();
   /// Runs until `done`.
